--- /dev/null
+++ b/crocusshunt/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering between callers and backend servers."""
--- /dev/null
+++ b/crocusshunt/api/_settings.py
@@ -0,0 +1,30 @@
+"""Settings of the operators' interface."""
+
+from dataclasses import dataclass
+
+from crocusshunt.core import HostIdentity
+from crocusshunt.store import PlatformSettings
+
+
+@dataclass(frozen=True, slots=True)
+class ApiSection:
+    """Addresses of the interface.
+
+    :param listen: ``tcp://ip:port`` where controllers ask for changes.
+    :param bootstrap_digest: SHA-256 of the key of a first operator, who may
+        administer until the operator table has a row.
+    """
+
+    address: str
+    port: int
+    listen: str
+    bootstrap_digest: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class ApiSettings:
+    """Sections of the interface's settings file."""
+
+    host: HostIdentity
+    api: ApiSection
+    platform: PlatformSettings
--- /dev/null
+++ b/crocusshunt/configuration/_errors.py
@@ -0,0 +1,94 @@
+"""Failures of reading and changing the configuration."""
+
+from dataclasses import dataclass
+
+from crocusshunt.core import CrocusError, Fault
+
+
+@dataclass(unsafe_hash=True)
+class ConfigurationError(CrocusError):
+    """A change that cannot be applied to a configuration."""
+
+    code = 'configuration'
+
+
+@dataclass(unsafe_hash=True)
+class BrokenChainError(ConfigurationError):
+    """A change that does not follow the revision held.
+
+    :param held: revision held.
+    :param offered: revision of the change.
+    """
+
+    code = 'broken-chain'
+
+    held: int
+    offered: int
+
+
+@dataclass(unsafe_hash=True)
+class MissingHistoryError(ConfigurationError):
+    """Changes older than the history kept in memory.
+
+    :param oldest: oldest revision from which changes are kept.
+    """
+
+    code = 'missing-history'
+
+    oldest: int
+
+
+@dataclass(unsafe_hash=True)
+class ProposalError(CrocusError):
+    """A proposed change that was not confirmed as accepted."""
+
+    code = 'proposal'
+
+
+@dataclass(unsafe_hash=True)
+class InvalidChangeError(ProposalError):
+    """A change refused by the checks; nothing was written."""
+
+    code = 'invalid-change'
+
+    faults: tuple[Fault, ...]
+
+    def describe(self) -> str:
+        """Return all faults, one a line."""
+        return '\n'.join(str(fault) for fault in self.faults)
+
+
+@dataclass(unsafe_hash=True)
+class RevisionConflictError(ProposalError):
+    """Another change came first; nothing was written.
+
+    :param expected: revision that the operator had seen.
+    :param actual: revision in force.
+    :param author: author of the change that came first.
+    :param reason: reason of the change that came first.
+    """
+
+    code = 'revision-conflict'
+
+    expected: int
+    actual: int
+    author: str
+    reason: str
+
+
+@dataclass(unsafe_hash=True)
+class UnknownOutcomeError(ProposalError):
+    """The store's answer was lost; ask again with the change id."""
+
+    code = 'unknown-outcome'
+
+    change_id: str
+
+
+@dataclass(unsafe_hash=True)
+class UnreachableStoreError(ProposalError):
+    """The store could not be read; nothing was written."""
+
+    code = 'store-unreachable'
+
+    change_id: str
--- /dev/null
+++ b/crocusshunt/controller/__init__.py
@@ -0,0 +1,9 @@
+"""The control process of a host."""
+
+from crocusshunt.controller._service import ControllerService
+from crocusshunt.controller._settings import (
+    ControllerSection,
+    ControllerSettings,
+)
+
+__all__ = ('ControllerSection', 'ControllerService', 'ControllerSettings')
--- /dev/null
+++ b/crocusshunt/controller/_service.py
@@ -0,0 +1,71 @@
+"""Service of the control process."""
+
+from typing import Any
+
+from aiomisc import Service
+
+from crocusshunt.membership import HostTable
+from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._settings import ControllerSettings
+from crocusshunt.core import Clock
+from crocusshunt.messages import (
+    Body,
+    BorrowTokens,
+    FetchChanges,
+    FetchHosts,
+    Handlers,
+    HostList,
+    Replier,
+    RequesterPool,
+)
+from crocusshunt.replication import Feed, Follower, FollowerSettings
+from crocusshunt.services import TaskGroup
+
+
+class ControllerService(Service):
+    """Keeps the configuration, the hosts and the customers' tokens."""
+
+    def __init__(self, settings: ControllerSettings, clock: Clock) -> None:
+        """Assemble the parts; nothing runs yet."""
+        super().__init__()
+        self._settings = settings
+        self._tasks = TaskGroup()
+        self._requesters = RequesterPool()
+        self.feed = Feed(clock)
+        self.hosts = HostTable(settings.controller.sources, self._requesters)
+        self._follower = Follower(
+            FollowerSettings(settings.controller.sources),
+            self.feed,
+            self._requesters,
+            clock,
+        )
+        self._loans = LoanDesk(
+            settings.host,
+            self.feed,
+            self.hosts,
+            self._requesters,
+            clock,
+        )
+        self.replier = Replier(settings.controller.listen, self._register())
+
+    async def start(self) -> None:
+        """Listen and follow."""
+        await self.replier.start()
+        self._tasks.start(self._follower.run())
+        self._tasks.start(self.hosts.run())
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Stop all tasks and close all sockets."""
+        await self._tasks.stop()
+        await self.replier.stop()
+        self._requesters.close()
+
+    def _register(self) -> Handlers:
+        handlers = Handlers()
+        handlers.register(FetchChanges)(self.feed.answer)
+        handlers.register(BorrowTokens)(self._loans.answer)
+        handlers.register(FetchHosts)(self._list_hosts)
+        return handlers
+
+    async def _list_hosts(self, question: FetchHosts) -> Body:
+        return HostList(self.hosts.hosts)
--- /dev/null
+++ b/crocusshunt/core/__init__.py
@@ -0,0 +1,31 @@
+"""Values, errors, clocks and addresses that every subject builds on."""
+
+from crocusshunt.core._clock import Clock, ManualClock, SystemClock
+from crocusshunt.core._errors import CrocusError, Fault, InvalidAddressError
+from crocusshunt.core._hashing import rank_by_rendezvous
+from crocusshunt.core._identity import HostIdentity, Identifiers
+from crocusshunt.core._network import (
+    IPAddress,
+    IPNetwork,
+    parse_address,
+    parse_network,
+)
+from crocusshunt.core._validation import Source, convert_fields
+
+__all__ = (
+    'Clock',
+    'CrocusError',
+    'Fault',
+    'HostIdentity',
+    'IPAddress',
+    'IPNetwork',
+    'Identifiers',
+    'InvalidAddressError',
+    'ManualClock',
+    'Source',
+    'SystemClock',
+    'convert_fields',
+    'parse_address',
+    'parse_network',
+    'rank_by_rendezvous',
+)
--- /dev/null
+++ b/crocusshunt/core/_identity.py
@@ -0,0 +1,40 @@
+"""Identities of hosts, processes and requests."""
+
+import random
+from dataclasses import dataclass, field
+
+_ID_BITS = 64
+_ID_DIGITS = 16
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class HostIdentity:
+    """Where a process runs, from its settings.
+
+    :param name: name of the host, unique in the deployment.
+    :param region: region of the host.
+    :param failure_domain: failure domain of the host within its region.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+
+
+@dataclass(slots=True)
+class Identifiers:
+    """Generator of identifiers from an injected source of randomness.
+
+    >>> Identifiers(random.Random(7)).create('req')
+    'req-f2a74de452e6b438'
+    """
+
+    source: random.Random = field(default_factory=random.SystemRandom)
+
+    def create(self, prefix: str) -> str:
+        """Return a fresh identifier.
+
+        :param prefix: kind of the thing identified.
+        """
+        number = self.source.getrandbits(_ID_BITS)
+        return f'{prefix}-{number:0{_ID_DIGITS}x}'
--- /dev/null
+++ b/crocusshunt/core/_network.py
@@ -0,0 +1,49 @@
+"""IP addresses and networks of callers."""
+
+from ipaddress import (
+    IPv4Address,
+    IPv4Network,
+    IPv6Address,
+    IPv6Network,
+    ip_address,
+    ip_network,
+)
+
+from result import Err, Ok, Result
+
+from crocusshunt.core._errors import InvalidAddressError
+
+IPAddress = IPv4Address | IPv6Address
+IPNetwork = IPv4Network | IPv6Network
+
+
+def parse_address(text: str) -> Result[IPAddress, InvalidAddressError]:
+    """Parse an IP address; an IPv4-mapped IPv6 address becomes IPv4.
+
+    :param text: the address in its usual notation.
+
+    >>> parse_address('::ffff:10.0.0.1').unwrap()
+    IPv4Address('10.0.0.1')
+    >>> parse_address('10.0.0').unwrap_err()
+    InvalidAddressError(text='10.0.0')
+    """
+    try:
+        address = ip_address(text)
+    except ValueError:
+        return Err(InvalidAddressError(text))
+    mapped = getattr(address, 'ipv4_mapped', None)
+    return Ok(mapped or address)
+
+
+def parse_network(text: str) -> Result[IPNetwork, InvalidAddressError]:
+    """Parse an IP network in CIDR notation.
+
+    :param text: the network, without host bits set.
+
+    >>> parse_network('10.1.0.0/16').unwrap()
+    IPv4Network('10.1.0.0/16')
+    """
+    try:
+        return Ok(ip_network(text))
+    except ValueError:
+        return Err(InvalidAddressError(text))
--- /dev/null
+++ b/crocusshunt/delivery/_headers.py
@@ -0,0 +1,144 @@
+"""Headers, query and cookies between callers and backend servers."""
+
+from collections.abc import Iterable
+from urllib.parse import unquote_plus
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+KEY_HEADER = 'X-Api-Key'
+KEY_QUERY = 'api_key'
+KEY_COOKIE = 'api_key'
+REQUEST_ID_HEADER = 'X-Request-Id'
+CUSTOMER_HEADER = 'X-Customer'
+DEADLINE_HEADER = 'X-Request-Deadline-Ms'
+IDEMPOTENCY_HEADER = 'Idempotency-Key'
+
+_AUTHORIZATION = 'Authorization'
+_COOKIE = 'Cookie'
+_BEARER = 'bearer '
+_COOKIE_SEPARATOR = ';'
+_HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+_REPLACED = frozenset(
+    name.lower()
+    for name in (
+        KEY_HEADER,
+        _AUTHORIZATION,
+        _COOKIE,
+        REQUEST_ID_HEADER,
+        CUSTOMER_HEADER,
+        DEADLINE_HEADER,
+        'Expect',
+    )
+)
+
+Headers = CIMultiDictProxy[str] | CIMultiDict[str]
+
+
+def find_keys(headers: Headers, raw_query: str) -> frozenset[str]:
+    """Return every different key that a request carries.
+
+    :param raw_query: the query as it was sent, without question mark.
+
+    >>> sorted(find_keys(CIMultiDict({'x-API-key': 'a'}), 'API_KEY=b&c=d'))
+    ['a', 'b']
+    """
+    found = set(headers.getall(KEY_HEADER, ()))
+    for authorization in headers.getall(_AUTHORIZATION, ()):
+        if authorization.lower().startswith(_BEARER):
+            found.add(authorization[len(_BEARER) :].strip())
+    for name, text in _split_query(raw_query):
+        if _is_key_name(name):
+            found.add(unquote_plus(text))
+    for name, text in _split_cookies(headers.getall(_COOKIE, ())):
+        if _is_key_name(name):
+            found.add(text)
+    return frozenset(found)
+
+
+def strip_keys_from_query(raw_query: str) -> str:
+    """Return a query without keys, otherwise as it was sent.
+
+    >>> strip_keys_from_query('a=1&Api_Key=ck&b=%20')
+    'a=1&b=%20'
+    """
+    return '&'.join(
+        part
+        for part in raw_query.split('&')
+        if not _is_key_name(part.partition('=')[0])
+    )
+
+
+def prepare_request_headers(
+    headers: Headers,
+    added: Iterable[tuple[str, str]],
+) -> CIMultiDict[str]:
+    """Return the headers for the backend server.
+
+    Keys, hop-by-hop headers and those that only the gateway may set are
+    left out.
+
+    :param added: headers that the gateway sets.
+    """
+    dropped = _HOP_BY_HOP | _REPLACED | _named_by_connection(headers)
+    kept = CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in dropped
+    )
+    cookies = [
+        f'{name}={text}'
+        for name, text in _split_cookies(headers.getall(_COOKIE, ()))
+        if not _is_key_name(name)
+    ]
+    if cookies:
+        kept[_COOKIE] = '; '.join(cookies)
+    kept.update(added)
+    return kept
+
+
+def prepare_answer_headers(headers: Headers) -> CIMultiDict[str]:
+    """Return a backend server's headers without hop-by-hop ones."""
+    dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    return CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def _named_by_connection(headers: Headers) -> frozenset[str]:
+    return frozenset(
+        name.strip().lower()
+        for line in headers.getall('Connection', ())
+        for name in line.split(',')
+    )
+
+
+def _is_key_name(name: str) -> bool:
+    return unquote_plus(name).strip().lower() == KEY_QUERY
+
+
+def _split_query(raw_query: str) -> Iterable[tuple[str, str]]:
+    for part in raw_query.split('&'):
+        name, _separator, text = part.partition('=')
+        yield name, text
+
+
+def _split_cookies(lines: Iterable[str]) -> Iterable[tuple[str, str]]:
+    for line in lines:
+        for part in line.split(_COOKIE_SEPARATOR):
+            name, _separator, text = part.strip().partition('=')
+            if name:
+                yield name, text
--- /dev/null
+++ b/crocusshunt/demo/__init__.py
@@ -0,0 +1,13 @@
+"""One whole session on loopback, all roles in one process."""
+
+from crocusshunt.demo._fleet import Fleet, FleetSettings
+from crocusshunt.demo._offer import describe_fleet
+from crocusshunt.demo._session import Step, run_session
+
+__all__ = (
+    'Fleet',
+    'FleetSettings',
+    'Step',
+    'describe_fleet',
+    'run_session',
+)
--- /dev/null
+++ b/crocusshunt/demo/_fleet.py
@@ -0,0 +1,216 @@
+"""All roles and stand-ins of a deployment, as tasks of one process."""
+
+import random
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from result import Err
+
+from crocusshunt.api import ApiSection, ApiService, ApiSettings
+from crocusshunt.client import OperatorClient, Proposal
+from crocusshunt.configuration import EditRequest, encode_row
+from crocusshunt.controller import (
+    ControllerSection,
+    ControllerService,
+    ControllerSettings,
+)
+from crocusshunt.core import HostIdentity, SystemClock
+from crocusshunt.declarations import compare_tables, read_declarations
+from crocusshunt.gateway import (
+    GatewaySection,
+    GatewayService,
+    GatewaySettings,
+)
+from crocusshunt.keys import Key, create_key, digest_key
+from crocusshunt.locator import (
+    LocatorSection,
+    LocatorService,
+    LocatorSettings,
+)
+from crocusshunt.routing import Customer, FailureDomain, Server, Tables
+from crocusshunt.standin import BackendService, PlatformService, RunCounter
+from crocusshunt.store import HostEntry, PlatformSettings
+
+_LOOPBACK = '127.0.0.1'
+_ANY_PORT = 0
+_ANY_ADDRESS = f'tcp://{_LOOPBACK}:{_ANY_PORT}'
+_OPERATOR_KEY_NAME = 'bootstrap'
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """What to bring up.
+
+    :param declarations: directory of the deployment's tables.
+    :param seed: seed of the gateways' randomness.
+    """
+
+    declarations: Path
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class HostServices:
+    """Processes of one entry host."""
+
+    identity: HostIdentity
+    controller: ControllerService
+    gateway: GatewayService
+    locator: LocatorService
+
+
+@dataclass(slots=True)
+class Fleet:
+    """A running deployment."""
+
+    settings: FleetSettings
+    clock: SystemClock = field(default_factory=SystemClock)
+    platform: PlatformService = field(
+        default_factory=lambda: PlatformService(_LOOPBACK, _ANY_PORT),
+    )
+    operator_key: str = field(
+        default_factory=lambda: create_key(_OPERATOR_KEY_NAME),
+    )
+    runs: RunCounter = field(default_factory=RunCounter)
+    apis: list[ApiService] = field(default_factory=list)
+    hosts: list[HostServices] = field(default_factory=list)
+    backends: list[BackendService] = field(default_factory=list)
+    tables: Tables = field(default_factory=Tables)
+    keys: dict[str, str] = field(default_factory=dict)
+
+    async def start(self) -> None:
+        """Start the stand-ins, then the roles, then apply the tables."""
+        await self.platform.start()
+        await self._start_backends()
+        await self._start_apis()
+        await self._start_hosts()
+        await self._apply()
+
+    async def stop(self) -> None:
+        """Stop everything, callers' side first."""
+        for host in self.hosts:
+            await host.locator.stop()
+            await host.gateway.stop()
+            await host.controller.stop()
+        for service in (*self.apis, *self.backends, self.platform):
+            await service.stop()
+
+    def create_client(self) -> OperatorClient:
+        """Return a client of the operators' interface."""
+        return OperatorClient(self.apis[0].url, self.operator_key)
+
+    async def _start_backends(self) -> None:
+        declared = _unwrap_tables(self.settings.declarations)
+        servers: list[Server] = []
+        for server in declared.select(Server):
+            backend = BackendService(server.name, _LOOPBACK, _ANY_PORT)
+            backend.counter = self.runs
+            await backend.start()
+            self.backends.append(backend)
+            address = f'{_LOOPBACK}:{backend.port}'
+            servers.append(replace(server, address=address))
+        self.tables = declared.put(*servers)
+
+    async def _start_apis(self) -> None:
+        for domain in self.tables.select(FailureDomain):
+            service = ApiService(
+                ApiSettings(
+                    HostIdentity(
+                        f'{domain.name}-1',
+                        domain.region,
+                        domain.name,
+                    ),
+                    ApiSection(
+                        _LOOPBACK,
+                        _ANY_PORT,
+                        _ANY_ADDRESS,
+                        digest_key(self.operator_key),
+                    ),
+                    PlatformSettings(self.platform.url),
+                ),
+                self.clock,
+            )
+            await service.start()
+            self.apis.append(service)
+
+    async def _start_hosts(self) -> None:
+        for position, domain in enumerate(self.tables.select(FailureDomain)):
+            identity = HostIdentity(
+                f'{domain.name}-1',
+                domain.region,
+                domain.name,
+            )
+            ordered = self.apis[position:] + self.apis[:position]
+            sources = tuple(api.address for api in ordered)
+            self.hosts.append(await self._start_host(identity, sources))
+        self.platform.platform.hosts = tuple(
+            _create_entry(host) for host in self.hosts
+        )
+
+    async def _start_host(
+        self,
+        identity: HostIdentity,
+        sources: tuple[str, ...],
+    ) -> HostServices:
+        controller = ControllerService(
+            ControllerSettings(
+                identity,
+                ControllerSection(_ANY_ADDRESS, sources),
+            ),
+            self.clock,
+        )
+        await controller.start()
+        address = controller.replier.address
+        gateway = GatewayService(
+            GatewaySettings(
+                identity,
+                GatewaySection(_LOOPBACK, _ANY_PORT, address),
+                PlatformSettings(self.platform.url),
+            ),
+            self.clock,
+            random.Random(self.settings.seed),
+        )
+        await gateway.start()
+        locator = LocatorService(
+            LocatorSettings(
+                identity,
+                LocatorSection(_LOOPBACK, _ANY_PORT, address),
+            ),
+            self.clock,
+        )
+        await locator.start()
+        return HostServices(identity, controller, gateway, locator)
+
+    async def _apply(self) -> None:
+        rows: list[Key] = []
+        for customer in self.tables.select(Customer):
+            secret = create_key(customer.name)
+            self.keys[customer.name] = secret
+            rows.append(Key(customer.name, customer.name, digest_key(secret)))
+        edits = compare_tables(Tables(), self.tables, self.tables.rows)
+        granted = tuple(
+            EditRequest('key', row.name, encode_row(row)) for row in rows
+        )
+        client = self.create_client()
+        proposal = Proposal('demo-tables', 0, 'first tables', edits + granted)
+        accepted = await client.propose(proposal)
+        await client.close()
+        accepted.expect('the first tables are accepted')
+
+
+def _create_entry(host: HostServices) -> HostEntry:
+    identity = host.identity
+    return HostEntry(
+        identity.name,
+        identity.region,
+        identity.failure_domain,
+        host.gateway.url,
+        host.controller.replier.address,
+    )
+
+
+def _unwrap_tables(directory: Path) -> Tables:
+    tables = read_declarations(directory)
+    if isinstance(tables, Err):
+        raise tables.err_value
+    return tables.ok_value
--- /dev/null
+++ b/crocusshunt/demo/_session.py
@@ -0,0 +1,210 @@
+"""The session that the demonstration runs."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from crocusshunt.client import OperatorClient, Proposal
+from crocusshunt.configuration import EditRequest, encode_row
+from crocusshunt.demo._fleet import Fleet
+from crocusshunt.keys import Key, KeyState
+from crocusshunt.routing import Access, Customer, Route, Server, ServerState
+from crocusshunt.standin import ReceivedRequest
+
+_FORCE_S = 15
+_WITHDRAWAL_S = 5
+_POLL_S = 0.05
+_DRAIN_REQUESTS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step of the session and what it showed.
+
+    :param shown: the same text in every run that goes well.
+    """
+
+    name: str
+    shown: str
+    passed: bool
+
+    def describe(self) -> str:
+        """Return the line that the demonstration prints."""
+        verdict = 'ok' if self.passed else 'FAILED'
+        return f'{verdict:6} {self.name}: {self.shown}'
+
+
+@dataclass(frozen=True, slots=True)
+class _Scene:
+    fleet: Fleet
+    callers: aiohttp.ClientSession
+    operators: OperatorClient
+
+    @property
+    def customer(self) -> str:
+        return self.fleet.tables.select(Customer)[0].name
+
+    @property
+    def route(self) -> Route:
+        return next(
+            route
+            for route in self.fleet.tables.select(Route)
+            if route.access is Access.keyed and route.idempotent
+        )
+
+    @property
+    def headers(self) -> dict[str, str]:
+        return {'X-Api-Key': self.fleet.keys[self.customer]}
+
+    def find_url(self, position: int = 0) -> str:
+        gateway = self.fleet.hosts[position].gateway.url
+        return f'{gateway}{self.route.path_prefix}/42?page=1'
+
+
+_Play = Callable[[_Scene], Awaitable[Step]]
+_PLAYS: list[_Play] = []
+
+
+def _play(function: _Play) -> _Play:
+    _PLAYS.append(function)
+    return function
+
+
+async def run_session(fleet: Fleet) -> AsyncIterator[Step]:
+    """Run every step against a started fleet.
+
+    :raises AssertionError: never; a step that went wrong says so.
+    """
+    operators = fleet.create_client()
+    async with aiohttp.ClientSession() as callers:
+        scene = _Scene(fleet, callers, operators)
+        for play in _PLAYS:
+            yield await play(scene)
+    await operators.close()
+
+
+@_play
+async def _spread_tables(scene: _Scene) -> Step:
+    in_force = await _wait_for(
+        lambda: all(
+            host.gateway.feed.configuration.revision > 0
+            and host.locator.hosts.hosts
+            for host in scene.fleet.hosts
+        ),
+        _FORCE_S,
+    )
+    count = len(scene.fleet.hosts)
+    return Step('tables', f'in force on {count} hosts', in_force)
+
+
+@_play
+async def _look_up(scene: _Scene) -> Step:
+    url = f'{scene.fleet.hosts[0].locator.url}/v1/lookup'
+    async with scene.callers.get(url) as response:
+        answer = await response.json()
+    regions = {host['region'] for host in answer['hosts'][:2]}
+    domains = {host['failure_domain'] for host in answer['hosts'][:2]}
+    shown = f'nearest region {sorted(regions)}, domains {sorted(domains)}'
+    return Step('locator', shown, len(regions) == 1 and len(domains) == 2)
+
+
+@_play
+async def _call_with_key(scene: _Scene) -> Step:
+    url = scene.find_url()
+    async with scene.callers.get(url, headers=scene.headers) as response:
+        received = msgspec.json.decode(
+            await response.read(),
+            type=ReceivedRequest,
+        )
+    key = scene.fleet.keys[scene.customer]
+    seen = msgspec.json.encode(received).decode()
+    shown = f'backend server saw customer {received.customer} and no key'
+    passed = received.customer == scene.customer and key not in seen
+    return Step('keyed request', shown, passed)
+
+
+@_play
+async def _call_without_key(scene: _Scene) -> Step:
+    url = scene.find_url()
+    async with scene.callers.get(url) as response:
+        problem = await response.json()
+    shown = f'{problem["status"]} {problem["title"]}, {problem["outcome"]}'
+    return Step('no key', shown, problem['outcome'] == 'not_run')
+
+
+@_play
+async def _drain_server(scene: _Scene) -> Step:
+    pool = scene.route.pool
+    servers = scene.fleet.tables.select(Server)
+    server = next(row for row in servers if row.pool == pool)
+    drained = replace(server, state=ServerState.draining)
+    await _change(scene, 'drain', 'server', drained)
+    await _wait_for(lambda: _is_everywhere(scene, 2), _FORCE_S)
+    answers = [await _read(scene) for _ in range(_DRAIN_REQUESTS)]
+    refused = sum(status != 200 for status, _received in answers)
+    new_work = sum(
+        received.get('server') == server.name for _status, received in answers
+    )
+    shown = f'{refused} refused, {new_work} requests to the drained server'
+    return Step('drain', shown, refused == 0 and new_work == 0)
+
+
+@_play
+async def _withdraw_key(scene: _Scene) -> Step:
+    before, _answer = await _read(scene)
+    key = scene.fleet.keys[scene.customer]
+    held = scene.fleet.hosts[0].gateway.feed.configuration.tables
+    row = held.find(Key, scene.customer)
+    assert row is not None and key  # noqa: S101, PT018
+    withdrawn = replace(row, state=KeyState.withdrawn)
+    await _change(scene, 'withdraw', 'key', withdrawn)
+    refused = await _poll(lambda: _is_refused(scene), _WITHDRAWAL_S)
+    shown = f'honoured before: {before == 200}; refused within 5 s: {refused}'
+    return Step('key withdrawn', shown, before == 200 and refused)
+
+
+async def _read(scene: _Scene) -> tuple[int, dict[str, Any]]:
+    url = scene.find_url()
+    async with scene.callers.get(url, headers=scene.headers) as response:
+        return response.status, await response.json()
+
+
+async def _is_refused(scene: _Scene) -> bool:
+    status, _answer = await _read(scene)
+    return status == 401
+
+
+async def _change(scene: _Scene, name: str, table: str, row: Any) -> None:
+    snapshot = (await scene.operators.get_snapshot()).unwrap()
+    edit = EditRequest(table, row.name, encode_row(row))
+    proposal = Proposal(f'demo-{name}', snapshot.revision, name, (edit,))
+    (await scene.operators.propose(proposal)).unwrap()
+
+
+def _is_everywhere(scene: _Scene, revision: int) -> bool:
+    return all(
+        host.gateway.feed.configuration.revision >= revision
+        for host in scene.fleet.hosts
+    )
+
+
+async def _wait_for(predicate: Callable[[], bool], seconds: float) -> bool:
+    async def ask() -> bool:
+        return predicate()
+
+    return await _poll(ask, seconds)
+
+
+async def _poll(
+    predicate: Callable[[], Awaitable[bool]],
+    seconds: float,
+) -> bool:
+    for _ in range(int(seconds / _POLL_S)):
+        if await predicate():
+            return True
+        await asyncio.sleep(_POLL_S)
+    return False
--- /dev/null
+++ b/crocusshunt/gateway/_admission.py
@@ -0,0 +1,136 @@
+"""Whether a request may run: route, key, rate and burst."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from crocusshunt.configuration import Configuration
+from crocusshunt.core import IPAddress
+from crocusshunt.delivery import NotRun
+from crocusshunt.keys import Keyring, Key, MissingKeyError
+from crocusshunt.replication import Feed
+from crocusshunt.routing import (
+    Access,
+    RequestFacts,
+    Route,
+    RouteMatcher,
+    Server,
+)
+
+_STATUS_UNAUTHORIZED = 401
+_STATUS_NOT_FOUND = 404
+_STATUS_UNAVAILABLE = 503
+_EVIDENCE_RETRY_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a request shows before it is admitted.
+
+    :param keys: every different key that it carries.
+    """
+
+    host: str
+    path: str
+    method: str
+    client: IPAddress
+    keys: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A request's route and customer.
+
+    :param customer: name of the customer, empty on routes open to all.
+    """
+
+    route: Route
+    customer: str
+
+
+class Gatekeeper:
+    """Finds routes and checks keys against the configuration in force."""
+
+    def __init__(self, feed: Feed, key_evidence_s: float) -> None:
+        """Follow a feed."""
+        self._feed = feed
+        self._key_evidence_s = key_evidence_s
+        self._keyring = Keyring(())
+        self._matcher = RouteMatcher(())
+        self.servers: Mapping[str, tuple[Server, ...]] = {}
+        feed.listen(self._rebuild)
+
+    def admit(self, ask: Ask) -> Result[Admission, NotRun]:
+        """Return the route and customer of a request, or why not."""
+        if not self._feed.configuration.revision:
+            return Err(_refuse_unloaded())
+        key = self._authenticate(ask)
+        customer = key.ok_value.customer if isinstance(key, Ok) else ''
+        route = self._matcher.find(
+            RequestFacts(
+                host=ask.host,
+                path=ask.path,
+                method=ask.method,
+                customer=customer,
+                client=ask.client,
+            ),
+        )
+        if route is None:
+            return Err(_refuse_unmatched(key))
+        if route.access is Access.open:
+            return Ok(Admission(route, ''))
+        if isinstance(key, Err):
+            return key
+        return Ok(Admission(route, customer))
+
+    def _authenticate(self, ask: Ask) -> Result[Key, NotRun]:
+        if len(ask.keys) > 1:
+            return Err(_refuse_key('key-ambiguous'))
+        presented = next(iter(ask.keys), '')
+        if not presented:
+            return Err(_refuse_key(MissingKeyError.code))
+        if self._feed.measure_age() > self._key_evidence_s:
+            return Err(
+                NotRun(
+                    'key-evidence-stale',
+                    _STATUS_UNAVAILABLE,
+                    'this host cannot tell whether the key was withdrawn; '
+                    'use another host',
+                    _EVIDENCE_RETRY_S,
+                ),
+            )
+        key = self._keyring.authenticate(presented)
+        return key.map_err(lambda error: _refuse_key(error.code))
+
+    def _rebuild(self, configuration: Configuration) -> None:
+        tables = configuration.tables
+        self._keyring = Keyring(tables.select(Key))
+        self._matcher = RouteMatcher(tables.select(Route))
+        servers: dict[str, tuple[Server, ...]] = {}
+        for server in tables.select(Server):
+            held = servers.get(server.pool, ())
+            servers[server.pool] = (*held, server)
+        self.servers = servers
+
+
+def _refuse_key(code: str) -> NotRun:
+    return NotRun(code, _STATUS_UNAUTHORIZED, 'the key is not honoured')
+
+
+def _refuse_unloaded() -> NotRun:
+    return NotRun(
+        'configuration-missing',
+        _STATUS_UNAVAILABLE,
+        'this host has no configuration yet; use another host',
+        _EVIDENCE_RETRY_S,
+    )
+
+
+def _refuse_unmatched(key: Result[Key, NotRun]) -> NotRun:
+    is_keyless = (
+        isinstance(key, Err) and key.err_value.code == MissingKeyError.code
+    )
+    if isinstance(key, Err) and not is_keyless:
+        return key.err_value
+    return NotRun('no-route', _STATUS_NOT_FOUND, 'no route matches the request')
--- /dev/null
+++ b/crocusshunt/keys/_keyring.py
@@ -0,0 +1,111 @@
+"""Authentication of callers by the key table."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+from hmac import compare_digest
+from typing import Annotated
+
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from crocusshunt.core import CrocusError, Fault
+from crocusshunt.keys._digests import digest_key, split_key
+from crocusshunt.routing import Customer, Name, Tables, check, register_table
+
+Digest = Annotated[str, Meta(pattern='^[0-9a-f]{64}$')]
+
+
+class KeyState(str, Enum):
+    """Whether a key is honoured."""
+
+    granted = 'granted'
+    withdrawn = 'withdrawn'
+
+
+@register_table('key')
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A customer's key; the key itself is never stored.
+
+    :param digest: SHA-256 of the key, in hexadecimal.
+    """
+
+    name: Name
+    customer: str
+    digest: Digest
+    state: KeyState = KeyState.granted
+
+
+@dataclass(unsafe_hash=True)
+class RefusedKeyError(CrocusError):
+    """A request whose key is not honoured."""
+
+    code = 'key-refused'
+
+
+@dataclass(unsafe_hash=True)
+class MissingKeyError(RefusedKeyError):
+    """A keyed route was asked without a key, or with more than one."""
+
+    code = 'key-missing'
+
+
+@dataclass(unsafe_hash=True)
+class UnknownKeyError(RefusedKeyError):
+    """A key that no row stands for."""
+
+    code = 'key-unknown'
+
+
+@dataclass(unsafe_hash=True)
+class WithdrawnKeyError(RefusedKeyError):
+    """A key that was withdrawn.
+
+    :param name: public name of the key.
+    """
+
+    code = 'key-withdrawn'
+
+    name: str
+
+
+class Keyring:
+    """Answers which customer a key stands for.
+
+    >>> row = Key('court-1', 'court', digest_key('ck_court-1_00'))
+    >>> Keyring((row,)).authenticate('ck_court-1_00').unwrap().customer
+    'court'
+    >>> Keyring((row,)).authenticate('ck_court-1_01').unwrap_err()
+    UnknownKeyError()
+    """
+
+    def __init__(self, keys: Iterable[Key]) -> None:
+        """Index keys by their public names."""
+        self._keys = {key.name: key for key in keys}
+
+    def authenticate(self, presented: str) -> Result[Key, RefusedKeyError]:
+        """Return the key's row, or why it is not honoured.
+
+        :param presented: the key as the caller sent it.
+        """
+        if not presented:
+            return Err(MissingKeyError())
+        row = self._keys.get(split_key(presented))
+        if row is None:
+            return Err(UnknownKeyError())
+        if not compare_digest(row.digest, digest_key(presented)):
+            return Err(UnknownKeyError())
+        if row.state is KeyState.withdrawn:
+            return Err(WithdrawnKeyError(row.name))
+        return Ok(row)
+
+
+@check
+def _check_customers_of_keys(tables: Tables) -> Iterator[Fault]:
+    customers = {customer.name for customer in tables.select(Customer)}
+    for key in tables.select(Key):
+        if key.customer not in customers:
+            place = f'key {key.name}'
+            problem = f"customer '{key.customer}' does not exist"
+            yield Fault(place, problem, ', '.join(sorted(customers)))
--- /dev/null
+++ b/crocusshunt/messages/__init__.py
@@ -0,0 +1,59 @@
+"""Typed, versioned messages between the system's processes."""
+
+from crocusshunt.messages._bodies import (
+    BorrowTokens,
+    Body,
+    ChangeFeed,
+    FetchChanges,
+    FetchHosts,
+    HostList,
+    Refusal,
+    SnapshotFeed,
+    TokenLoan,
+    register_body,
+)
+from crocusshunt.messages._codec import (
+    PROTOCOL_VERSION,
+    Codec,
+    DamagedMessageError,
+    MessageError,
+    UnknownKindError,
+    UnknownVersionError,
+)
+from crocusshunt.messages._errors import (
+    PeerRefusalError,
+    PeerTimeoutError,
+    TransportError,
+)
+from crocusshunt.messages._sockets import (
+    Handlers,
+    Replier,
+    Requester,
+    RequesterPool,
+)
+
+__all__ = (
+    'PROTOCOL_VERSION',
+    'Body',
+    'BorrowTokens',
+    'ChangeFeed',
+    'Codec',
+    'DamagedMessageError',
+    'FetchChanges',
+    'FetchHosts',
+    'Handlers',
+    'HostList',
+    'MessageError',
+    'PeerRefusalError',
+    'PeerTimeoutError',
+    'Refusal',
+    'Replier',
+    'Requester',
+    'RequesterPool',
+    'SnapshotFeed',
+    'TokenLoan',
+    'TransportError',
+    'UnknownKindError',
+    'UnknownVersionError',
+    'register_body',
+)
--- /dev/null
+++ b/crocusshunt/messages/_bodies.py
@@ -0,0 +1,118 @@
+"""Bodies of the messages between processes."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from crocusshunt.configuration import Change, Edit, Evidence
+from crocusshunt.store import HostEntry
+
+
+class Body(msgspec.Struct, frozen=True):
+    """Base of all message bodies."""
+
+
+_BodyType = TypeVar('_BodyType', bound=type[Body])
+BODY_TYPES: dict[str, type[Body]] = {}
+KINDS: dict[type[Body], str] = {}
+
+
+def register_body(kind: str) -> Callable[[_BodyType], _BodyType]:
+    """Return a decorator that makes a structure the body of a kind.
+
+    :param kind: name of the message's kind on the wire.
+    """
+
+    def register(body_class: _BodyType) -> _BodyType:
+        BODY_TYPES[kind] = body_class
+        KINDS[body_class] = kind
+        return body_class
+
+    return register
+
+
+@register_body('refusal')
+class Refusal(Body, frozen=True):
+    """Answer to a message that was not carried out.
+
+    :param code: machine-readable name of the failure.
+    :param detail: one line for the log.
+    """
+
+    code: str
+    detail: str = ''
+
+
+@register_body('fetch-changes')
+class FetchChanges(Body, frozen=True):
+    """Asks for the changes after a revision, waiting for news if none.
+
+    :param held: revision that the sender holds.
+    :param wait_s: longest wait for a newer revision, in seconds.
+    """
+
+    held: int
+    wait_s: float = 0
+
+
+@register_body('change-feed')
+class ChangeFeed(Body, frozen=True):
+    """Changes that follow the revision asked about, oldest first."""
+
+    changes: tuple[Change, ...]
+    evidence: Evidence
+
+
+@register_body('snapshot-feed')
+class SnapshotFeed(Body, frozen=True):
+    """A whole configuration, for a follower that is far behind.
+
+    :param rows: one edit for each row, with its text in ``after``.
+    """
+
+    revision: int
+    digest: str
+    rows: tuple[Edit, ...]
+    evidence: Evidence
+
+
+@register_body('fetch-hosts')
+class FetchHosts(Body, frozen=True):
+    """Asks for the hosts that the sender's controller knows."""
+
+
+@register_body('host-list')
+class HostList(Body, frozen=True):
+    """Hosts, with the states that the answering process believes."""
+
+    hosts: tuple[HostEntry, ...]
+
+
+@register_body('borrow-tokens')
+class BorrowTokens(Body, frozen=True):
+    """Asks a customer's home host for admission tokens.
+
+    :param loan_id: identifies the loan when the message is repeated.
+    :param wanted: number of tokens wanted.
+    """
+
+    loan_id: str
+    customer: str
+    wanted: int
+
+
+@register_body('token-loan')
+class TokenLoan(Body, frozen=True):
+    """Tokens lent to a gateway.
+
+    :param granted: number of tokens, possibly none.
+    :param lifetime_s: seconds from the sending of the request after which
+        unused tokens are void.
+    :param retry_after_s: seconds until more tokens may be had.
+    """
+
+    loan_id: str
+    granted: int
+    lifetime_s: float
+    retry_after_s: float
--- /dev/null
+++ b/crocusshunt/messages/_sockets.py
@@ -0,0 +1,183 @@
+"""Request and reply sockets over TCP."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar, cast
+
+import pynng
+from result import Err, Ok, Result
+
+from crocusshunt.messages._bodies import Body, Refusal
+from crocusshunt.messages._codec import Codec
+from crocusshunt.messages._errors import (
+    PeerRefusalError,
+    PeerTimeoutError,
+    TransportError,
+)
+
+# A request is sent once; what may be repeated is repeated by its sender.
+_NEVER_RESEND_MS = -1
+_MAX_MESSAGE_BYTES = 67_108_864
+_REPLY_CONTEXTS = 64
+
+_BodyType = TypeVar('_BodyType', bound=Body)
+Handler = Callable[[Body], Awaitable[Body]]
+
+
+class Handlers:
+    """Registry of the functions that answer each kind of message."""
+
+    def __init__(self) -> None:
+        """Start without handlers."""
+        self._handlers: dict[type[Body], Handler] = {}
+
+    def register(
+        self,
+        body_class: type[_BodyType],
+    ) -> Callable[
+        [Callable[[_BodyType], Awaitable[Body]]],
+        Callable[[_BodyType], Awaitable[Body]],
+    ]:
+        """Return a decorator that registers a handler for a body type."""
+
+        def add(
+            function: Callable[[_BodyType], Awaitable[Body]],
+        ) -> Callable[[_BodyType], Awaitable[Body]]:
+            self._handlers[body_class] = cast(Handler, function)
+            return function
+
+        return add
+
+    async def answer(self, body: Body) -> Body:
+        """Return the answer of the handler registered for a body."""
+        handler = self._handlers.get(type(body))
+        if handler is None:
+            return Refusal('message-unexpected', type(body).__name__)
+        return await handler(body)
+
+
+class Replier:
+    """Listens on one address and answers messages; owns its socket."""
+
+    def __init__(self, address: str, handlers: Handlers) -> None:
+        """Prepare to listen.
+
+        :param address: ``tcp://ip:port``.
+        """
+        self.codec = Codec()
+        self.address = address
+        self._handlers = handlers
+        self._socket: pynng.Rep0 | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, and answer in the background."""
+        self._socket = pynng.Rep0(recv_max_size=_MAX_MESSAGE_BYTES)
+        listener = self._socket.listen(self.address)
+        self.address = f'tcp://{listener.local_address}'
+        for _ in range(_REPLY_CONTEXTS):
+            context = self._socket.new_context()
+            self._tasks.append(asyncio.create_task(self._serve(context)))
+
+    async def stop(self) -> None:
+        """Stop answering and close the socket."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._socket is not None:
+            self._socket.close()
+
+    async def _serve(self, context: pynng.Context) -> None:
+        with context:
+            while True:
+                message = await context.arecv()
+                answer = await self._answer(message)
+                await context.asend(self.codec.encode(answer))
+
+    async def _answer(self, message: bytes) -> Body:
+        decoded = self.codec.decode(message)
+        if isinstance(decoded, Err):
+            return Refusal(decoded.err_value.code, decoded.err_value.describe())
+        return await self._handlers.answer(decoded.ok_value)
+
+
+class Requester:
+    """Sends messages to one address; owns its socket."""
+
+    def __init__(self, address: str) -> None:
+        """Dial an address in the background.
+
+        :param address: ``tcp://ip:port``.
+        """
+        self.codec = Codec()
+        self._address = address
+        self._socket = pynng.Req0(
+            resend_time=_NEVER_RESEND_MS,
+            recv_max_size=_MAX_MESSAGE_BYTES,
+        )
+        self._socket.dial(address, block=False)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    async def ask(
+        self,
+        body: Body,
+        expected: type[_BodyType],
+        timeout_s: float,
+    ) -> Result[_BodyType, TransportError]:
+        """Send a message and return its answer.
+
+        :param expected: type of a good answer.
+        :param timeout_s: longest wait, in seconds.
+        """
+        answer = await self.exchange(body, timeout_s)
+        if isinstance(answer, Err):
+            return answer
+        if isinstance(answer.ok_value, expected):
+            return Ok(answer.ok_value)
+        return Err(PeerRefusalError(type(answer.ok_value).__name__))
+
+    async def exchange(
+        self,
+        body: Body,
+        timeout_s: float,
+    ) -> Result[Body, TransportError]:
+        """Send a message and return an answer of any type but refusal."""
+        with self._socket.new_context() as context:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    message = await self._swap(context, body)
+            except (TimeoutError, pynng.exceptions.NNGException):
+                return Err(PeerTimeoutError(self._address))
+        decoded = self.codec.decode(message)
+        if isinstance(decoded, Err):
+            return Err(PeerRefusalError(decoded.err_value.code))
+        if isinstance(decoded.ok_value, Refusal):
+            return Err(PeerRefusalError(decoded.ok_value.code))
+        return Ok(decoded.ok_value)
+
+    async def _swap(self, context: pynng.Context, body: Body) -> bytes:
+        await context.asend(self.codec.encode(body))
+        return cast(bytes, await context.arecv())
+
+
+class RequesterPool:
+    """Requesters by address, opened on first use."""
+
+    def __init__(self) -> None:
+        """Start without requesters."""
+        self._requesters: dict[str, Requester] = {}
+
+    def get(self, address: str) -> Requester:
+        """Return the requester for an address."""
+        if address not in self._requesters:
+            self._requesters[address] = Requester(address)
+        return self._requesters[address]
+
+    def close(self) -> None:
+        """Close all requesters."""
+        for requester in self._requesters.values():
+            requester.close()
+        self._requesters.clear()
--- /dev/null
+++ b/crocusshunt/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The console programs."""
--- /dev/null
+++ b/crocusshunt/programs/api.py
@@ -0,0 +1,21 @@
+"""Operators' interface and source of changes.
+
+Usage:
+  crocus-api --settings=FILE
+  crocus-api --help
+
+Options:
+  --settings=FILE  INI file, see docs/operators/settings.md.
+  --help           Show this text.
+"""
+
+from crocusshunt.core import SystemClock
+from crocusshunt.api import ApiService, ApiSettings
+from crocusshunt.programs._start import start_program
+from crocusshunt.services import run_services
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    settings = start_program(__doc__ or '', ApiSettings)
+    run_services(ApiService(settings, SystemClock()))
--- /dev/null
+++ b/crocusshunt/programs/controller.py
@@ -0,0 +1,21 @@
+"""Control process of a host.
+
+Usage:
+  crocus-controller --settings=FILE
+  crocus-controller --help
+
+Options:
+  --settings=FILE  INI file, see docs/operators/settings.md.
+  --help           Show this text.
+"""
+
+from crocusshunt.core import SystemClock
+from crocusshunt.controller import ControllerService, ControllerSettings
+from crocusshunt.programs._start import start_program
+from crocusshunt.services import run_services
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    settings = start_program(__doc__ or '', ControllerSettings)
+    run_services(ControllerService(settings, SystemClock()))
--- /dev/null
+++ b/crocusshunt/programs/locator.py
@@ -0,0 +1,21 @@
+"""Tells callers which entry hosts to use.
+
+Usage:
+  crocus-locator --settings=FILE
+  crocus-locator --help
+
+Options:
+  --settings=FILE  INI file, see docs/operators/settings.md.
+  --help           Show this text.
+"""
+
+from crocusshunt.core import SystemClock
+from crocusshunt.locator import LocatorService, LocatorSettings
+from crocusshunt.programs._start import start_program
+from crocusshunt.services import run_services
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    settings = start_program(__doc__ or '', LocatorSettings)
+    run_services(LocatorService(settings, SystemClock()))
--- /dev/null
+++ b/crocusshunt/replication/_feed.py
@@ -0,0 +1,126 @@
+"""The configuration that a process holds, and its answers to followers."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from crocusshunt.configuration import (
+    Change,
+    Configuration,
+    Edit,
+    Evidence,
+    EvidenceLog,
+    History,
+    decode_row,
+    encode_row,
+)
+from crocusshunt.core import Clock
+from crocusshunt.logs import log_event
+from crocusshunt.messages import Body, ChangeFeed, FetchChanges, SnapshotFeed
+from crocusshunt.routing import Tables
+
+Listener = Callable[[Configuration], None]
+
+
+class Feed:
+    """Holds the configuration in force and tells listeners of news."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start before the first revision, without evidence."""
+        self.evidence = EvidenceLog(clock)
+        self._history = History()
+        self._listeners: list[Listener] = []
+        self._news = asyncio.Event()
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._history.configuration
+
+    def measure_age(self) -> float:
+        """Return the age in seconds of the evidence for what is held."""
+        return self.evidence.measure_age(self.configuration.revision)
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function with each new configuration."""
+        self._listeners.append(listener)
+
+    def accept_changes(
+        self,
+        changes: tuple[Change, ...],
+        evidence: Evidence,
+        asked_at: float,
+    ) -> bool:
+        """Apply changes and keep the evidence that came with them.
+
+        :param asked_at: monotonic time before the question was sent.
+        :return: whether every change was applied.
+        """
+        before = self.configuration.revision
+        is_applied = all(self._append(change) for change in changes)
+        self.evidence.note(evidence, asked_at)
+        self._announce(before)
+        return is_applied
+
+    def accept_snapshot(self, snapshot: SnapshotFeed, asked_at: float) -> bool:
+        """Replace what is held by a newer snapshot.
+
+        :return: whether the snapshot was readable.
+        """
+        before = self.configuration.revision
+        rows = [
+            decode_row(edit.table, edit.name, edit.after or '')
+            for edit in snapshot.rows
+        ]
+        if any(row.is_err() for row in rows):
+            log_event('snapshot refused', revision=snapshot.revision)
+            return False
+        tables = Tables().put(*(row.unwrap() for row in rows))
+        self._history.install(
+            Configuration(snapshot.revision, snapshot.digest, tables),
+        )
+        self.evidence.note(snapshot.evidence, asked_at)
+        self._announce(before)
+        return True
+
+    async def answer(self, question: FetchChanges) -> Body:
+        """Return what a follower lacks, waiting for news if it has all."""
+        if question.held >= self.configuration.revision:
+            await self._wait(question.wait_s)
+        held = self.configuration
+        evidence = Evidence(held.revision, self.measure_age())
+        changes = self._history.find_since(question.held)
+        if isinstance(changes, Err):
+            return _snapshot(held, evidence)
+        return ChangeFeed(changes.ok_value, evidence)
+
+    def _append(self, change: Change) -> bool:
+        appended = self._history.append(change)
+        if isinstance(appended, Err):
+            error = appended.err_value
+            log_event('change refused', error=error.describe())
+        return appended.is_ok()
+
+    async def _wait(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self._news.wait(), seconds)
+        except TimeoutError:
+            return
+
+    def _announce(self, before: int) -> None:
+        if self.configuration.revision == before:
+            return
+        for listener in self._listeners:
+            listener(self.configuration)
+        self._news.set()
+        self._news = asyncio.Event()
+
+
+def _snapshot(held: Configuration, evidence: Evidence) -> SnapshotFeed:
+    rows = tuple(
+        Edit(table, name, None, encode_row(row))
+        for table, named in held.tables.rows.items()
+        for name, row in named.items()
+    )
+    return SnapshotFeed(held.revision, held.digest, rows, evidence)
--- /dev/null
+++ b/crocusshunt/replication/_origin.py
@@ -0,0 +1,59 @@
+"""Keeps a feed up to date from the platform's table service."""
+
+import asyncio
+
+from result import Err
+
+from crocusshunt.configuration import Evidence, Repository
+from crocusshunt.core import Clock
+from crocusshunt.replication._feed import Feed
+
+_POLL_S = 0.5
+
+
+class Origin:
+    """Task that reads the head of the chain and the changes behind it."""
+
+    def __init__(
+        self,
+        repository: Repository,
+        feed: Feed,
+        clock: Clock,
+    ) -> None:
+        """Prepare to poll."""
+        self._repository = repository
+        self._feed = feed
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Poll for ever."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(_POLL_S)
+
+    async def poll(self) -> bool:
+        """Read the store once; return whether all of it was read.
+
+        The head is read last, so that it vouches for changes already held.
+        """
+        while True:
+            asked_at = self._clock.monotonic()
+            head = await self._repository.read_head()
+            if isinstance(head, Err):
+                return False
+            revision = head.ok_value.revision
+            if revision <= self._feed.configuration.revision:
+                self._feed.accept_changes((), Evidence(revision, 0), asked_at)
+                return True
+            if not await self._catch_up(revision):
+                return False
+
+    async def _catch_up(self, revision: int) -> bool:
+        held = self._feed.configuration.revision
+        changes = await self._repository.read_changes(held)
+        if isinstance(changes, Err) or not changes.ok_value:
+            return False
+        asked_at = self._clock.monotonic()
+        stale = Evidence(revision, float('inf'))
+        self._feed.accept_changes(changes.ok_value, stale, asked_at)
+        return self._feed.configuration.revision > held
--- /dev/null
+++ b/crocusshunt/routing/__init__.py
@@ -0,0 +1,58 @@
+"""The operators' tables, their checks, and the choice of a route."""
+
+from crocusshunt.routing._checks import check, find_faults
+from crocusshunt.routing._matching import (
+    RequestFacts,
+    RouteMatcher,
+    order_routes,
+)
+from crocusshunt.routing._registry import (
+    Row,
+    is_table,
+    name_table,
+    register_table,
+    row_type,
+    table_names,
+)
+from crocusshunt.routing._rows import (
+    Access,
+    Block,
+    Customer,
+    FailureDomain,
+    Link,
+    Name,
+    Pool,
+    Priority,
+    RetryClass,
+    Route,
+    Server,
+    ServerState,
+)
+from crocusshunt.routing._tables import Tables
+
+__all__ = (
+    'Access',
+    'Block',
+    'Customer',
+    'FailureDomain',
+    'Link',
+    'Name',
+    'Pool',
+    'Priority',
+    'RequestFacts',
+    'RetryClass',
+    'Route',
+    'RouteMatcher',
+    'Row',
+    'Server',
+    'ServerState',
+    'Tables',
+    'check',
+    'find_faults',
+    'is_table',
+    'name_table',
+    'order_routes',
+    'register_table',
+    'row_type',
+    'table_names',
+)
--- /dev/null
+++ b/crocusshunt/routing/_checks.py
@@ -0,0 +1,174 @@
+"""Checks that a set of tables must pass before it is accepted."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from crocusshunt.core import Fault, parse_network
+from crocusshunt.routing._matching import is_under, order_routes
+from crocusshunt.routing._rows import (
+    Access,
+    Block,
+    Customer,
+    FailureDomain,
+    Link,
+    Pool,
+    RetryClass,
+    Route,
+    Server,
+)
+from crocusshunt.routing._tables import Tables
+
+Check = Callable[[Tables], Iterable[Fault]]
+
+_CHECKS: list[Check] = []
+
+
+def check(function: Check) -> Check:
+    """Register a check; a decorator for functions of the tables.
+
+    :param function: yields the faults it finds.
+    """
+    _CHECKS.append(function)
+    return function
+
+
+def find_faults(tables: Tables) -> tuple[Fault, ...]:
+    """Return every fault that any registered check finds, sorted.
+
+    :param tables: the tables that would be accepted.
+
+    >>> for fault in find_faults(Tables().put(Route('verify', 'missing'))):
+    ...     print(fault)
+    route verify: pool 'missing' does not exist (allowed: none yet)
+    """
+    found = {fault for one in _CHECKS for fault in one(tables)}
+    return tuple(sorted(found))
+
+
+def _missing(place: str, kind: str, name: str, known: Iterable[str]) -> Fault:
+    allowed = ', '.join(sorted(known)) or 'none yet'
+    return Fault(place, f"{kind} '{name}' does not exist", allowed)
+
+
+@check
+def _check_pools_of_routes(tables: Tables) -> Iterator[Fault]:
+    pools = {pool.name for pool in tables.select(Pool)}
+    for route in tables.select(Route):
+        if route.pool not in pools:
+            yield _missing(f'route {route.name}', 'pool', route.pool, pools)
+
+
+@check
+def _check_customers_of_routes(tables: Tables) -> Iterator[Fault]:
+    customers = {customer.name for customer in tables.select(Customer)}
+    for route in tables.select(Route):
+        for name in route.customers:
+            if name not in customers:
+                place = f'route {route.name}'
+                yield _missing(place, 'customer', name, customers)
+
+
+@check
+def _check_pools_of_servers(tables: Tables) -> Iterator[Fault]:
+    pools = {pool.name for pool in tables.select(Pool)}
+    for server in tables.select(Server):
+        if server.pool not in pools:
+            yield _missing(f'server {server.name}', 'pool', server.pool, pools)
+
+
+@check
+def _check_domains_of_servers(tables: Tables) -> Iterator[Fault]:
+    domains = {row.name: row.region for row in tables.select(FailureDomain)}
+    for server in tables.select(Server):
+        place = f'server {server.name}'
+        if server.failure_domain not in domains:
+            name = server.failure_domain
+            yield _missing(place, 'failure domain', name, domains)
+        elif domains[server.failure_domain] != server.region:
+            region = domains[server.failure_domain]
+            yield Fault(place, 'failure domain is in another region', region)
+
+
+@check
+def _check_addresses(tables: Tables) -> Iterator[Fault]:
+    holders: dict[str, str] = {}
+    for server in tables.select(Server):
+        holder = holders.setdefault(server.address, server.name)
+        if holder != server.name:
+            place = f'server {server.name}'
+            yield Fault(place, f"address is also that of server '{holder}'")
+
+
+@check
+def _check_regions(tables: Tables) -> Iterator[Fault]:
+    regions = {row.region for row in tables.select(FailureDomain)}
+    for link in tables.select(Link):
+        for name in (link.source, link.target):
+            if name not in regions:
+                yield _missing(f'link {link.name}', 'region', name, regions)
+    for block in tables.select(Block):
+        if block.region not in regions:
+            place = f'block {block.name}'
+            yield _missing(place, 'region', block.region, regions)
+
+
+@check
+def _check_prefixes(tables: Tables) -> Iterator[Fault]:
+    for route in tables.select(Route):
+        for prefix in route.client_prefixes:
+            if parse_network(prefix).is_err():
+                yield _bad_network(f'route {route.name}', prefix)
+    for block in tables.select(Block):
+        if parse_network(block.prefix).is_err():
+            yield _bad_network(f'block {block.name}', block.prefix)
+
+
+def _bad_network(place: str, prefix: str) -> Fault:
+    return Fault(place, f"'{prefix}' is no network", 'CIDR, no host bits set')
+
+
+@check
+def _check_retries(tables: Tables) -> Iterator[Fault]:
+    for route in tables.select(Route):
+        if route.retry is RetryClass.idempotent and not route.idempotent:
+            yield Fault(
+                f'route {route.name}',
+                'retries unknown outcomes but is not idempotent',
+                'retry = never or not_run',
+            )
+
+
+@check
+def _check_open_routes(tables: Tables) -> Iterator[Fault]:
+    for route in tables.select(Route):
+        if route.access is Access.open and route.customers:
+            yield Fault(
+                f'route {route.name}',
+                'is open to all but names customers',
+                'access = keyed, or no customers',
+            )
+
+
+@check
+def _check_shadowed_routes(tables: Tables) -> Iterator[Fault]:
+    routes = order_routes(tables.select(Route))
+    for position, route in enumerate(routes):
+        for earlier in routes[:position]:
+            if _covers(earlier, route):
+                place = f'route {route.name}'
+                problem = f"never matches: route '{earlier.name}' comes first"
+                yield Fault(place, problem, 'a lower order, or other matches')
+                break
+
+
+def _covers(earlier: Route, later: Route) -> bool:
+    if not is_under(later.path_prefix, earlier.path_prefix):
+        return False
+    return all(
+        not wide or (narrow and set(narrow) <= set(wide))
+        for wide, narrow in (
+            (earlier.hosts, later.hosts),
+            (earlier.methods, later.methods),
+            (earlier.customers, later.customers),
+            (earlier.client_prefixes, later.client_prefixes),
+        )
+    )
--- /dev/null
+++ b/crocusshunt/routing/_tables.py
@@ -0,0 +1,57 @@
+"""Immutable set of tables."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar, cast
+
+from crocusshunt.routing._registry import Row, find_table, name_table
+
+_RowType = TypeVar('_RowType', bound=Row)
+
+
+@dataclass(frozen=True, slots=True)
+class Tables:
+    """All rows of a configuration, by table and name.
+
+    >>> from crocusshunt.routing import Pool
+    >>> tables = Tables().put(Pool('verify'))
+    >>> tables.find(Pool, 'verify')
+    Pool(name='verify')
+    """
+
+    rows: Mapping[str, Mapping[str, Row]] = field(default_factory=dict)
+
+    def put(self, *rows: Row) -> 'Tables':
+        """Return tables with rows added or replaced.
+
+        :param rows: rows of registered types.
+        """
+        changed = {table: dict(named) for table, named in self.rows.items()}
+        for row in rows:
+            changed.setdefault(name_table(row), {})[row.name] = row
+        return Tables(changed)
+
+    def remove(self, table: str, names: Iterable[str]) -> 'Tables':
+        """Return tables without some rows.
+
+        :param table: name of the table.
+        :param names: names of the rows; absent ones are passed over.
+        """
+        changed = dict(self.rows)
+        gone = frozenset(names)
+        changed[table] = {
+            name: row
+            for name, row in self.rows.get(table, {}).items()
+            if name not in gone
+        }
+        return Tables(changed)
+
+    def find(self, row_class: type[_RowType], name: str) -> _RowType | None:
+        """Return the row of a type and name, or None."""
+        row = self.rows.get(find_table(row_class), {}).get(name)
+        return cast(_RowType | None, row)
+
+    def select(self, row_class: type[_RowType]) -> tuple[_RowType, ...]:
+        """Return all rows of a type, sorted by name."""
+        named = self.rows.get(find_table(row_class), {})
+        return tuple(cast(_RowType, named[name]) for name in sorted(named))
--- /dev/null
+++ b/crocusshunt/schema/__init__.py
@@ -0,0 +1,36 @@
+"""All tables of a configuration.
+
+Row types are looked up here and not in the routing package, so that every
+process that reads a change knows every table. A new table's package is
+added to the imports below; it must not import the configuration package.
+"""
+
+from crocusshunt.keys import Key
+from crocusshunt.operators import Operator
+from crocusshunt.routing import (
+    Block,
+    Customer,
+    FailureDomain,
+    Link,
+    Pool,
+    Route,
+    Server,
+    is_table,
+    row_type,
+    table_names,
+)
+
+__all__ = (
+    'Block',
+    'Customer',
+    'FailureDomain',
+    'Key',
+    'Link',
+    'Operator',
+    'Pool',
+    'Route',
+    'Server',
+    'is_table',
+    'row_type',
+    'table_names',
+)
--- /dev/null
+++ b/crocusshunt/standin/__init__.py
@@ -0,0 +1,23 @@
+"""Stand-ins for the platform and for backend servers."""
+
+from crocusshunt.standin._backends import (
+    BackendService,
+    ReceivedRequest,
+    RunCounter,
+    create_backends,
+)
+from crocusshunt.standin._memory import MemoryPlatform, Switches
+from crocusshunt.standin._platform import PlatformService
+from crocusshunt.standin._settings import StandinSection, StandinSettings
+
+__all__ = (
+    'BackendService',
+    'MemoryPlatform',
+    'PlatformService',
+    'ReceivedRequest',
+    'RunCounter',
+    'StandinSection',
+    'StandinSettings',
+    'Switches',
+    'create_backends',
+)
--- /dev/null
+++ b/crocusshunt/standin/_settings.py
@@ -0,0 +1,23 @@
+"""Settings of the stand-ins."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StandinSection:
+    """Addresses of the stand-ins.
+
+    :param declarations: directory that declares the backend servers; empty
+        to serve the platform alone.
+    """
+
+    address: str
+    port: int
+    declarations: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class StandinSettings:
+    """Sections of the stand-ins' settings file."""
+
+    standin: StandinSection
--- /dev/null
+++ b/crocusshunt/store/__init__.py
@@ -0,0 +1,38 @@
+"""The platform's table service, object store and list of hosts."""
+
+from crocusshunt.store._client import HttpPlatform, PlatformSettings
+from crocusshunt.store._errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownOutcomeError,
+)
+from crocusshunt.store._values import (
+    ABSENT,
+    HostEntry,
+    HostState,
+    ObjectStore,
+    Platform,
+    Query,
+    StoredRow,
+    TableStore,
+    Write,
+)
+
+__all__ = (
+    'ABSENT',
+    'HostEntry',
+    'HostState',
+    'HttpPlatform',
+    'ObjectStore',
+    'Platform',
+    'PlatformSettings',
+    'Query',
+    'StoreConflictError',
+    'StoreError',
+    'StoreUnavailableError',
+    'StoreUnknownOutcomeError',
+    'StoredRow',
+    'TableStore',
+    'Write',
+)
