Add the registry of measurements

Cause: measurements had no common form. Change: a registry, one JSON line a figure, and a list of missed targets. Before and after: no figure yet. Conclusion: each subject adds its own module.

--- /dev/null
+++ b/crocusshunt/bench/_registry.py
@@ -0,0 +1,93 @@
+"""Registry of measurements."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from msgspec.json import encode
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """One measured figure.
+
+    :param target: greatest good value, None where less is not better or
+        nothing is promised.
+    :param baseline: the same figure of the simplest alternative.
+    :param seed: seed of the workload's randomness.
+    """
+
+    name: str
+    value: float
+    unit: str
+    target: float | None = None
+    baseline: float | None = None
+    seed: int = 0
+    is_floor: bool = False
+
+    def is_miss(self) -> bool:
+        """Tell whether the value misses its target.
+
+        >>> Measurement('limit.overshoot', 1, 'requests', target=0).is_miss()
+        True
+        """
+        if self.target is None:
+            return False
+        if self.is_floor:
+            return self.value < self.target
+        return self.value > self.target
+
+    def describe(self) -> str:
+        """Return the measurement as a line of JSON."""
+        return encode(
+            {
+                'name': self.name,
+                'value': self.value,
+                'unit': self.unit,
+                'target': self.target,
+                'baseline': self.baseline,
+                'seed': self.seed,
+            },
+        ).decode()
+
+
+Bench = Callable[[], Iterable[Measurement]]
+_BENCHES: dict[str, Bench] = {}
+
+
+def register_bench(subject: str) -> Callable[[Bench], Bench]:
+    """Return a decorator that registers the measurements of a subject.
+
+    :param subject: prefix of the measurements' names.
+    """
+
+    def register(function: Bench) -> Bench:
+        _BENCHES[subject] = function
+        return function
+
+    return register
+
+
+def run_benches(subjects: Iterable[str] = ()) -> Iterator[Measurement]:
+    """Run the registered measurements.
+
+    :param subjects: the subjects to run, all if empty.
+    """
+    wanted = frozenset(subjects)
+    for subject, bench in sorted(_BENCHES.items()):
+        if not wanted or subject in wanted:
+            yield from bench()
+
+
+def format_misses(measurements: Iterable[Measurement]) -> str:
+    """Return a table of the measurements that miss their targets.
+
+    >>> print(format_misses((Measurement('a', 2, 's', target=1),)))
+    missed target: a = 2 s (target 1)
+    """
+    lines = [
+        f'missed target: {one.name} = {one.value} {one.unit} '
+        f'(target {one.target})'
+        for one in measurements
+        if one.is_miss()
+    ]
+    return '\n'.join(lines) or 'every target met'
--- a/crocusshunt/programs/tests/test_processes.py
+++ b/crocusshunt/programs/tests/test_processes.py
@@ -101,7 +101,8 @@
             self.start(
                 name,
                 f'{_HOST}{extra}[{name}]\naddress = 127.0.0.1\n'
-                f'port = {self.ports[name]}\ncontroller = {self.wire("control")}\n',
+                f'port = {self.ports[name]}\n'
+                f'controller = {self.wire("control")}\n',
             )
 
     def stop(self) -> None:
