Let controllers reach the table service through the interface processes

Cause: a controller loads no HTTP library (32 MB for control), yet leases and steps of shifts are fenced by conditional writes. Before: no access. Conclusion: pure packages use one interface, direct or relayed.

--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -43,6 +43,7 @@
     Role,
     UnknownOperatorError,
 )
+from crocusshunt.relay import register_relay
 from crocusshunt.replication import Feed, Origin
 from crocusshunt.services import HttpService, TaskGroup, json_response
 from crocusshunt.store import HttpPlatform
@@ -108,6 +109,7 @@
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
         handlers.register(FetchHosts)(self._list_hosts)
+        register_relay(handlers, self._platform)
         return handlers
 
     async def _list_hosts(self, question: FetchHosts) -> Body:
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -31,6 +31,14 @@
     Requester,
     RequesterPool,
 )
+from crocusshunt.messages._store import (
+    QueryRows,
+    ReadRow,
+    StoredRows,
+    Transacted,
+    TransactRows,
+    WriteConflict,
+)
 
 __all__ = (
     'PROTOCOL_VERSION',
@@ -46,14 +54,20 @@
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
+    'QueryRows',
+    'ReadRow',
     'Refusal',
     'Replier',
     'Requester',
     'RequesterPool',
     'SnapshotFeed',
+    'StoredRows',
     'TokenLoan',
+    'TransactRows',
+    'Transacted',
     'TransportError',
     'UnknownKindError',
     'UnknownVersionError',
+    'WriteConflict',
     'register_body',
 )
