Raise cancellations that a socket operation swallowed

Cause: pynng returns normally from an operation that completes while it is being cancelled, so a stopping task went back to waiting for ever; seen as a test that hung once in six runs, its loop idle in select. Ruled out: a deadlock between threads (all were idle), a lost callback (the future was done). Change: every send and receive of a context goes through await_cancellable. A handler that raises no longer ends the task that serves its context. Conclusion: no task awaits a pynng operation directly.

--- a/crocusshunt/messages/_sockets.py
+++ b/crocusshunt/messages/_sockets.py
@@ -1,13 +1,16 @@
 """Request and reply sockets over TCP."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from typing import TypeVar, cast
 
 import pynng
 from result import Err, Ok, Result
 
+from crocusshunt.logs import log_event
 from crocusshunt.messages._bodies import Body, Refusal
+from crocusshunt.messages._cancellation import await_cancellable
 from crocusshunt.messages._codec import Codec
 from crocusshunt.messages._errors import (
     PeerRefusalError,
@@ -90,15 +93,30 @@
     async def _serve(self, context: pynng.Context) -> None:
         with context:
             while True:
-                message = await context.arecv()
+                message = await await_cancellable(context.arecv())
                 answer = await self._answer(message)
-                await context.asend(self.codec.encode(answer))
+                await self._reply(context, answer)
+
+    async def _reply(self, context: pynng.Context, answer: Body) -> None:
+        try:
+            await await_cancellable(
+                context.asend(self.codec.encode(answer)),
+            )
+        except pynng.exceptions.Closed:
+            raise
+        except pynng.exceptions.NNGException as error:
+            log_event('answer not sent', error=str(error))
 
     async def _answer(self, message: bytes) -> Body:
         decoded = self.codec.decode(message)
         if isinstance(decoded, Err):
             return Refusal(decoded.err_value.code, decoded.err_value.describe())
-        return await self._handlers.answer(decoded.ok_value)
+        try:
+            return await self._handlers.answer(decoded.ok_value)
+        except Exception as error:
+            # A fault in one handler must not end the task that serves all.
+            log_event('handler failed', logging.ERROR, error=repr(error))
+            return Refusal('handler-failed', type(error).__name__)
 
 
 class Requester:
@@ -159,8 +177,8 @@
         return Ok(decoded.ok_value)
 
     async def _swap(self, context: pynng.Context, body: Body) -> bytes:
-        await context.asend(self.codec.encode(body))
-        return cast(bytes, await context.arecv())
+        await await_cancellable(context.asend(self.codec.encode(body)))
+        return cast(bytes, await await_cancellable(context.arecv()))
 
 
 class RequesterPool:
