Test what the demonstration offers to other programs

Change: every sample request runs as it stands on both deployments, no key reaches a backend server, the stand-in's switches work, SIGTERM ends it. Before: untested.

--- /dev/null
+++ b/crocusshunt/programs/tests/test_demo.py
@@ -0,0 +1,70 @@
+"""The demonstration as another program would use it."""
+
+import signal
+import subprocess
+from collections.abc import Iterator
+
+import aiohttp
+import msgspec
+import pytest
+
+from crocusshunt.demo import FleetDocument
+from crocusshunt.programs.tests.site import (
+    GIVE_UP_S,
+    PROGRAMS,
+    STATUS_OK,
+    poll,
+)
+
+
+@pytest.fixture(params=['abay', 'trosarina'])
+def served(request: pytest.FixtureRequest) -> Iterator[FleetDocument]:
+    demo = subprocess.Popen(
+        [PROGRAMS / 'crocus-demo', '--serve', f'--deployment={request.param}'],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        yield _read_document(demo)
+        demo.send_signal(signal.SIGTERM)
+        assert demo.wait(GIVE_UP_S) == 0
+    finally:
+        demo.kill()
+        demo.wait()
+
+
+async def test_sample_requests_run_as_they_stand(
+    served: FleetDocument,
+) -> None:
+    async with aiohttp.ClientSession() as session:
+        for sample in served.sample_requests:
+
+            async def ask() -> tuple[int, str]:
+                async with session.request(
+                    sample.method,
+                    sample.url,
+                    headers=sample.headers,
+                    data=sample.body or None,
+                ) as response:
+                    return response.status, await response.text()
+
+            status, text = await poll(ask, lambda seen: seen[0] != 503)
+            assert status == STATUS_OK, text
+            received = msgspec.json.decode(text)
+            assert received['customer'] == sample.customer
+            assert received['body'] == sample.body
+            assert not any(key in text for key in served.keys.values())
+
+
+async def test_switches_of_the_standin_work(served: FleetDocument) -> None:
+    url = f'{served.standin}/standin/switches'
+    async with aiohttp.ClientSession() as session:
+        async with session.put(url, json={'is_down': True}) as response:
+            assert response.status == STATUS_OK
+        async with session.get(f'{served.standin}/v1/hosts') as response:
+            assert response.status == 503
+
+
+def _read_document(demo: subprocess.Popen[bytes]) -> FleetDocument:
+    assert demo.stdout is not None
+    return msgspec.json.decode(demo.stdout.readline(), type=FleetDocument)
