Register the operators' endpoints by decorators

Cause: one module held the service, all endpoints and their answers (260 lines), and each new endpoint had to change it. Change: an endpoint is a function of a Call under register_endpoint(method, path, least role); its module is named once in ENDPOINT_MODULES. Conclusion: new endpoints go into modules of their own.

--- /dev/null
+++ b/crocusshunt/api/_changes.py
@@ -0,0 +1,90 @@
+"""Endpoints that propose changes and show them."""
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok
+
+from crocusshunt.api._answers import (
+    respond_accepted,
+    respond_bad_request,
+    respond_error,
+)
+from crocusshunt.api._documents import (
+    ChangeDocument,
+    ErrorDocument,
+    HistoryDocument,
+)
+from crocusshunt.api._endpoints import Call, register_endpoint
+from crocusshunt.configuration import (
+    ChangeRequest,
+    InvalidChangeError,
+    ProposalError,
+    RevisionConflictError,
+)
+from crocusshunt.operators import Role
+from crocusshunt.services import json_response
+
+_STATUS_BAD_REQUEST = 400
+_STATUS_NOT_FOUND = 404
+_STATUS_CONFLICT = 409
+_STATUS_UNAVAILABLE = 503
+
+
+@register_endpoint('GET', '/v1/changes', Role.read)
+async def show_changes(call: Call) -> web.Response:
+    """Return some changes after a revision, oldest first."""
+    after = call.request.query.get('after', '0')
+    if not after.isdecimal():
+        return respond_bad_request('after: a whole number')
+    changes = await call.parts.repository.read_changes(int(after))
+    if isinstance(changes, Err):
+        return respond_error(changes.err_value, _STATUS_UNAVAILABLE)
+    return json_response(HistoryDocument(changes.ok_value))
+
+
+@register_endpoint('GET', '/v1/changes/{id}', Role.read)
+async def show_change(call: Call) -> web.Response:
+    """Return whether the change of an id was accepted."""
+    change_id = call.request.match_info['id']
+    change = await call.parts.repository.find_change(change_id)
+    if isinstance(change, Err):
+        return respond_error(change.err_value, _STATUS_UNAVAILABLE)
+    if change.ok_value is None:
+        document = ErrorDocument('not-accepted', 'no change has this id')
+        return json_response(document, _STATUS_NOT_FOUND)
+    return respond_accepted(change.ok_value)
+
+
+@register_endpoint('POST', '/v1/changes', Role.operate)
+async def propose_change(call: Call) -> web.Response:
+    """Write a change, or say why not."""
+    body = await call.request.read()
+    try:
+        document = msgspec.json.decode(body, type=ChangeDocument)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return respond_bad_request(str(error))
+    proposal = ChangeRequest(
+        change_id=document.change_id,
+        expected=document.expected,
+        author=call.operator.name,
+        reason=document.reason,
+        edits=document.edits,
+    )
+    parts = call.parts
+    await parts.origin.poll()
+    written = await parts.repository.propose(
+        proposal,
+        parts.feed.configuration,
+    )
+    if isinstance(written, Ok):
+        await parts.origin.poll()
+        return respond_accepted(written.ok_value)
+    return respond_error(written.err_value, _find_status(written.err_value))
+
+
+def _find_status(error: ProposalError) -> int:
+    if isinstance(error, InvalidChangeError):
+        return _STATUS_BAD_REQUEST
+    if isinstance(error, RevisionConflictError):
+        return _STATUS_CONFLICT
+    return _STATUS_UNAVAILABLE
