Claim non-idempotent requests, queue for room, quarantine, drain

Cause: an answer cut short could look complete, a caller's own retry could run twice on another host, full servers refused at once, and a stop could cut requests.

Paths are normalised before routes are matched. The client library no longer resends by itself.

--- a/crocusshunt/delivery/__init__.py
+++ b/crocusshunt/delivery/__init__.py
@@ -1,6 +1,25 @@
 """Delivery of a request to a backend server."""
 
-from crocusshunt.delivery._forwarding import Attempt, Forwarder, ForwardRequest
+from crocusshunt.delivery._claims import (
+    Claim,
+    Claimant,
+    ClaimFree,
+    ClaimHeld,
+    ClaimState,
+    RecordedAnswer,
+    Verdict,
+    fingerprint_request,
+    judge_claim,
+)
+from crocusshunt.delivery._budget import BudgetSettings, RetryBudget
+from crocusshunt.delivery._ejection import EjectionSettings, OutlierDetector
+from crocusshunt.delivery._forwarding import (
+    OVERLOAD_HEADER,
+    OVERLOAD_NOT_RUN,
+    Attempt,
+    Forwarder,
+    ForwardRequest,
+)
 from crocusshunt.delivery._headers import (
     CUSTOMER_HEADER,
     DEADLINE_HEADER,
@@ -14,33 +33,97 @@
 )
 from crocusshunt.delivery._outcomes import (
     Answered,
+    AnsweredBefore,
+    BrokenOff,
+    Failure,
     NotRun,
     Outcome,
     Problem,
     UnknownOutcome,
     describe_failure,
 )
-from crocusshunt.delivery._selection import ServerLoads, choose_server
+from crocusshunt.delivery._paths import (
+    AmbiguousPathError,
+    NormalPath,
+    normalize_path,
+)
+from crocusshunt.delivery._quarantine import (
+    QuarantineLedger,
+    QuarantineSettings,
+    Suspicion,
+)
+from crocusshunt.delivery._queue import (
+    DeadlineUnreachableError,
+    QueueError,
+    QueueFullError,
+    QueueSettings,
+    Waiting,
+    WaitingQueue,
+)
+from crocusshunt.delivery._selection import (
+    Candidate,
+    Choice,
+    ServerLoads,
+    choose_server,
+    find_choice,
+    list_choices,
+    register_choice,
+)
 
 __all__ = (
     'CUSTOMER_HEADER',
     'DEADLINE_HEADER',
     'IDEMPOTENCY_HEADER',
     'KEY_HEADER',
+    'OVERLOAD_HEADER',
+    'OVERLOAD_NOT_RUN',
     'REQUEST_ID_HEADER',
+    'AmbiguousPathError',
     'Answered',
+    'AnsweredBefore',
     'Attempt',
+    'BrokenOff',
+    'BudgetSettings',
+    'Candidate',
+    'Choice',
+    'Claim',
+    'ClaimFree',
+    'ClaimHeld',
+    'ClaimState',
+    'Claimant',
+    'DeadlineUnreachableError',
+    'EjectionSettings',
+    'Failure',
     'ForwardRequest',
     'Forwarder',
+    'NormalPath',
     'NotRun',
     'Outcome',
+    'OutlierDetector',
     'Problem',
+    'QuarantineLedger',
+    'QuarantineSettings',
+    'QueueError',
+    'QueueFullError',
+    'QueueSettings',
+    'RecordedAnswer',
+    'RetryBudget',
     'ServerLoads',
+    'Suspicion',
     'UnknownOutcome',
+    'Verdict',
+    'Waiting',
+    'WaitingQueue',
     'choose_server',
     'describe_failure',
+    'find_choice',
     'find_keys',
+    'fingerprint_request',
+    'judge_claim',
+    'list_choices',
+    'normalize_path',
     'prepare_answer_headers',
     'prepare_request_headers',
+    'register_choice',
     'strip_keys_from_query',
 )
--- a/crocusshunt/delivery/_forwarding.py
+++ b/crocusshunt/delivery/_forwarding.py
@@ -1,23 +1,34 @@
 """One attempt at a backend server, streamed both ways."""
 
-from collections.abc import AsyncIterator, Callable, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
+from crocusshunt.delivery._headers import REQUEST_ID_HEADER
 from crocusshunt.delivery._outcomes import (
     Answered,
+    BrokenOff,
     NotRun,
     Outcome,
     UnknownOutcome,
 )
 from crocusshunt.routing import Server
 
+OVERLOAD_HEADER = 'X-Overloaded'
+OVERLOAD_NOT_RUN = 'not-run'
+
 _CHUNK_BYTES = 65_536
+_MAX_HEADER_BYTES = 16_384
+_IDLE_S = 4
+_CONNECT_S = 1
+_OVERLOAD_RETRY_S = 1
 _STATUS_BAD_GATEWAY = 502
+_STATUS_UNAVAILABLE = 503
 _STATUS_GATEWAY_TIMEOUT = 504
+_BODILESS = frozenset((204, 304))
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,43 +38,50 @@
     :param target: path and query, as sent on the wire.
     :param body: chunks of the body, None without one.
     :param timeout_s: what remains of the request's deadline, in seconds.
+    :param is_repeatable: whether an attempt of unknown outcome may be
+        repeated.
     """
 
+    request_id: str
     method: str
     target: str
     headers: CIMultiDict[str]
     body: AsyncIterator[bytes] | bytes | None
     timeout_s: float
-    idempotent: bool
+    is_repeatable: bool
 
 
 Relay = Callable[[aiohttp.ClientResponse], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
     """One try at one server.
 
     :param relay: passes the answer on to the caller.
+    :param relayed_status: status of the answer whose relay began.
     """
 
     server: Server
     request: ForwardRequest
     relay: Relay
+    relayed_status: int | None = None
 
 
 class Forwarder:
     """Sends attempts; owns the connections to backend servers.
 
-    Requests that are not idempotent go over connections that are used once:
-    on a reused one, the client library would send some methods again after
-    a disconnect.
+    A connection is reused only for requests that may be repeated, towards
+    servers whose answers echo the request's id, and each such answer is
+    compared with its request. So an answer that comes late or twice on a
+    reused connection never reaches another request's caller.
     """
 
     def __init__(self) -> None:
         """Prepare; connections open on first use."""
         self._shared: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
+        self._echoing: set[str] = set()
 
     async def start(self) -> None:
         """Create the client sessions."""
@@ -77,60 +95,127 @@
                 await session.close()
 
     async def send(self, attempt: Attempt) -> Outcome:
-        """Send a request and relay its answer.
+        """Send a request and relay its answer."""
+        try:
+            return await self._exchange(attempt)
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            if attempt.relayed_status is not None:
+                return BrokenOff(attempt.relayed_status, type(error).__name__)
+            return _classify(error)
 
-        :raises aiohttp.ClientPayloadError: the answer broke off after its
-            start reached the caller.
-        """
+    async def _exchange(self, attempt: Attempt) -> Outcome:
         request = attempt.request
-        session = self._shared if request.idempotent else self._single
+        address = attempt.server.address
+        is_reused = request.is_repeatable and address in self._echoing
+        session = self._shared if is_reused else self._single
         assert session is not None  # noqa: S101
-        try:
-            return await _exchange(session, attempt)
-        except aiohttp.ClientConnectorError:
-            return NotRun(
-                'server-unreachable',
+        async with session.request(
+            request.method,
+            URL(f'http://{address}{request.target}', encoded=True),
+            headers=request.headers,
+            data=request.body,
+            timeout=aiohttp.ClientTimeout(
+                total=request.timeout_s,
+                sock_connect=_CONNECT_S,
+            ),
+            allow_redirects=False,
+        ) as response:
+            refusal = self._check(attempt, response, is_reused=is_reused)
+            if refusal is not None:
+                response.close()
+                return refusal
+            attempt.relayed_status = response.status
+            await attempt.relay(response)
+            return Answered(response.status)
+
+    def _check(
+        self,
+        attempt: Attempt,
+        response: aiohttp.ClientResponse,
+        *,
+        is_reused: bool,
+    ) -> NotRun | UnknownOutcome | None:
+        address = attempt.server.address
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        if echoed == attempt.request.request_id:
+            self._echoing.add(address)
+        elif echoed is not None or is_reused:
+            self._echoing.discard(address)
+            return UnknownOutcome(
+                'answer-mismatched',
                 _STATUS_BAD_GATEWAY,
-                'the backend server refused the connection',
+                'the backend server answered another request',
             )
-        except TimeoutError:
-            return UnknownOutcome(
-                'deadline-exceeded',
-                _STATUS_GATEWAY_TIMEOUT,
-                'no answer came before the deadline',
+        if _is_overload(response):
+            return NotRun(
+                'server-overloaded',
+                _STATUS_UNAVAILABLE,
+                'the backend server had no room and did not run the request',
+                _OVERLOAD_RETRY_S,
             )
-        except aiohttp.ClientError as error:
-            if isinstance(error, aiohttp.ClientPayloadError):
-                raise
+        if _is_unframed(response):
             return UnknownOutcome(
-                'server-disconnected',
+                'answer-unframed',
                 _STATUS_BAD_GATEWAY,
-                type(error).__name__,
+                'the end of the backend server answer cannot be proved',
             )
+        return None
+
+
+def _classify(error: Exception) -> NotRun | UnknownOutcome:
+    connecting = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+    if isinstance(error, connecting):
+        return NotRun(
+            'server-unreachable',
+            _STATUS_BAD_GATEWAY,
+            'no connection to the backend server could be opened',
+        )
+    if isinstance(error, TimeoutError):
+        return UnknownOutcome(
+            'deadline-exceeded',
+            _STATUS_GATEWAY_TIMEOUT,
+            'no answer came before the deadline',
+        )
+    return UnknownOutcome(
+        'server-disconnected',
+        _STATUS_BAD_GATEWAY,
+        type(error).__name__,
+    )
 
 
-async def _exchange(
-    session: aiohttp.ClientSession, attempt: Attempt
-) -> Outcome:
-    request = attempt.request
-    url = URL(f'http://{attempt.server.address}{request.target}', encoded=True)
-    async with session.request(
-        request.method,
-        url,
-        headers=request.headers,
-        data=request.body,
-        timeout=aiohttp.ClientTimeout(total=request.timeout_s),
-        allow_redirects=False,
-    ) as response:
-        await attempt.relay(response)
-        return Answered(response.status)
+def _is_overload(response: aiohttp.ClientResponse) -> bool:
+    marker = response.headers.get(OVERLOAD_HEADER, '').lower()
+    return response.status == _STATUS_UNAVAILABLE and marker == OVERLOAD_NOT_RUN
+
+
+def _is_unframed(response: aiohttp.ClientResponse) -> bool:
+    if response.method == 'HEAD' or response.status in _BODILESS:
+        return False
+    coding = response.headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' not in response.headers and 'chunked' not in coding
 
 
 def _create_session(*, force_close: bool) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+    connector = (
+        aiohttp.TCPConnector(limit=0, force_close=True)
+        if force_close
+        else aiohttp.TCPConnector(limit=0, keepalive_timeout=_IDLE_S)
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        skip_auto_headers=(
+            'User-Agent',
+            'Accept',
+            'Accept-Encoding',
+            'Content-Type',
+        ),
         read_bufsize=_CHUNK_BYTES,
+        max_line_size=_MAX_HEADER_BYTES,
+        max_field_size=_MAX_HEADER_BYTES,
     )
+    # The library would send some methods again after a disconnect, outside
+    # the retry budget; the pinned version offers no public switch.
+    session._retry_connection = False  # noqa: SLF001
+    return session
--- a/crocusshunt/delivery/_headers.py
+++ b/crocusshunt/delivery/_headers.py
@@ -1,6 +1,6 @@
 """Headers, query and cookies between callers and backend servers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from urllib.parse import unquote_plus
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -42,6 +42,9 @@
         'Expect',
     )
 )
+# A caller may not use Connection to drop what the request depends on.
+_KEPT = frozenset(('host', 'content-length'))
+_SHORTEST_KEY = 8
 
 Headers = CIMultiDictProxy[str] | CIMultiDict[str]
 
@@ -73,34 +76,30 @@
     >>> strip_keys_from_query('a=1&Api_Key=ck&b=%20')
     'a=1&b=%20'
     """
-    return '&'.join(
-        part
-        for part in raw_query.split('&')
-        if not _is_key_name(part.partition('=')[0])
-    )
+    return '&'.join(part for part in raw_query.split('&') if not _has_key(part))
 
 
 def prepare_request_headers(
     headers: Headers,
     added: Iterable[tuple[str, str]],
+    keys: Iterable[str] = (),
 ) -> CIMultiDict[str]:
     """Return the headers for the backend server.
 
     Keys, hop-by-hop headers and those that only the gateway may set are
-    left out.
+    left out; so is every other header that repeats a key, such as a
+    referrer.
 
     :param added: headers that the gateway sets.
+    :param keys: the keys that the request carries.
     """
     dropped = _HOP_BY_HOP | _REPLACED | _named_by_connection(headers)
-    kept = CIMultiDict(
-        (name, text)
-        for name, text in headers.items()
-        if name.lower() not in dropped
-    )
+    shown = tuple(key for key in keys if len(key) >= _SHORTEST_KEY)
+    kept = CIMultiDict(_select(headers, dropped, shown))
     cookies = [
         f'{name}={text}'
         for name, text in _split_cookies(headers.getall(_COOKIE, ()))
-        if not _is_key_name(name)
+        if not _is_key_name(name) and not _repeats_key(text, shown)
     ]
     if cookies:
         kept[_COOKIE] = '; '.join(cookies)
@@ -119,11 +118,33 @@
 
 
 def _named_by_connection(headers: Headers) -> frozenset[str]:
-    return frozenset(
-        name.strip().lower()
-        for line in headers.getall('Connection', ())
-        for name in line.split(',')
-    )
+    lines = ','.join(headers.getall('Connection', ()))
+    named = frozenset(_fold(name.strip()) for name in lines.split(','))
+    return named - _KEPT
+
+
+def _fold(name: str) -> str:
+    # Some servers read underscores in header names as hyphens.
+    return name.lower().replace('_', '-')
+
+
+def _select(
+    headers: Headers,
+    dropped: frozenset[str],
+    keys: tuple[str, ...],
+) -> Iterator[tuple[str, str]]:
+    for name, text in headers.items():
+        if _fold(name) not in dropped and not _repeats_key(text, keys):
+            yield name, text
+
+
+def _repeats_key(text: str, keys: tuple[str, ...]) -> bool:
+    spelled = (text, unquote_plus(text))
+    return any(key in one for key in keys for one in spelled)
+
+
+def _has_key(part: str) -> bool:
+    return any(_is_key_name(one.partition('=')[0]) for one in part.split(';'))
 
 
 def _is_key_name(name: str) -> bool:
@@ -131,7 +152,7 @@
 
 
 def _split_query(raw_query: str) -> Iterable[tuple[str, str]]:
-    for part in raw_query.split('&'):
+    for part in raw_query.replace(';', '&').split('&'):
         name, _separator, text = part.partition('=')
         yield name, text
 
--- a/crocusshunt/delivery/_outcomes.py
+++ b/crocusshunt/delivery/_outcomes.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+_STATUS_CONFLICT = 409
+
 
 @dataclass(frozen=True, slots=True)
 class Answered:
@@ -32,14 +34,43 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownOutcome:
-    """A backend server may have run the request."""
+    """A backend server may have run the request.
+
+    :param retry_after_s: seconds after which to ask again, if known.
+    """
 
     code: str
     status: int
     detail: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """The answer ended after its start reached the caller.
+
+    The caller's connection was broken, so it cannot take the part for the
+    whole.
+
+    :param status: HTTP status of the answer.
+    """
+
+    status: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredBefore:
+    """An earlier request with the same idempotency key was answered.
+
+    :param status: HTTP status of that answer, whose body was not kept.
+    """
+
+    status: int
 
 
-Outcome = Answered | NotRun | UnknownOutcome
+Outcome = Answered | NotRun | UnknownOutcome | BrokenOff
+Failure = NotRun | UnknownOutcome | AnsweredBefore
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -47,7 +78,8 @@
 
     Reference: RFC 9457, "Problem Details for HTTP APIs".
 
-    :param outcome: ``not_run`` or ``unknown``.
+    :param outcome: ``not_run``, ``unknown`` or ``answered``.
+    :param answered_status: HTTP status of the earlier answer.
     """
 
     type: str
@@ -57,16 +89,25 @@
     request_id: str
     detail: str = ''
     retry_after_s: float | None = None
+    answered_status: int | None = None
 
 
-def describe_failure(
-    failure: NotRun | UnknownOutcome, request_id: str
-) -> Problem:
+def describe_failure(failure: Failure, request_id: str) -> Problem:
     """Return the problem document of a failed request.
 
     >>> describe_failure(NotRun('no-route', 404, 'x'), 'r1').outcome
     'not_run'
     """
+    if isinstance(failure, AnsweredBefore):
+        return Problem(
+            type='urn:crocusshunt:problem:answered-before',
+            title='answered before',
+            status=_STATUS_CONFLICT,
+            outcome='answered',
+            request_id=request_id,
+            detail='the request ran; its answer was too large to keep',
+            answered_status=failure.status,
+        )
     is_not_run = isinstance(failure, NotRun)
     return Problem(
         type=f'urn:crocusshunt:problem:{failure.code}',
@@ -75,5 +116,5 @@
         outcome='not_run' if is_not_run else 'unknown',
         request_id=request_id,
         detail=failure.detail,
-        retry_after_s=getattr(failure, 'retry_after_s', None),
+        retry_after_s=failure.retry_after_s,
     )
--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -1,40 +1,46 @@
 """One request of a caller, from its first byte to its outcome."""
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, replace
 
-from aiohttp import ClientResponse, web
+from aiohttp import web
 from result import Err, Result
 
-from crocusshunt.core import Clock, Identifiers, parse_address
+from crocusshunt.core import Clock, Identifiers
 from crocusshunt.delivery import (
-    CUSTOMER_HEADER,
-    DEADLINE_HEADER,
-    REQUEST_ID_HEADER,
-    Attempt,
-    Forwarder,
-    ForwardRequest,
+    Answered,
+    BrokenOff,
+    ClaimState,
     NotRun,
     Outcome,
-    ServerLoads,
+    RecordedAnswer,
     UnknownOutcome,
-    choose_server,
-    describe_failure,
-    find_keys,
-    prepare_answer_headers,
-    prepare_request_headers,
-    strip_keys_from_query,
 )
-from crocusshunt.gateway._admission import Admission, Ask, Gatekeeper
+from crocusshunt.gateway._admission import Admission, Gatekeeper
+from crocusshunt.gateway._bodies import Body, take_body
+from crocusshunt.gateway._claiming import (
+    ClaimLedger,
+    ClaimRequest,
+    HeldClaim,
+    Refusal,
+)
+from crocusshunt.gateway._dispatch import Dispatcher, Ending, Job
+from crocusshunt.gateway._draining import DrainPhase, InFlight
+from crocusshunt.gateway._inspection import Inspected, inspect_request
 from crocusshunt.gateway._limits import Limiter
+from crocusshunt.gateway._relay import (
+    Reply,
+    respond_failure,
+    respond_recorded,
+)
+from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.logs import log_event
-from crocusshunt.routing import RetryClass, Server
-from crocusshunt.services import json_response
+from crocusshunt.services import TaskGroup
 
 _MILLISECONDS = 1000
-_STATUS_BAD_REQUEST = 400
+_STATUS_REQUEST_TIMEOUT = 408
 _STATUS_UNAVAILABLE = 503
-_MAX_ATTEMPTS = 2
-_ROOM_RETRY_S = 1
+_LEAVING_RETRY_S = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,39 +49,11 @@
 
     gatekeeper: Gatekeeper
     limiter: Limiter
-    forwarder: Forwarder
-    loads: ServerLoads
-
-
-@dataclass(frozen=True, slots=True)
-class _Job:
-    request: web.Request
-    request_id: str
-    admission: Admission
-    deadline: float
-
-
-class _Reply:
-    """The caller's side of the answer."""
-
-    def __init__(self, request: web.Request, request_id: str) -> None:
-        self._request = request
-        self._request_id = request_id
-        self.response: web.StreamResponse | None = None
-
-    async def relay(self, answer: ClientResponse) -> None:
-        """Stream an answer to the caller."""
-        headers = prepare_answer_headers(answer.headers)
-        headers[REQUEST_ID_HEADER] = self._request_id
-        self.response = web.StreamResponse(
-            status=answer.status,
-            reason=answer.reason,
-            headers=headers,
-        )
-        await self.response.prepare(self._request)
-        async for chunk in answer.content.iter_any():
-            await self.response.write(chunk)
-        await self.response.write_eof()
+    ledger: ClaimLedger
+    board: SuspectBoard
+    dispatcher: Dispatcher
+    in_flight: InFlight
+    tasks: TaskGroup
 
 
 class RequestHandler:
@@ -95,134 +73,187 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Return the caller's answer."""
         request_id = self._identifiers.create('req')
+        in_flight = self._desk.in_flight
+        if in_flight.phase is DrainPhase.closed:
+            response: web.StreamResponse = respond_failure(
+                _refuse_leaving(),
+                request_id,
+            )
+        else:
+            with in_flight.track(request_id):
+                response = await self._answer(request, request_id)
+        if in_flight.is_leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self,
+        request: web.Request,
+        request_id: str,
+    ) -> web.StreamResponse:
         started_at = self._clock.monotonic()
-        admission = await self._admit(request)
+        inspected = inspect_request(request)
+        if isinstance(inspected, Err):
+            return respond_failure(inspected.err_value, request_id)
+        admission = await self._admit(inspected.ok_value)
         if isinstance(admission, Err):
-            return _respond(admission.err_value, request_id)
+            return respond_failure(admission.err_value, request_id)
         route = admission.ok_value.route
-        job = _Job(
-            request=request,
+        job = Job(
             request_id=request_id,
+            inspected=inspected.ok_value,
             admission=admission.ok_value,
+            body=Body(request),
+            reply=Reply(request, request_id, self._desk.in_flight),
             deadline=started_at + route.deadline_ms / _MILLISECONDS,
         )
         return await self._deliver(job)
 
-    async def _admit(self, request: web.Request) -> Result[Admission, NotRun]:
-        client = parse_address(request.remote or '')
-        if isinstance(client, Err):
-            return Err(_refuse_client(client.err_value.describe()))
-        ask = Ask(
-            host=request.host.partition(':')[0],
-            path=request.rel_url.raw_path,
-            method=request.method,
-            client=client.ok_value,
-            keys=find_keys(request.headers, request.rel_url.raw_query_string),
-        )
-        admission = self._desk.gatekeeper.admit(ask)
+    async def _admit(
+        self,
+        inspected: Inspected,
+    ) -> Result[Admission, NotRun]:
+        admission = self._desk.gatekeeper.admit(inspected.ask)
         if isinstance(admission, Err) or not admission.ok_value.customer:
             return admission
         token = await self._desk.limiter.take(admission.ok_value.customer)
         return token.and_then(lambda _taken: admission)
 
-    async def _deliver(self, job: _Job) -> web.StreamResponse:
-        reply = _Reply(job.request, job.request_id)
-        outcome: Outcome = _refuse_room()
-        tried: frozenset[str] = frozenset()
-        for _ in range(_MAX_ATTEMPTS):
-            server = self._choose(job, tried)
-            if server is None:
-                break
-            tried |= {server.name}
-            outcome = await self._attempt(job, server, reply)
-            if not _is_retryable(outcome, job):
-                break
-        log_event(
-            'request ended',
-            request_id=job.request_id,
-            route=job.admission.route.name,
-            customer=job.admission.customer,
-            outcome=type(outcome).__name__,
-        )
-        if isinstance(outcome, NotRun | UnknownOutcome):
-            return _respond(outcome, job.request_id)
-        assert reply.response is not None  # noqa: S101
-        return reply.response
-
-    def _choose(self, job: _Job, tried: frozenset[str]) -> Server | None:
-        pool = job.admission.route.pool
-        servers = self._desk.gatekeeper.servers.get(pool, ())
-        untried = [server for server in servers if server.name not in tried]
-        return choose_server(
-            untried,
-            self._desk.loads,
-            self._identifiers.source,
-        )
+    async def _deliver(self, job: Job) -> web.StreamResponse:
+        body = await self._take_body(job)
+        if isinstance(body, Err):
+            return respond_failure(body.err_value, job.request_id)
+        job = replace(job, body=body.ok_value)
+        quarantined = self._check_quarantine(job)
+        if quarantined is not None:
+            return respond_failure(quarantined, job.request_id)
+        if not _needs_claim(job):
+            return await self._finish(job)
+        claimed = await self._claim(job)
+        if isinstance(claimed, Err):
+            return _respond_refusal(claimed.err_value, job.request_id)
+        return await self._finish(replace(job, held=claimed.ok_value))
 
-    async def _attempt(
-        self,
-        job: _Job,
-        server: Server,
-        reply: _Reply,
-    ) -> Outcome:
-        self._desk.loads.acquire(server)
+    async def _take_body(self, job: Job) -> Result[Body, NotRun]:
+        is_needed = _needs_claim(job) or self._desk.board.has_suspects(
+            job.admission.customer,
+        )
+        remaining = job.deadline - self._clock.monotonic()
         try:
-            return await self._desk.forwarder.send(
-                Attempt(server, self._prepare(job), reply.relay),
+            async with asyncio.timeout(remaining):
+                return await take_body(job.body.request, is_claimed=is_needed)
+        except TimeoutError:
+            return Err(
+                NotRun(
+                    'body-late',
+                    _STATUS_REQUEST_TIMEOUT,
+                    'the body did not arrive before the deadline',
+                ),
             )
-        finally:
-            self._desk.loads.release(server)
-
-    def _prepare(self, job: _Job) -> ForwardRequest:
-        request = job.request
-        remaining = max(0, job.deadline - self._clock.monotonic())
-        added = (
-            (REQUEST_ID_HEADER, job.request_id),
-            (CUSTOMER_HEADER, job.admission.customer),
-            (DEADLINE_HEADER, str(int(remaining * _MILLISECONDS))),
-        )
-        query = strip_keys_from_query(request.rel_url.raw_query_string)
-        separator = '?' if query else ''
-        return ForwardRequest(
-            method=request.method,
-            target=f'{request.rel_url.raw_path}{separator}{query}',
-            headers=prepare_request_headers(request.headers, added),
-            body=request.content.iter_any() if request.can_read_body else None,
-            timeout_s=remaining,
-            idempotent=job.admission.route.idempotent,
+
+    def _check_quarantine(self, job: Job) -> NotRun | None:
+        customer = job.admission.customer
+        if not self._desk.board.has_suspects(customer):
+            return None
+        return self._desk.board.check(customer, job.fingerprint())
+
+    async def _claim(self, job: Job) -> Result[HeldClaim, Refusal]:
+        request = ClaimRequest(
+            job.admission.customer,
+            job.inspected.idempotency_key,
+            job.fingerprint(),
+            job.request_id,
+            job.deadline,
         )
+        claimed = await self._desk.ledger.claim(request)
+        if isinstance(claimed, Err) and _is_undecided(claimed.err_value):
+            self._desk.tasks.start(self._desk.ledger.withdraw(request))
+        return claimed
 
+    async def _finish(self, job: Job) -> web.StreamResponse:
+        try:
+            ending = await self._desk.dispatcher.run(job)
+        except asyncio.CancelledError:
+            self._record_later(job, ClaimState.unknown)
+            _log_end(job, 'Cancelled')
+            raise
+        except Exception:
+            job.reply.break_off()
+            self._record_later(job, ClaimState.unknown)
+            raise
+        await self._settle(job, ending)
+        _log_end(job, type(ending.outcome).__name__)
+        return _respond(job, ending.outcome)
 
-def _is_retryable(outcome: Outcome, job: _Job) -> bool:
-    if job.request.can_read_body:
-        return False
-    retry = job.admission.route.retry
-    if isinstance(outcome, NotRun):
-        return retry is not RetryClass.never
-    if isinstance(outcome, UnknownOutcome):
-        return retry is RetryClass.idempotent
-    return False
+    async def _settle(self, job: Job, ending: Ending) -> None:
+        outcome, board = ending.outcome, self._desk.board
+        if isinstance(outcome, NotRun) and job.held is not None:
+            # Before the answer, so that the caller may repeat at once.
+            await self._desk.ledger.record(job.held, ClaimState.released)
+        elif isinstance(outcome, Answered | BrokenOff):
+            self._record_later(job, ClaimState.answered)
+        else:
+            self._record_later(job, ClaimState.unknown)
+        if isinstance(outcome, Answered):
+            if board.has_suspects(job.admission.customer):
+                customer = job.admission.customer
+                await board.forget(customer, job.fingerprint())
+        elif ending.suspicion is not None:
+            await board.share(ending.suspicion)
 
+    def _record_later(self, job: Job, state: ClaimState) -> None:
+        if job.held is not None:
+            self._desk.tasks.start(self._record(job.held, job, state))
 
-def _refuse_client(detail: str) -> NotRun:
-    return NotRun('invalid-client', _STATUS_BAD_REQUEST, detail)
+    async def _record(
+        self,
+        held: HeldClaim,
+        job: Job,
+        state: ClaimState,
+    ) -> None:
+        answer = job.reply.record()
+        known = state if answer is None else ClaimState.answered
+        with self._desk.in_flight.track(f'{job.request_id}-record'):
+            await self._desk.ledger.record(held, known, answer)
 
 
-def _refuse_room() -> NotRun:
-    return NotRun(
-        'no-room',
-        _STATUS_UNAVAILABLE,
-        'no backend server of the pool has room',
-        _ROOM_RETRY_S,
+def _needs_claim(job: Job) -> bool:
+    admission = job.admission
+    is_owned = bool(admission.customer and job.inspected.idempotency_key)
+    return is_owned and not admission.route.idempotent
+
+
+def _is_undecided(refusal: Refusal) -> bool:
+    return isinstance(refusal, NotRun) and refusal.code == 'claim-unavailable'
+
+
+def _log_end(job: Job, outcome: str) -> None:
+    log_event(
+        'request ended',
+        request_id=job.request_id,
+        route=job.admission.route.name,
+        customer=job.admission.customer,
+        outcome=outcome,
     )
 
 
-def _respond(
-    failure: NotRun | UnknownOutcome,
-    request_id: str,
-) -> web.Response:
-    headers = {REQUEST_ID_HEADER: request_id}
-    if isinstance(failure, NotRun) and failure.retry_after_s is not None:
-        headers['Retry-After'] = str(max(1, round(failure.retry_after_s)))
-    problem = describe_failure(failure, request_id)
-    return json_response(problem, failure.status, headers)
+def _respond(job: Job, outcome: Outcome) -> web.StreamResponse:
+    if isinstance(outcome, NotRun | UnknownOutcome):
+        return respond_failure(outcome, job.request_id)
+    assert job.reply.response is not None  # noqa: S101
+    return job.reply.response
+
+
+def _respond_refusal(refusal: Refusal, request_id: str) -> web.Response:
+    if isinstance(refusal, RecordedAnswer):
+        return respond_recorded(refusal, request_id)
+    return respond_failure(refusal, request_id)
+
+
+def _refuse_leaving() -> NotRun:
+    return NotRun(
+        'host-leaving',
+        _STATUS_UNAVAILABLE,
+        'this host is stopping; use another host',
+        _LEAVING_RETRY_S,
+    )
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -1,19 +1,38 @@
 """HTTP service of the gateway."""
 
+import asyncio
 import random
 from typing import Any
 
 from aiohttp import web
 
 from crocusshunt.core import Clock, Identifiers
-from crocusshunt.delivery import Forwarder, ServerLoads
+from crocusshunt.delivery import (
+    BudgetSettings,
+    Claimant,
+    EjectionSettings,
+    Forwarder,
+    OutlierDetector,
+    QueueSettings,
+    RetryBudget,
+    ServerLoads,
+)
 from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._claiming import ClaimLedger
+from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
+from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
 from crocusshunt.gateway._limits import Limiter
+from crocusshunt.gateway._rooms import Rooms, ServerState
 from crocusshunt.gateway._settings import GatewaySettings
+from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.messages import RequesterPool
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import HttpService, TaskGroup
+from crocusshunt.store import HttpPlatform
+
+_SHED_RATIO = 0.5
+_SHED_RESERVE = 20
 
 
 class GatewayService(HttpService):
@@ -37,40 +56,116 @@
             self._requesters,
             clock,
         )
+        self._settings = settings
+        self._clock = clock
+        self._platform = HttpPlatform(settings.platform)
+        self._board = SuspectBoard(self._platform, clock)
+        self._in_flight = InFlight()
+        self._drain_hooks: list[DrainHook] = []
         self._forwarder = Forwarder()
         identifiers = Identifiers(source)
-        limiter = Limiter(
-            section.controller,
-            self._requesters,
-            clock,
-            identifiers,
-        )
         self._handler = RequestHandler(
-            Desk(
-                Gatekeeper(self.feed, section.key_evidence_s),
-                limiter,
-                self._forwarder,
-                ServerLoads(),
-            ),
+            self._create_desk(identifiers),
             clock,
             identifiers,
         )
 
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests run."""
+        return len(self._in_flight)
+
+    def on_drain(self, hook: DrainHook) -> None:
+        """Call a function when the drain begins.
+
+        It takes the host off the locator's answers; the stop then waits
+        out their lifetime.
+        """
+        self._drain_hooks.append(hook)
+
     def create_application(self) -> web.Application:
         """Return an application that takes every path."""
         application = web.Application(client_max_size=0)
-        application.router.add_route('*', '/{path:.*}', self._handler.handle)
+        application.router.add_route(
+            '*',
+            '/{path:.*}',
+            self._handler.handle,
+            expect_handler=_defer_continue,
+        )
         return application
 
     async def start(self) -> None:
         """Follow the controller and listen."""
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
+        self._tasks.start(self._board.run())
         await super().start()
 
+    async def begin_drain(self) -> None:
+        """Mark this host as leaving; it still takes requests."""
+        if self._in_flight.phase is not DrainPhase.serving:
+            return
+        self._in_flight.phase = DrainPhase.leaving
+        for hook in self._drain_hooks:
+            await hook()
+
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Finish requests, then stop following."""
+        """Leave the locator, finish requests, then close."""
+        section = self._settings.gateway
+        await self.begin_drain()
+        if self._drain_hooks:
+            await asyncio.sleep(section.answer_lifetime_s)
+        await self._in_flight.finish(section.finish_s)
         await super().stop(exception)
         await self._tasks.stop()
         await self._forwarder.stop()
+        await self._platform.close()
         self._requesters.close()
+
+    def _create_desk(self, identifiers: Identifiers) -> Desk:
+        section = self._settings.gateway
+        gatekeeper = Gatekeeper(self.feed, section.key_evidence_s)
+        limiter = Limiter(
+            section.controller,
+            self._requesters,
+            self._clock,
+            identifiers,
+        )
+        owner = Claimant(
+            self._settings.host.name,
+            identifiers.create('process'),
+            '',
+        )
+        return Desk(
+            gatekeeper,
+            limiter,
+            ClaimLedger(self._platform, self._clock, owner),
+            self._board,
+            self._create_dispatcher(gatekeeper, identifiers.source),
+            self._in_flight,
+            self._tasks,
+        )
+
+    def _create_dispatcher(
+        self,
+        gatekeeper: Gatekeeper,
+        source: random.Random,
+    ) -> Dispatcher:
+        state = ServerState(
+            ServerLoads(),
+            OutlierDetector(EjectionSettings()),
+        )
+        rooms = Rooms(gatekeeper, state, self._clock, source, QueueSettings())
+        parts = DispatchParts(
+            rooms,
+            state,
+            self._forwarder,
+            self._board,
+            retries=RetryBudget(BudgetSettings()),
+            sheds=RetryBudget(BudgetSettings(_SHED_RATIO, _SHED_RESERVE)),
+        )
+        return Dispatcher(parts, self._clock)
+
+
+async def _defer_continue(request: web.Request) -> None:
+    """Leave 100-continue until the request is admitted."""
