Test delivery against faults of servers, callers and the store

The backend stand-in gains switches for its faults. An answer that the client library cannot parse is no longer counted as a lost server: with surplus bytes in the same read every answer had waited two seconds for the quarantine to spread (40 s for 20 requests, under 1 s after).

--- a/crocusshunt/delivery/_forwarding.py
+++ b/crocusshunt/delivery/_forwarding.py
@@ -176,11 +176,9 @@
             _STATUS_GATEWAY_TIMEOUT,
             'no answer came before the deadline',
         )
-    return UnknownOutcome(
-        'server-disconnected',
-        _STATUS_BAD_GATEWAY,
-        type(error).__name__,
-    )
+    lost = (aiohttp.ClientConnectionError, ConnectionError)
+    code = 'server-disconnected' if isinstance(error, lost) else 'bad-answer'
+    return UnknownOutcome(code, _STATUS_BAD_GATEWAY, type(error).__name__)
 
 
 def _is_overload(response: aiohttp.ClientResponse) -> bool:
--- a/crocusshunt/delivery/_headers.py
+++ b/crocusshunt/delivery/_headers.py
@@ -118,9 +118,9 @@
 
 
 def _named_by_connection(headers: Headers) -> frozenset[str]:
-    lines = ','.join(headers.getall('Connection', ()))
-    named = frozenset(_fold(name.strip()) for name in lines.split(','))
-    return named - _KEPT
+    line = ','.join(headers.getall('Connection', ()))
+    names = line.replace(' ', '').replace('\t', '').split(',')
+    return frozenset(map(_fold, names)) - _KEPT
 
 
 def _fold(name: str) -> str:
@@ -144,7 +144,7 @@
 
 
 def _has_key(part: str) -> bool:
-    return any(_is_key_name(one.partition('=')[0]) for one in part.split(';'))
+    return any(_is_key_name(name) for name, _text in _split_query(part))
 
 
 def _is_key_name(name: str) -> bool:
--- /dev/null
+++ b/crocusshunt/gateway/tests/test_faults.py
@@ -0,0 +1,237 @@
+"""Faults of backend servers and callers, over real connections."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import aiohttp
+import pytest
+
+from crocusshunt.delivery import OVERLOAD_HEADER
+from crocusshunt.gateway.tests.site import (
+    BAR_KEY,
+    COURT_KEY,
+    Site,
+    configure,
+    list_rows,
+    run_site,
+)
+from crocusshunt.routing import Server, ServerState
+from crocusshunt.standin import BackendSwitches, Fault
+
+_BIG_BYTES = 8_388_608
+
+
+async def _get_json(site: Site, path: str) -> tuple[int, dict[str, object]]:
+    async with site.request('GET', path) as answer:
+        return answer.status, await answer.json()
+
+
+def _count_received(site: Site) -> int:
+    return sum(backend.received for backend in site.backends)
+
+
+async def test_short_answer_breaks_the_callers_connection() -> None:
+    async with run_site() as site:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await _get_json(site, '/verify/1?fault=short-body')
+        assert _count_received(site) == 1
+
+
+async def test_chunked_answer_that_breaks_off_looks_broken() -> None:
+    async def die_in_chunks(
+        source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        await source.readuntil(b'\r\n\r\n')
+        sink.write(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'5\r\nhello\r\n'
+        )
+        await sink.drain()
+        sink.close()
+
+    server = await asyncio.start_server(die_in_chunks, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    async with run_site(servers=0) as site:
+        rows = list_rows(())
+        only = Server(
+            's', 'verify', f'127.0.0.1:{port}', 'addis', 'addis-a', slots=4
+        )
+        configure(site.gateways[0], (*rows, only))
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with site.request('GET', '/verify/1') as answer:
+                await answer.read()
+    server.close()
+
+
+async def test_overlong_answer_is_cut_and_never_reaches_the_next() -> None:
+    # Surplus in the same read as the answer makes the client library refuse
+    # the answer; the surplus itself must never show.
+    async with run_site(servers=1) as site:
+        for number in range(20):
+            path = f'/verify/{number}?fault=overlong-body'
+            status, received = await _get_json(site, path)
+            assert received.get('path', path) == path
+            assert (status, received.get('outcome')) in {
+                (200, None),
+                (502, 'unknown'),
+            }
+            path = f'/verify/{number}'
+            status, received = await _get_json(site, path)
+            assert (status, received['path']) == (200, path)
+
+
+async def test_answer_to_another_request_is_not_relayed() -> None:
+    async with run_site() as site:
+        status, problem = await _get_json(site, '/archive/1?fault=other-answer')
+        assert (status, problem['outcome']) == (502, 'unknown')
+
+
+async def test_answer_without_provable_end_is_not_relayed() -> None:
+    async with run_site() as site:
+        status, problem = await _get_json(site, '/verify/1?fault=unframed')
+        assert (status, problem['outcome']) == (502, 'unknown')
+
+
+async def test_killed_server_is_replaced_in_another_domain() -> None:
+    async with run_site() as site:
+        site.backends[0].switches.fault = Fault.die_before
+        for _ in range(20):
+            status, received = await _get_json(site, '/verify/1')
+            assert status == 200
+            assert received['server'] != 's0'
+        assert site.backends[0].received < 20
+
+
+async def test_write_that_lost_its_server_is_unknown_and_not_resent() -> None:
+    async with run_site() as site:
+        async with site.request(
+            'POST', '/ledger/1?fault=die-before', body=b'x'
+        ) as answer:
+            problem = await answer.json()
+        assert problem['outcome'] == 'unknown'
+        assert _count_received(site) == 1
+
+
+async def test_shed_write_is_resent_to_another_server() -> None:
+    async with run_site() as site:
+        site.backends[0].switches.fault = Fault.shed
+        for _ in range(10):
+            async with site.request('POST', '/ledger/1', body=b'x') as answer:
+                assert answer.status == 200
+                assert OVERLOAD_HEADER not in answer.headers
+        assert all(count == 1 for count in site.runs.runs.values())
+
+
+async def test_all_servers_shedding_says_not_run() -> None:
+    async with run_site() as site:
+        for backend in site.backends:
+            backend.switches.fault = Fault.shed
+        async with site.request('POST', '/ledger/1') as answer:
+            problem = await answer.json()
+            assert answer.headers['Retry-After']
+        assert problem['outcome'] == 'not_run'
+        assert not site.runs.runs
+
+
+async def test_unreachable_servers_say_not_run() -> None:
+    async with run_site(servers=2) as site:
+        for backend in site.backends:
+            await backend.stop()
+        async with site.request('POST', '/ledger/1') as answer:
+            assert (await answer.json())['outcome'] == 'not_run'
+
+
+async def test_caller_that_left_frees_its_slot() -> None:
+    async with run_site(servers=1) as site:
+        calls = [
+            asyncio.create_task(_get_json(site, '/verify/1?fault=hang'))
+            for _ in range(4)
+        ]
+        while site.backends[0].running < 4:
+            await asyncio.sleep(0.01)
+        waiting = asyncio.create_task(_get_json(site, '/verify/2'))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        for call in calls:
+            call.cancel()
+        status, _received = await asyncio.wait_for(waiting, 1)
+        assert status == 200
+        while site.backends[0].running:
+            await asyncio.sleep(0.01)
+
+
+async def test_hanging_server_ends_at_the_deadline_as_unknown() -> None:
+    async with run_site(servers=1) as site:
+        status, problem = await _get_json(site, '/archive/1?fault=hang')
+        assert (status, problem['outcome']) == (504, 'unknown')
+
+
+async def test_queued_request_is_refused_by_its_deadline() -> None:
+    async with run_site(servers=1) as site:
+        slow = [
+            asyncio.create_task(_get_json(site, '/open/1?sleep_ms=3000'))
+            for _ in range(4)
+        ]
+        while site.backends[0].running < 4:
+            await asyncio.sleep(0.01)
+        status, problem = await _get_json(site, '/verify/1')
+        assert (status, problem['outcome']) == (503, 'not_run')
+        assert _count_received(site) == 4
+        await asyncio.gather(*slow)
+
+
+async def test_leaving_server_gets_no_new_work() -> None:
+    async with run_site() as site:
+        rows = [
+            replace(row, state=ServerState.draining)
+            if isinstance(row, Server) and row.name != 's1'
+            else row
+            for row in list_rows(site.backends)
+        ]
+        configure(site.gateways[0], rows)
+        for _ in range(10):
+            _status, received = await _get_json(site, '/verify/1')
+            assert received['server'] == 's1'
+
+
+async def test_large_bodies_cross_whole() -> None:
+    body = b'x' * _BIG_BYTES
+    async with run_site(servers=1) as site:
+
+        async def chunks() -> AsyncIterator[bytes]:
+            for start in range(0, _BIG_BYTES, 100_000):
+                yield body[start : start + 100_000]
+
+        for sent in (body, chunks()):
+            async with site.session.post(
+                f'{site.url}/ledger/1',
+                data=sent,
+                headers={'X-Api-Key': COURT_KEY},
+                expect100=True,
+            ) as answer:
+                received = await answer.json()
+            assert len(received['body']) == _BIG_BYTES
+
+
+async def test_poison_request_loses_two_servers_over_all_hosts() -> None:
+    async with run_site(servers=6, gateways=3) as site:
+        for fragile in site.backends:
+            fragile.switches = BackendSwitches(poison='bomb')
+        outcomes = []
+        for number in range(6):
+            async with site.request(
+                'POST', '/ledger/1', body=b'bomb', gateway=number % 3
+            ) as answer:
+                outcomes.append((await answer.json())['outcome'])
+        crashes = sorted(backend.crashes for backend in site.backends)
+        assert crashes == [0, 0, 0, 0, 1, 1]
+        assert outcomes == [
+            *('unknown' for _ in range(2)),
+            *('not_run' for _ in range(4)),
+        ]
+        for key in (COURT_KEY, BAR_KEY):
+            async with site.request(
+                'POST', '/ledger/1', body=b'sound', key=key
+            ) as answer:
+                assert answer.status == 200
--- /dev/null
+++ b/crocusshunt/gateway/tests/test_stop.py
@@ -0,0 +1,56 @@
+"""Planned stops."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from crocusshunt.gateway.tests.site import Site, run_site
+
+
+async def _call(site: Site, sleep_ms: int) -> tuple[int, str]:
+    path = f'/open/1?sleep_ms={sleep_ms}'
+    async with site.request('POST', path) as answer:
+        await answer.read()
+        return answer.status, answer.headers.get('Connection', '')
+
+
+async def test_stop_cuts_no_request() -> None:
+    async with run_site(servers=3) as site:
+        gateway = site.gateways[0]
+        phases: list[str] = []
+
+        async def leave() -> None:
+            phases.append('off the locator')
+
+        gateway.on_drain(leave)
+        running = [asyncio.create_task(_call(site, 400)) for _ in range(8)]
+        while gateway.in_flight < 8:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(gateway.stop())
+        await asyncio.sleep(0.02)
+        assert phases == ['off the locator']
+        # Callers that hold an old answer of the locator are still served.
+        assert await _call(site, 0) == (200, 'close')
+        assert await asyncio.gather(*running) == [
+            (200, 'close') for _ in range(8)
+        ]
+        await asyncio.wait_for(stopping, 3)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await _call(site, 0)
+
+
+async def test_bound_ends_the_stop_and_names_what_it_cut() -> None:
+    async with run_site(servers=1) as site:
+        gateway = site.gateways[0]
+        running = asyncio.create_task(_call(site, 8000))
+        while not site.backends[0].running:
+            await asyncio.sleep(0.01)
+        report = await gateway._in_flight.finish(0.1)
+        assert (report.finished, len(report.cut)) == (0, 1)
+        with pytest.raises(aiohttp.ClientError):
+            await running
+        async with site.request('GET', '/verify/1') as answer:
+            refused = await answer.json()
+        assert refused['type'].endswith('host-leaving')
+        assert refused['outcome'] == 'not_run'
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -2,6 +2,8 @@
 
 from crocusshunt.standin._backends import (
     BackendService,
+    BackendSwitches,
+    Fault,
     ReceivedRequest,
     RunCounter,
     create_backends,
@@ -12,6 +14,8 @@
 
 __all__ = (
     'BackendService',
+    'BackendSwitches',
+    'Fault',
     'MemoryPlatform',
     'PlatformService',
     'ReceivedRequest',
--- a/crocusshunt/standin/_backends.py
+++ b/crocusshunt/standin/_backends.py
@@ -1,8 +1,10 @@
-"""Stand-in of a backend server."""
+"""Stand-in of a backend server, with switches for its faults."""
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
 
 import msgspec
 from aiohttp import web
@@ -11,6 +13,43 @@
 from crocusshunt.services import HttpService, json_response
 
 _MAX_BODY_BYTES = 67_108_864
+_REQUEST_ID_HEADER = 'X-Request-Id'
+_MILLISECONDS = 1000
+_NEVER_S = 3600
+_STATUS_UNAVAILABLE = 503
+_PART = b'part of an answer'
+_UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\npart of an answer'
+
+
+class Fault(str, Enum):
+    """What a server does wrong with a request."""
+
+    none = 'none'
+    die_before = 'die-before'
+    die_during = 'die-during'
+    die_after = 'die-after'
+    hang = 'hang'
+    short_body = 'short-body'
+    overlong_body = 'overlong-body'
+    other_answer = 'other-answer'
+    unframed = 'unframed'
+    shed = 'shed'
+
+
+@dataclass(slots=True)
+class BackendSwitches:
+    """Faults of one server; the query parameter ``fault`` sets one more.
+
+    :param poison: a request whose body holds this text crashes the server;
+        empty for none.
+    :param delay_s: wait before each answer, in seconds.
+    :param echoes: whether answers carry the id of their request.
+    """
+
+    fault: Fault = Fault.none
+    poison: str = ''
+    delay_s: float = 0
+    echoes: bool = True
 
 
 class RunCounter:
@@ -51,22 +90,28 @@
         super().__init__(host, port)
         self.name = name
         self.counter = RunCounter()
+        self.switches = BackendSwitches()
+        self.received = 0
+        self.running = 0
+        self.crashes = 0
 
     def create_application(self) -> web.Application:
         """Return an application that answers every path."""
         application = web.Application(client_max_size=_MAX_BODY_BYTES)
         application.router.add_get('/standin/runs', self._show_runs)
+        application.router.add_put('/standin/switches', self._set_switches)
         application.router.add_route('*', '/{path:.*}', self._answer)
         return application
 
-    async def _show_runs(self, request: web.Request) -> web.Response:
-        return json_response(dict(self.counter.runs))
-
-    async def _answer(self, request: web.Request) -> web.Response:
-        request_id = request.headers.get('X-Request-Id', '')
-        self.counter.runs[request_id] += 1
+    async def run(self, request: web.Request) -> web.Response:
+        """Run a request and return the answer."""
+        request_id = request.headers.get(_REQUEST_ID_HEADER, '')
         body = await request.read()
-        await asyncio.sleep(_read_delay(request))
+        self.counter.runs[request_id] += 1
+        if self.switches.poison and self.switches.poison.encode() in body:
+            self.crashes += 1
+            _abort(request)
+        await asyncio.sleep(self._read_delay(request))
         return json_response(
             ReceivedRequest(
                 server=self.name,
@@ -80,19 +125,163 @@
                 request_id=request_id,
                 runs=self.counter.runs[request_id],
             ),
+            headers=self.echo(request),
         )
 
+    def echo(self, request: web.Request) -> dict[str, str]:
+        """Return the headers that tie an answer to its request."""
+        request_id = request.headers.get(_REQUEST_ID_HEADER, '')
+        if not self.switches.echoes or not request_id:
+            return {}
+        return {_REQUEST_ID_HEADER: request_id}
+
+    async def _show_runs(self, request: web.Request) -> web.Response:
+        return json_response(dict(self.counter.runs))
+
+    async def _set_switches(self, request: web.Request) -> web.Response:
+        self.switches = msgspec.json.decode(
+            await request.read(),
+            type=BackendSwitches,
+        )
+        return json_response(self.switches)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        self.received += 1
+        self.running += 1
+        try:
+            return await _FAULTS[self._find_fault(request)](self, request)
+        finally:
+            self.running -= 1
+
+    def _find_fault(self, request: web.Request) -> Fault:
+        asked = request.query.get('fault', '')
+        known = frozenset(fault.value for fault in Fault)
+        return Fault(asked) if asked in known else self.switches.fault
+
+    def _read_delay(self, request: web.Request) -> float:
+        text = request.query.get('sleep_ms', '0')
+        asked_s = int(text) / _MILLISECONDS if text.isdecimal() else 0
+        return asked_s + self.switches.delay_s
 
-def create_backends(servers: Iterable[Server]) -> tuple[BackendService, ...]:
-    """Return a stand-in for each server, on its declared address."""
-    return tuple(_create_backend(server) for server in servers)
 
+_Faulty = Callable[
+    [BackendService, web.Request],
+    Awaitable[web.StreamResponse],
+]
+_FAULTS: dict[Fault, _Faulty] = {Fault.none: BackendService.run}
 
-def _create_backend(server: Server) -> BackendService:
-    host, _separator, port = server.address.rpartition(':')
-    return BackendService(server.name, host, int(port))
+
+def _register(fault: Fault) -> Callable[[_Faulty], _Faulty]:
+    def register(function: _Faulty) -> _Faulty:
+        _FAULTS[fault] = function
+        return function
+
+    return register
+
+
+@_register(Fault.die_before)
+async def _die_before(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    await service.run(request)
+    _abort(request)
+    return web.Response()
+
+
+@_register(Fault.die_during)
+@_register(Fault.short_body)
+async def _die_during(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    await service.run(request)
+    response = web.StreamResponse(headers=service.echo(request))
+    response.content_length = len(_PART) * 2
+    await response.prepare(request)
+    await response.write(_PART)
+    if request.transport is not None:
+        request.transport.close()
+    return response
+
+
+@_register(Fault.die_after)
+async def _die_after(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    response = await service.run(request)
+    await response.prepare(request)
+    await response.write_eof()
+    _abort(request)
+    return response
+
+
+@_register(Fault.hang)
+async def _hang(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    await service.run(request)
+    await asyncio.sleep(_NEVER_S)
+    return web.Response()
+
+
+@_register(Fault.overlong_body)
+async def _answer_overlong(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    response = await service.run(request)
+    await response.prepare(request)
+    await response.write_eof()
+    if request.transport is not None:
+        request.transport.write(_PART)
+    return response
+
+
+@_register(Fault.other_answer)
+async def _answer_other(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    response = await service.run(request)
+    response.headers[_REQUEST_ID_HEADER] = 'req-of-another'
+    return response
+
+
+@_register(Fault.unframed)
+async def _answer_unframed(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    await service.run(request)
+    if request.transport is not None:
+        request.transport.write(_UNFRAMED)
+        request.transport.close()
+    return web.Response()
+
+
+@_register(Fault.shed)
+async def _shed(
+    service: BackendService,
+    request: web.Request,
+) -> web.StreamResponse:
+    return web.Response(
+        status=_STATUS_UNAVAILABLE,
+        headers={'X-Overloaded': 'not-run', **service.echo(request)},
+    )
+
+
+def create_backends(servers: Iterable[Server]) -> tuple[BackendService, ...]:
+    """Return a stand-in for each server, on its declared address."""
+    created = []
+    for server in servers:
+        host, _separator, port = server.address.rpartition(':')
+        created.append(BackendService(server.name, host, int(port)))
+    return tuple(created)
 
 
-def _read_delay(request: web.Request) -> float:
-    milliseconds = request.query.get('sleep_ms', '0')
-    return int(milliseconds) / 1000 if milliseconds.isdecimal() else 0
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
