Find out by probes which hosts live

Cause: the platform's list of hosts lags, and nothing corrected it. Change: controllers probe each other. Hosts of its own region hold it for dead, those of other regions for unreachable. A controller that stops says so to the hosts it probes at once.

--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -1,20 +1,18 @@
 """Service of the control process."""
 
+import random
 from typing import Any
 
 from aiomisc import Service
 
-from crocusshunt.membership import HostTable
+from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.controller._loans import LoanDesk
 from crocusshunt.controller._settings import ControllerSettings
 from crocusshunt.core import Clock
 from crocusshunt.messages import (
-    Body,
     BorrowTokens,
     FetchChanges,
-    FetchHosts,
     Handlers,
-    HostList,
     Replier,
     RequesterPool,
 )
@@ -32,7 +30,13 @@
         self._tasks = TaskGroup()
         self._requesters = RequesterPool()
         self.feed = Feed(clock)
-        self.hosts = HostTable(settings.controller.sources, self._requesters)
+        self.membership = MembershipService(
+            settings.host,
+            HostTable(settings.controller.sources, self._requesters),
+            clock,
+            random.SystemRandom(),
+        )
+        self.hosts = self.membership.hosts
         self._follower = Follower(
             FollowerSettings(settings.controller.sources),
             self.feed,
@@ -51,21 +55,21 @@
     async def start(self) -> None:
         """Listen and follow."""
         await self.replier.start()
+        self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
-        self._tasks.start(self.hosts.run())
+        self._tasks.start(self.membership.run())
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Stop all tasks and close all sockets."""
+        """Announce the stop, stop all tasks and close all sockets."""
+        await self.membership.leave()
         await self._tasks.stop()
         await self.replier.stop()
+        self.membership.close()
         self._requesters.close()
 
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
         handlers.register(BorrowTokens)(self._loans.answer)
-        handlers.register(FetchHosts)(self._list_hosts)
+        self.membership.register(handlers)
         return handlers
-
-    async def _list_hosts(self, question: FetchHosts) -> Body:
-        return HostList(self.hosts.hosts)
--- a/crocusshunt/membership/__init__.py
+++ b/crocusshunt/membership/__init__.py
@@ -1,5 +1,40 @@
 """Which hosts are there and which of them live."""
 
-from crocusshunt.membership._hosts import HostTable
+from crocusshunt.membership._agent import MembershipAgent
+from crocusshunt.membership._detector import Detector, DetectorSettings
+from crocusshunt.membership._hosts import HostTable, list_usable
+from crocusshunt.membership._news import NewsQueue
+from crocusshunt.membership._precedence import (
+    create_entry,
+    create_member,
+    digest_member,
+    merge_members,
+)
+from crocusshunt.membership._service import MembershipService
+from crocusshunt.membership._table import MemberTable
+from crocusshunt.membership._topology import Subjects, assign_subjects
+from crocusshunt.membership._transport import (
+    SocketTransport,
+    Traffic,
+    Transport,
+)
 
-__all__ = ('HostTable',)
+__all__ = (
+    'Detector',
+    'DetectorSettings',
+    'HostTable',
+    'MemberTable',
+    'MembershipAgent',
+    'MembershipService',
+    'NewsQueue',
+    'SocketTransport',
+    'Subjects',
+    'Traffic',
+    'Transport',
+    'assign_subjects',
+    'create_entry',
+    'create_member',
+    'digest_member',
+    'list_usable',
+    'merge_members',
+)
--- a/crocusshunt/membership/_hosts.py
+++ b/crocusshunt/membership/_hosts.py
@@ -1,10 +1,18 @@
-"""The hosts that a controller knows."""
+"""The hosts that a process knows."""
 
 import asyncio
+from collections.abc import Iterable
 
 from result import Ok
 
-from crocusshunt.messages import FetchHosts, HostList, RequesterPool
+from crocusshunt.membership._precedence import create_entry
+from crocusshunt.messages import (
+    FetchHosts,
+    HostList,
+    Member,
+    MemberStatus,
+    RequesterPool,
+)
 from crocusshunt.store import HostEntry, HostState
 
 _POLL_S = 1
@@ -21,6 +29,7 @@
     ) -> None:
         """Start without hosts."""
         self.hosts: tuple[HostEntry, ...] = ()
+        self.suspects: frozenset[str] = frozenset()
         self._sources = sources
         self._requesters = requesters
 
@@ -39,11 +48,50 @@
                 _TIMEOUT_S,
             )
             if isinstance(answer, Ok) and answer.ok_value.hosts:
-                self.hosts = answer.ok_value.hosts
+                self.replace(answer.ok_value)
                 return
 
+    def replace(self, listing: HostList) -> None:
+        """Take a newer list.
+
+        :param listing: the hosts, and which of them may have failed.
+        """
+        self.hosts = listing.hosts
+        self.suspects = frozenset(listing.suspects)
+
     def find_live(self) -> tuple[HostEntry, ...]:
         """Return the hosts that are not known to be leaving."""
         return tuple(
             host for host in self.hosts if host.state is HostState.live
         )
+
+
+def list_usable(region: str, members: Iterable[Member]) -> HostList:
+    """Return the hosts that are not held for lost, seen from a region.
+
+    What another region cannot reach may well be reached from here, so its
+    verdict counts for a host of this region as mere suspicion.
+
+    :param region: region of the host that answers.
+    :param members: everything believed of all hosts.
+    """
+    usable = [
+        member
+        for member in members
+        if member.gateway and _is_usable(region, member)
+    ]
+    hosts = tuple(sorted(create_entry(member) for member in usable))
+    suspects = tuple(
+        sorted(
+            member.name
+            for member in usable
+            if member.status is not MemberStatus.alive
+        ),
+    )
+    return HostList(hosts, suspects)
+
+
+def _is_usable(region: str, member: Member) -> bool:
+    if member.status is MemberStatus.unreachable:
+        return member.region == region
+    return member.status is not MemberStatus.dead
--- a/crocusshunt/messages/_bodies.py
+++ b/crocusshunt/messages/_bodies.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from crocusshunt.configuration import Change, Edit, Evidence
-from crocusshunt.store import HostEntry
 
 
 class Body(msgspec.Struct, frozen=True):
@@ -77,18 +76,6 @@
     evidence: Evidence
 
 
-@register_body('fetch-hosts')
-class FetchHosts(Body, frozen=True):
-    """Asks for the hosts that the sender's controller knows."""
-
-
-@register_body('host-list')
-class HostList(Body, frozen=True):
-    """Hosts, with the states that the answering process believes."""
-
-    hosts: tuple[HostEntry, ...]
-
-
 @register_body('borrow-tokens')
 class BorrowTokens(Body, frozen=True):
     """Asks a customer's home host for admission tokens.
