--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -40,6 +40,14 @@
     Requester,
     RequesterPool,
 )
+from crocusshunt.messages._store import (
+    QueryRows,
+    ReadRow,
+    StoredRows,
+    Transacted,
+    TransactRows,
+    WriteConflict,
+)
 
 __all__ = (
     'PROTOCOL_VERSION',
@@ -61,15 +69,21 @@
     'PeerTimeoutError',
     'Probe',
     'ProbeAnswer',
+    'QueryRows',
+    'ReadRow',
     'Refusal',
     'RelayProbe',
     'Replier',
     'Requester',
     'RequesterPool',
     'SnapshotFeed',
+    'StoredRows',
     'TokenLoan',
+    'TransactRows',
+    'Transacted',
     'TransportError',
     'UnknownKindError',
     'UnknownVersionError',
+    'WriteConflict',
     'register_body',
 )
