Name the role that a change needs, and guard the operator table

Cause: whoever may operate could also write the operator table, and nothing kept the last administrator or told callers' keys from operators' keys apart. The interface process still has to call find_needed_role before it proposes.

--- a/crocusshunt/operators/__init__.py
+++ b/crocusshunt/operators/__init__.py
@@ -1,5 +1,6 @@
 """Operators: their keys, roles and what each role may do."""
 
+from crocusshunt.operators._permissions import Edited, find_needed_role
 from crocusshunt.operators._roles import (
     ForbiddenError,
     Operator,
@@ -10,10 +11,12 @@
 )
 
 __all__ = (
+    'Edited',
     'ForbiddenError',
     'Operator',
     'OperatorError',
     'Operators',
     'Role',
     'UnknownOperatorError',
+    'find_needed_role',
 )
