--- /dev/null
+++ b/crocusshunt/audit/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the audit trail."""
