Find the consequences of a change before it is proposed

Cause: the plan listed rows; first-week staff could not see which traffic moves or which promise a change would break. Change: package plans: differences by field, preview with all checks, and rules by decorator for access, room and traffic. Before: no warning. After: 24 tests, one for each rule. Ruled out: asking the interface for the consequences; the decision is pure and works on files alone. Conclusion: dangers come first and name the promise.

--- /dev/null
+++ b/crocusshunt/plans/__init__.py
@@ -0,0 +1,24 @@
+"""What a proposed change would do before it is proposed."""
+
+from crocusshunt.plans._differences import (
+    FieldChange,
+    RowChange,
+    compare_rows,
+)
+from crocusshunt.plans._preview import preview_edits
+from crocusshunt.plans._registry import (
+    Consequence,
+    Severity,
+    find_consequences,
+)
+from crocusshunt.plans import _access, _capacity, _traffic  # noqa: F401
+
+__all__ = (
+    'Consequence',
+    'FieldChange',
+    'RowChange',
+    'Severity',
+    'compare_rows',
+    'find_consequences',
+    'preview_edits',
+)
--- /dev/null
+++ b/crocusshunt/plans/tests/test_consequences.py
@@ -0,0 +1,112 @@
+"""Tests of the consequences that operators are warned of."""
+
+from dataclasses import replace
+
+import pytest
+
+from crocusshunt.configuration import EditRequest
+from crocusshunt.keys import Key, KeyState
+from crocusshunt.operators import Operator, Role
+from crocusshunt.plans import Severity, find_consequences, preview_edits
+from crocusshunt.routing import (
+    Access,
+    Block,
+    Customer,
+    Link,
+    Pool,
+    RetryClass,
+    Route,
+    Row,
+    Server,
+    ServerState,
+    Tables,
+    name_table,
+)
+
+_KEY = Key('court', 'court', 'a' * 64)
+_ROUTE = Route('verify', 'verify', idempotent=False)
+_CUSTOMER = Customer('court', 20, 40)
+_OPERATOR = Operator('mina', Role.administer, 'b' * 64)
+_BLOCK = Block('addis', '10.0.0.0/8', 'addis')
+_LINK = Link('addis-dire', 'addis', 'dire', 100, 55)
+_SERVERS = tuple(
+    Server(f's{number}', 'verify', f'10.0.0.{number}:80', region, 'a', 4)
+    for number, region in enumerate(('addis', 'addis', 'dire'))
+)
+_HELD = Tables().put(
+    Pool('verify'),
+    Pool('renew'),
+    _KEY,
+    _ROUTE,
+    _CUSTOMER,
+    _OPERATOR,
+    _BLOCK,
+    _LINK,
+    *_SERVERS,
+)
+
+
+@pytest.mark.parametrize(
+    ('row', 'effect'),
+    [
+        (replace(_KEY, state=KeyState.withdrawn), 'are refused'),
+        (replace(_KEY, digest='c' * 64), 'present secret stops'),
+        (replace(_KEY, customer='bar'), 'run for bar'),
+        (replace(_ROUTE, pool='renew'), 'moves from pool verify to renew'),
+        (replace(_ROUTE, access=Access.open), 'without a key'),
+        (replace(_ROUTE, path_prefix='/x'), 'other requests'),
+        (
+            replace(_ROUTE, idempotent=True, retry=RetryClass.idempotent),
+            'run twice',
+        ),
+        (replace(_CUSTOMER, rate=10), 'rate falls from 20 to 10'),
+        (replace(_CUSTOMER, burst=10), 'burst falls from 40 to 10'),
+        (replace(_OPERATOR, role=Role.read), 'administer becomes read'),
+        (replace(_BLOCK, region='dire'), 'from addis to dire'),
+        (replace(_SERVERS[0], state=ServerState.draining), 'no new work'),
+        (replace(_SERVERS[2], weight=0), 'no slot is left in dire'),
+        (replace(_SERVERS[0], address='10.0.0.9:80'), 'to 10.0.0.9:80'),
+    ],
+)
+def test_danger_of_a_changed_row(row: Row, effect: str) -> None:
+    found = find_consequences(_HELD, _HELD.put(row))
+    dangers = [one for one in found if one.severity is Severity.danger]
+    assert effect in ' '.join(one.effect for one in dangers)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [_KEY, _ROUTE, _CUSTOMER, _OPERATOR, _BLOCK, _LINK, _SERVERS[0]],
+)
+def test_danger_of_a_removed_row(row: Row) -> None:
+    table = name_table(row)
+    wanted = _HELD.remove(table, (row.name,))
+    found = find_consequences(_HELD, wanted)
+    dangers = {one.place for one in found if one.severity is Severity.danger}
+    assert f'{table} {row.name}' in dangers
+
+
+def test_lost_slots_name_the_promise() -> None:
+    drained = [
+        replace(server, state=ServerState.draining) for server in _SERVERS
+    ]
+    most = find_consequences(_HELD, _HELD.put(*drained[:2]))
+    everything = find_consequences(_HELD, _HELD.put(*drained))
+    assert 'no region is overloaded' in str(most)
+    assert 'reaches a backend server with room' in str(everything)
+
+
+def test_harmless_change_is_no_danger() -> None:
+    wanted = _HELD.put(replace(_CUSTOMER, rate=30), Pool('ledger'))
+    found = find_consequences(_HELD, wanted)
+    assert Severity.danger not in {one.severity for one in found}
+
+
+def test_preview_collects_all_faults() -> None:
+    edits = (
+        EditRequest('pool', 'other', '{}'),
+        EditRequest('pool', 'verify', None),
+    )
+    faults = preview_edits(_HELD, edits).unwrap_err()
+    places = {fault.place for fault in faults}
+    assert {'pool other', 'route verify'} <= places
