Fence customers' tokens by leases with witnesses

Cause: two hosts that saw different lists of hosts both lent a customer's tokens. Change: a row of the table service names the holder of each shard of customers; the holder lends only while a majority of the row's witnesses supports it, counted from before it asked and checked at each loan. A new holder writes the row, fences the old witnesses and waits out their support. Gateways settle loans, borrow by demand and admit in order of arrival. Ruled out for now: a floor on a long lease, which strands it with a dead host.

--- /dev/null
+++ b/crocusshunt/controller/_lending.py
@@ -0,0 +1,82 @@
+"""The parts of a controller that lend tokens."""
+
+import asyncio
+from dataclasses import dataclass
+
+from crocusshunt.controller._directory import Directory
+from crocusshunt.controller._leases import LeaseKeeper
+from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._peers import Peers
+from crocusshunt.controller._supports import SupportGatherer
+from crocusshunt.controller._witnessing import WitnessDesk
+from crocusshunt.core import Clock, HostIdentity
+from crocusshunt.messages import BorrowTokens, Handlers, RenewLeases
+from crocusshunt.replication import Feed
+from crocusshunt.store import TableStore
+
+_PERIOD_S = 1
+_UNSETTLED_PERIOD_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class LendingContext:
+    """What lending needs from the rest of the controller.
+
+    :param incarnation: identifies this process.
+    """
+
+    identity: HostIdentity
+    incarnation: str
+    feed: Feed
+    peers: Peers
+    tables: TableStore
+    clock: Clock
+
+
+class Lending:
+    """Leases, witness and loans of one controller."""
+
+    def __init__(self, context: LendingContext) -> None:
+        """Start without leases."""
+        self.witness = WitnessDesk(context.tables, context.clock)
+        directory = Directory(
+            context.identity.name,
+            context.peers,
+            context.clock,
+        )
+        self.keeper = LeaseKeeper(
+            context.identity,
+            context.incarnation,
+            directory,
+            context.tables,
+            context.clock,
+        )
+        self.gatherer = SupportGatherer(
+            context.identity.name,
+            self.keeper,
+            self.witness,
+            context.peers,
+            context.clock,
+        )
+        self.loans = LoanDesk(
+            context.identity,
+            context.feed,
+            self.keeper,
+            directory,
+            context.peers,
+            context.clock,
+        )
+
+    def register(self, handlers: Handlers) -> None:
+        """Register the answers to gateways and to other controllers."""
+        handlers.register(BorrowTokens)(self.loans.answer)
+        handlers.register(RenewLeases)(self.witness.answer)
+
+    async def run_supports(self) -> None:
+        """Gather witnesses' support for ever."""
+        while True:
+            await self.gatherer.gather()
+            is_settled = self.gatherer.is_settled()
+            await asyncio.sleep(
+                _PERIOD_S if is_settled else _UNSETTLED_PERIOD_S,
+            )
--- a/crocusshunt/controller/_loans.py
+++ b/crocusshunt/controller/_loans.py
@@ -1,21 +1,32 @@
 """Answers to gateways that borrow admission tokens."""
 
+import asyncio
+from collections import defaultdict
+from dataclasses import replace
+
+import msgspec
 from result import Err
 
-from crocusshunt.membership import HostTable
-from crocusshunt.core import Clock, HostIdentity, rank_by_rendezvous
-from crocusshunt.limits import LOAN_LIFETIME_S, HomeLedger, LoanRequest
-from crocusshunt.messages import (
-    Body,
-    BorrowTokens,
-    Refusal,
-    RequesterPool,
-    TokenLoan,
+from crocusshunt.controller._directory import Directory
+from crocusshunt.controller._leases import LeaseKeeper
+from crocusshunt.controller._peers import Peers
+from crocusshunt.core import Clock, HostIdentity
+from crocusshunt.limits import (
+    HomeLedger,
+    Level,
+    LoanRequest,
+    Tenure,
+    find_shard,
 )
+from crocusshunt.messages import Body, BorrowTokens, Refusal, TokenLoan
 from crocusshunt.replication import Feed
 from crocusshunt.routing import Customer
 
 _TIMEOUT_S = 1
+_PERIOD_S = 0.5
+_NEWS_PAUSE_S = 0.1
+# From the gateway's controller to the home, and on to the holder.
+_MAX_HOPS = 2
 
 
 class LoanDesk:
@@ -25,46 +36,145 @@
         self,
         identity: HostIdentity,
         feed: Feed,
-        hosts: HostTable,
-        requesters: RequesterPool,
+        keeper: LeaseKeeper,
+        directory: Directory,
+        peers: Peers,
         clock: Clock,
     ) -> None:
         """Start with an empty ledger."""
         self._identity = identity
         self._feed = feed
-        self._hosts = hosts
-        self._requesters = requesters
+        self._keeper = keeper
+        self._peers = peers
+        self._directory = directory
         self._ledger = HomeLedger(clock)
+        self._asked: set[str] = set()
+        self._news = asyncio.Event()
 
     async def answer(self, question: BorrowTokens) -> Body:
         """Return a loan, or why there is none."""
-        tables = self._feed.configuration.tables
-        customer = tables.find(Customer, question.customer)
+        customer = self._feed.configuration.tables.find(
+            Customer,
+            question.customer,
+        )
         if customer is None:
             return Refusal('customer-unknown', question.customer)
-        by_name = {host.name: host for host in self._hosts.find_live()}
-        if not by_name:
-            return Refusal('hosts-unknown')
-        home = rank_by_rendezvous(customer.name, by_name)[0]
-        if home == self._identity.name:
-            return self._lend(customer, question)
-        return await self._forward(by_name[home].controller, question)
-
-    def _lend(self, customer: Customer, question: BorrowTokens) -> TokenLoan:
-        request = LoanRequest(question.loan_id, question.wanted)
-        loan = self._ledger.lend(customer, request)
+        if not question.borrower:
+            question = msgspec.structs.replace(
+                question,
+                borrower=self._identity.name,
+            )
+        shard = find_shard(customer.name)
+        tenure = self._keeper.find_tenure(shard)
+        if tenure is not None:
+            self._inherit(shard, tenure)
+            return self._lend(customer, question, tenure)
+        return await self._pass_on(shard, question)
+
+    async def run(self) -> None:
+        """Look after the rows of leases for ever."""
+        while True:
+            await self.advance()
+            await self._pause()
+
+    async def advance(self) -> None:
+        """Advance the rows that concern this host, till one call fails."""
+        await self._hand_over(self._keeper.find_displaced())
+        shards = self._find_shards() | self._asked
+        self._asked.clear()
+        for wanted in sorted(shards):
+            advanced = await self._keeper.advance(wanted)
+            if isinstance(advanced, Err):
+                return
+
+    async def leave(self) -> None:
+        """Release all leases before a planned stop."""
+        await self._hand_over(tuple(self._keeper.tenancies))
+
+    def measure(self, shard: str, tenure: Tenure) -> tuple[Level, ...]:
+        """Return what is left of the tokens of a shard's customers."""
+        self._inherit(shard, tenure)
+        return tuple(
+            Level(customer.name, self._ledger.measure(customer, tenure))
+            for customer in self._group_customers()[shard]
+        )
+
+    async def _pause(self) -> None:
+        try:
+            await asyncio.wait_for(self._news.wait(), _PERIOD_S)
+        except TimeoutError:
+            return
+        self._news.clear()
+        await asyncio.sleep(_NEWS_PAUSE_S)
+
+    async def _hand_over(self, shards: tuple[str, ...]) -> None:
+        await asyncio.gather(
+            *(self._keeper.hand_over(one, self.measure) for one in shards),
+        )
+
+    def _find_shards(self) -> set[str]:
+        homes = {
+            shard
+            for shard in self._group_customers()
+            if self._directory.find_home(shard) == self._identity.name
+        }
+        return homes | set(self._keeper.tenancies)
+
+    def _group_customers(self) -> defaultdict[str, list[Customer]]:
+        groups: defaultdict[str, list[Customer]] = defaultdict(list)
+        for customer in self._feed.configuration.tables.select(Customer):
+            groups[find_shard(customer.name)].append(customer)
+        return groups
+
+    def _inherit(self, shard: str, tenure: Tenure) -> None:
+        levels = self._keeper.inherited.pop(shard, ())
+        tokens = {level.customer: level.tokens for level in levels}
+        if not tokens:
+            return
+        for customer in self._group_customers()[shard]:
+            self._ledger.place(customer, tokens.get(customer.name, 0), tenure)
+
+    def _lend(
+        self,
+        customer: Customer,
+        question: BorrowTokens,
+        tenure: Tenure,
+    ) -> TokenLoan:
+        prefix = question.borrower
+        settled = tuple(
+            replace(one, loan_id=f'{prefix}/{one.loan_id}')
+            for one in question.settled
+        )
+        request = LoanRequest(
+            f'{prefix}/{question.loan_id}',
+            question.wanted,
+            settled,
+        )
+        loan = self._ledger.lend(customer, request, tenure)
         return TokenLoan(
             loan_id=question.loan_id,
             granted=loan.granted,
-            lifetime_s=LOAN_LIFETIME_S,
+            lifetime_s=loan.lifetime_s,
             retry_after_s=loan.retry_after_s,
+            remaining=loan.remaining,
+            rate=customer.rate,
+            burst=customer.burst,
         )
 
-    async def _forward(self, address: str, question: BorrowTokens) -> Body:
-        answer = await self._requesters.get(address).exchange(
-            question,
-            _TIMEOUT_S,
-        )
+    async def _pass_on(self, shard: str, question: BorrowTokens) -> Body:
+        self._asked.add(shard)
+        self._news.set()
+        target = self._directory.find_home(shard)
+        if target == self._identity.name:
+            target = self._keeper.find_holder(shard)
+        if target is None or question.hops >= _MAX_HOPS:
+            return Refusal('home-unsettled', question.customer)
+        onward = msgspec.structs.replace(question, hops=question.hops + 1)
+        answer = await self._peers.ask(target, onward, TokenLoan, _TIMEOUT_S)
         if isinstance(answer, Err):
-            return Refusal('home-unreachable', answer.err_value.describe())
+            error = answer.err_value
+            is_silent = error.code == 'peer-timeout'
+            self._directory.note_answer(target, is_good=not is_silent)
+            return Refusal('home-unreachable', error.describe())
+        self._directory.note_answer(target, is_good=True)
         return answer.ok_value
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -5,12 +5,12 @@
 from aiomisc import Service
 
 from crocusshunt.membership import HostTable
-from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._lending import Lending, LendingContext
+from crocusshunt.controller._peers import HostPeers
 from crocusshunt.controller._settings import ControllerSettings
-from crocusshunt.core import Clock
+from crocusshunt.core import Clock, Identifiers
 from crocusshunt.messages import (
     Body,
-    BorrowTokens,
     FetchChanges,
     FetchHosts,
     Handlers,
@@ -18,6 +18,7 @@
     Replier,
     RequesterPool,
 )
+from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
 
@@ -39,12 +40,18 @@
             self._requesters,
             clock,
         )
-        self._loans = LoanDesk(
-            settings.host,
-            self.feed,
-            self.hosts,
-            self._requesters,
-            clock,
+        self._lending = Lending(
+            LendingContext(
+                settings.host,
+                Identifiers().create('controller'),
+                self.feed,
+                HostPeers(self.hosts, self._requesters),
+                RelayedTables(
+                    RelaySettings(settings.controller.sources),
+                    self._requesters,
+                ),
+                clock,
+            ),
         )
         self.replier = Replier(settings.controller.listen, self._register())
 
@@ -53,6 +60,8 @@
         await self.replier.start()
         self._tasks.start(self._follower.run())
         self._tasks.start(self.hosts.run())
+        self._tasks.start(self._lending.loans.run())
+        self._tasks.start(self._lending.run_supports())
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Stop all tasks and close all sockets."""
@@ -63,7 +72,7 @@
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
-        handlers.register(BorrowTokens)(self._loans.answer)
+        self._lending.register(handlers)
         handlers.register(FetchHosts)(self._list_hosts)
         return handlers
 
--- /dev/null
+++ b/crocusshunt/controller/_witnessing.py
@@ -0,0 +1,57 @@
+"""Answers of a witness to the holders of leases."""
+
+from result import Ok
+
+from crocusshunt.core import Clock
+from crocusshunt.limits import Witness, decode_lease
+from crocusshunt.messages import (
+    FencedLease,
+    LeaseEpoch,
+    LeasesRenewed,
+    RenewLeases,
+)
+from crocusshunt.store import TableStore
+
+LEASE_TABLE = 'token-leases'
+
+
+class WitnessDesk:
+    """Supports holders and fences them."""
+
+    def __init__(self, tables: TableStore, clock: Clock) -> None:
+        """Start without memory."""
+        self._tables = tables
+        self._clock = clock
+        self._witness = Witness(clock.monotonic())
+
+    async def answer(self, question: RenewLeases) -> LeasesRenewed:
+        """Return what this witness agreed to."""
+        for unread in question.supports:
+            if self._witness.is_ignorant(unread.shard):
+                await self._read(unread.shard)
+        now = self._clock.monotonic()
+        supported = tuple(
+            lease.shard
+            for lease in question.supports
+            if self._witness.support(lease.shard, lease.epoch, now)
+        )
+        return LeasesRenewed(supported, self._fence(question.fences))
+
+    def _fence(self, leases: tuple[LeaseEpoch, ...]) -> tuple[FencedLease, ...]:
+        now = self._clock.monotonic()
+        waits = {
+            lease.shard: self._witness.fence(lease.shard, lease.epoch, now)
+            for lease in leases
+        }
+        return tuple(
+            FencedLease(shard, wait_s)
+            for shard, wait_s in waits.items()
+            if wait_s is not None
+        )
+
+    async def _read(self, shard: str) -> None:
+        found = await self._tables.read(LEASE_TABLE, shard)
+        if isinstance(found, Ok) and found.ok_value is not None:
+            row = decode_lease(found.ok_value.body)
+            if row is not None:
+                self._witness.learn(shard, row.epoch)
--- a/crocusshunt/gateway/_limits.py
+++ b/crocusshunt/gateway/_limits.py
@@ -1,25 +1,117 @@
 """Admission tokens of the gateway."""
 
 import asyncio
-from collections import defaultdict
+from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from crocusshunt.core import Clock, Identifiers
+from crocusshunt.core import Clock, CrocusError, Identifiers
 from crocusshunt.delivery import NotRun
-from crocusshunt.limits import Wallet
+from crocusshunt.limits import (
+    AdmissionQueue,
+    Decision,
+    Loan,
+    LoanRequest,
+    QueueSettings,
+    Verdict,
+)
 from crocusshunt.messages import BorrowTokens, RequesterPool, TokenLoan
 
 _STATUS_TOO_MANY = 429
 _STATUS_UNAVAILABLE = 503
 _TIMEOUT_S = 1
-_BATCH_TOKENS = 4
+_PAUSE_S = 0.1
 _RETRY_S = 1
-_PATIENCE_S = 0.5
+_PATIENCE_S = 3
+_RATE_PATIENCE_S = 0.5
+_RATE_UNKNOWN = 1
+_MAX_QUEUES = 4096
+
+
+@dataclass(unsafe_hash=True)
+class RateExceededError(CrocusError):
+    """A request above its customer's rate and burst.
+
+    :param limit: requests a second.
+    :param burst: requests at once.
+    :param remaining: whole tokens left.
+    :param reset_s: seconds until another token is there.
+    """
+
+    code = 'rate-exceeded'
+
+    limit: float
+    burst: int
+    remaining: int
+    reset_s: float
+
+
+@dataclass(unsafe_hash=True)
+class LimitUnavailableError(CrocusError):
+    """No host could say whether the customer is within its rate.
+
+    :param detail: what was seen.
+    """
+
+    code = 'limit-unavailable'
+
+    detail: str
+
+
+LimitError = RateExceededError | LimitUnavailableError
+
+
+def describe_limit(failure: LimitError) -> NotRun:
+    """Return the outcome for the caller.
+
+    >>> describe_limit(RateExceededError(10, 5, 0, 0.1)).status
+    429
+    """
+    if isinstance(failure, RateExceededError):
+        return NotRun(
+            failure.code,
+            _STATUS_TOO_MANY,
+            'the customer is over its rate and burst',
+            failure.reset_s,
+        )
+    return NotRun(
+        failure.code,
+        _STATUS_UNAVAILABLE,
+        failure.detail,
+        _RETRY_S,
+    )
+
+
+def format_limit_headers(failure: LimitError) -> dict[str, str]:
+    """Return the headers of a refusal besides Retry-After.
+
+    Reference: IETF draft-ietf-httpapi-ratelimit-headers.
+
+    >>> headers = format_limit_headers(RateExceededError(10, 5, 0, 0.1))
+    >>> headers['RateLimit'], headers['RateLimit-Policy']
+    ('"customer";r=0;t=1', '"customer";q=10;w=1;burst=5')
+    """
+    if isinstance(failure, LimitUnavailableError):
+        return {}
+    reset_s = max(1, round(failure.reset_s))
+    policy = f'"customer";q={failure.limit};w=1;burst={failure.burst}'
+    return {
+        'RateLimit': f'"customer";r={failure.remaining};t={reset_s}',
+        'RateLimit-Policy': policy,
+    }
+
+
+@dataclass(slots=True)
+class _Account:
+    queue: AdmissionQueue
+    waiting: dict[int, asyncio.Future[Verdict]] = field(default_factory=dict)
+    borrower: asyncio.Task[None] | None = None
+    last: TokenLoan | None = None
+    trouble: str = ''
 
 
 class Limiter:
-    """Takes a token for each request, borrowing batches when it has none."""
+    """Takes a token for each request, borrowing batches ahead."""
 
     def __init__(
         self,
@@ -27,6 +119,7 @@
         requesters: RequesterPool,
         clock: Clock,
         identifiers: Identifiers,
+        settings: QueueSettings | None = None,
     ) -> None:
         """Start without tokens.
 
@@ -36,60 +129,168 @@
         self._requesters = requesters
         self._clock = clock
         self._identifiers = identifiers
-        self._wallet = Wallet(clock)
-        self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._settings = settings or QueueSettings()
+        self._accounts: dict[str, _Account] = {}
+        self._tickets = 0
+
+    async def take(
+        self,
+        customer: str,
+        patience_s: float = _PATIENCE_S,
+    ) -> Result[None, NotRun]:
+        """Use a token of a customer, or say when to ask again.
 
-    async def take(self, customer: str) -> Result[None, NotRun]:
-        """Use a token of a customer, or say when to ask again."""
-        if self._wallet.take(customer):
+        :param patience_s: longest wait for a token, in seconds.
+        """
+        taken = await self.try_take(customer, patience_s)
+        return taken.map_err(describe_limit)
+
+    async def try_take(
+        self,
+        customer: str,
+        patience_s: float,
+    ) -> Result[None, LimitError]:
+        """Use a token of a customer, with a typed refusal.
+
+        A request above the rate waits a short time only; while no host can
+        lend, as during a hand-over, it waits as long as its caller does.
+
+        :param patience_s: longest wait for a token, in seconds.
+        """
+        give_up_at = self._clock.monotonic() + patience_s
+        wait_s = min(patience_s, _RATE_PATIENCE_S)
+        while True:
+            taken = await self._try_once(customer, wait_s)
+            if isinstance(taken, Ok):
+                return taken
+            now = self._clock.monotonic()
+            is_settled = isinstance(taken.err_value, RateExceededError)
+            if is_settled or now + wait_s > give_up_at:
+                return taken
+
+    async def _try_once(
+        self,
+        customer: str,
+        patience_s: float,
+    ) -> Result[None, LimitError]:
+        account = self._find(customer)
+        self._tickets += 1
+        ticket = self._tickets
+        now = self._clock.monotonic()
+        verdict = account.queue.arrive(ticket, now, patience_s)
+        if verdict is Verdict.waiting:
+            verdict = await self._wait(customer, account, ticket)
+        else:
+            self._start_borrowing(customer, account)
+        if verdict is Verdict.admitted:
             return Ok(None)
-        async with self._locks[customer]:
-            if self._wallet.take(customer):
-                return Ok(None)
-            return await self._borrow_patiently(customer)
+        return Err(self._describe(account))
 
-    async def _borrow_patiently(self, customer: str) -> Result[None, NotRun]:
-        give_up_at = self._clock.monotonic() + _PATIENCE_S
+    async def _wait(
+        self,
+        customer: str,
+        account: _Account,
+        ticket: int,
+    ) -> Verdict:
+        future = asyncio.get_running_loop().create_future()
+        account.waiting[ticket] = future
+        self._start_borrowing(customer, account)
+        try:
+            verdict: Verdict = await future
+        finally:
+            account.waiting.pop(ticket, None)
+            account.queue.forget(ticket)
+        return verdict
+
+    def _start_borrowing(self, customer: str, account: _Account) -> None:
+        if account.borrower is None or account.borrower.done():
+            account.borrower = asyncio.create_task(
+                self._borrow_while_needed(customer, account),
+            )
+
+    async def _borrow_while_needed(
+        self,
+        customer: str,
+        account: _Account,
+    ) -> None:
         while True:
-            borrowed = await self._borrow(customer)
-            if isinstance(borrowed, Ok):
-                return borrowed
-            pause = borrowed.err_value.retry_after_s or 0
-            if self._clock.monotonic() + pause > give_up_at:
-                return borrowed
-            await asyncio.sleep(pause)
-
-    async def _borrow(self, customer: str) -> Result[None, NotRun]:
-        asked_at = self._clock.monotonic()
+            now = self._clock.monotonic()
+            loan_id = self._identifiers.create('loan')
+            request = account.queue.plan(loan_id, now)
+            if request is None:
+                _resolve(account, account.queue.review(now))
+            else:
+                await self._borrow(customer, account, request)
+            wake_at = account.queue.wake_at()
+            if wake_at is None:
+                return
+            pause = wake_at - self._clock.monotonic()
+            await asyncio.sleep(max(0, pause))
+
+    async def _borrow(
+        self,
+        customer: str,
+        account: _Account,
+        request: LoanRequest,
+    ) -> None:
         question = BorrowTokens(
-            self._identifiers.create('loan'),
+            request.loan_id,
             customer,
-            _BATCH_TOKENS,
-        )
-        answer = await self._requesters.get(self._controller).ask(
-            question,
-            TokenLoan,
-            _TIMEOUT_S,
+            request.wanted,
+            request.settled,
         )
+        requester = self._requesters.get(self._controller)
+        answer = await requester.ask(question, TokenLoan, _TIMEOUT_S)
+        now = self._clock.monotonic()
         if isinstance(answer, Err):
-            return Err(
-                NotRun(
-                    'limit-unavailable',
-                    _STATUS_UNAVAILABLE,
-                    answer.err_value.describe(),
-                    _RETRY_S,
-                ),
-            )
-        loan = answer.ok_value
-        expires_at = asked_at + loan.lifetime_s
-        self._wallet.put(customer, loan.granted, expires_at)
-        if self._wallet.take(customer):
-            return Ok(None)
-        return Err(
-            NotRun(
-                'rate-exceeded',
-                _STATUS_TOO_MANY,
-                'the customer is over its rate and burst',
-                loan.retry_after_s,
-            ),
-        )
+            account.trouble = answer.err_value.describe()
+            _resolve(account, account.queue.miss(now, _PAUSE_S))
+            return
+        account.trouble = ''
+        account.last = answer.ok_value
+        account.queue.rate = answer.ok_value.rate
+        _resolve(account, account.queue.receive(_convert(account.last), now))
+
+    def _find(self, customer: str) -> _Account:
+        account = self._accounts.get(customer)
+        if account is None:
+            self._forget_idle()
+            queue = AdmissionQueue(self._settings, _RATE_UNKNOWN)
+            account = _Account(queue)
+            self._accounts[customer] = account
+        return account
+
+    def _forget_idle(self) -> None:
+        if len(self._accounts) < _MAX_QUEUES:
+            return
+        now = self._clock.monotonic()
+        self._accounts = {
+            customer: account
+            for customer, account in self._accounts.items()
+            if not account.queue.is_idle(now)
+        }
+
+    def _describe(self, account: _Account) -> LimitError:
+        last = account.last
+        if account.trouble or last is None:
+            return LimitUnavailableError(account.trouble or 'no answer yet')
+        now = self._clock.monotonic()
+        reset_s = max(0, account.queue.next_token_at - now)
+        return RateExceededError(last.rate, last.burst, last.remaining, reset_s)
+
+
+def _resolve(account: _Account, decisions: tuple[Decision, ...]) -> None:
+    for decision in decisions:
+        future = account.waiting.get(decision.ticket)
+        if future is not None and not future.done():
+            future.set_result(decision.verdict)
+
+
+def _convert(loan: TokenLoan) -> Loan:
+    return Loan(
+        loan.loan_id,
+        loan.granted,
+        loan.lifetime_s,
+        loan.retry_after_s,
+        loan.remaining,
+    )
--- /dev/null
+++ b/crocusshunt/limits/_lease.py
@@ -0,0 +1,92 @@
+"""Rows that say who lends customers' tokens."""
+
+from hashlib import blake2b
+
+import msgspec
+
+from crocusshunt.core import rank_by_rendezvous
+
+SUPPORT_S = 4
+ROW_LEASE_S = 14_400
+SHARD_COUNT = 256
+_WITNESS_COUNT = 5
+_DIGEST_BYTES = 8
+
+
+class Level(msgspec.Struct, frozen=True):
+    """Tokens that a home left for the next one."""
+
+    customer: str
+    tokens: float
+
+
+class LeaseRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Row of the table service that names a shard's holder.
+
+    :param holder: name of the holder's host, empty after a release.
+    :param incarnation: identifies the holder's process.
+    :param epoch: higher with each change of holder or witnesses.
+    :param witnesses: hosts of which a majority must support the holder.
+    :param unfenced: witnesses of earlier holders that may still lend.
+    :param levels: tokens left by the holder that released.
+    """
+
+    holder: str
+    incarnation: str
+    epoch: int
+    witnesses: tuple[str, ...]
+    unfenced: tuple[tuple[str, ...], ...] = ()
+    levels: tuple[Level, ...] = ()
+
+
+def find_shard(customer: str) -> str:
+    """Return the shard whose lease covers a customer.
+
+    >>> find_shard('court')
+    '0081'
+    """
+    digest = blake2b(customer.encode(), digest_size=_DIGEST_BYTES).digest()
+    number = int.from_bytes(digest, 'big') % SHARD_COUNT
+    return f'{number:04d}'
+
+
+def choose_witnesses(
+    shard: str,
+    domains: dict[str, str],
+) -> tuple[str, ...]:
+    """Return the witnesses of a shard, spread over failure domains.
+
+    :param domains: failure domain of each live host.
+
+    >>> choose_witnesses('0001', {'a1': 'a', 'a2': 'a', 'b1': 'b'})
+    ('a2', 'b1', 'a1')
+    """
+    ranked = rank_by_rendezvous(shard, domains)
+    firsts: dict[str, str] = {}
+    for ranking in ranked:
+        firsts.setdefault(domains[ranking], ranking)
+    spread = tuple(firsts.values())
+    others = tuple(host for host in ranked if host not in spread)
+    return (spread + others)[:_WITNESS_COUNT]
+
+
+def has_majority(witnesses: tuple[str, ...], agreed: set[str]) -> bool:
+    """Tell whether more than half of the witnesses agreed.
+
+    >>> has_majority(('a', 'b', 'c'), {'a', 'c'})
+    True
+    """
+    return len(agreed.intersection(witnesses)) * 2 > len(witnesses)
+
+
+def encode_lease(row: LeaseRow) -> str:
+    """Return the text that the table service keeps."""
+    return msgspec.json.encode(row).decode()
+
+
+def decode_lease(body: str) -> LeaseRow | None:
+    """Return the row of a text, None if it is damaged."""
+    try:
+        return msgspec.json.decode(body, type=LeaseRow)
+    except msgspec.DecodeError:
+        return None
--- a/crocusshunt/limits/_wallet.py
+++ b/crocusshunt/limits/_wallet.py
@@ -2,51 +2,90 @@
 
 from dataclasses import dataclass
 
-from crocusshunt.core import Clock
+from crocusshunt.limits._drift import shorten
+from crocusshunt.limits._ledger import Loan, Settlement
 
 
 @dataclass(slots=True)
 class _Batch:
+    loan_id: str
     tokens: int
     expires_at: float
 
 
 class Wallet:
-    """Unexpired borrowed tokens of each customer.
+    """Unexpired borrowed tokens of one customer.
 
-    >>> from crocusshunt.core import ManualClock
-    >>> clock = ManualClock()
-    >>> wallet = Wallet(clock)
-    >>> wallet.put('court', tokens=1, expires_at=2)
-    >>> wallet.take('court'), wallet.take('court')
+    >>> wallet = Wallet()
+    >>> wallet.put(Loan('a', 1, 0.5, 0, 0), asked_at=0)
+    >>> wallet.take(now=0.1), wallet.take(now=0.1)
     (True, False)
+    >>> wallet.settle(now=0.1)
+    (Settlement(loan_id='a', returned=0),)
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self) -> None:
         """Start empty."""
-        self._clock = clock
-        self._batches: dict[str, list[_Batch]] = {}
+        self._batches: dict[str, _Batch] = {}
+        self._settled_until: dict[str, float] = {}
 
-    def put(self, customer: str, tokens: int, expires_at: float) -> None:
-        """Add a batch.
+    def put(self, loan: Loan, asked_at: float) -> None:
+        """Add a loan; one that was seen before changes nothing.
 
-        :param expires_at: monotonic time in seconds, counted from before
-            the request for the batch was sent.
+        :param asked_at: monotonic time before the request was sent, in
+            seconds.
         """
-        if tokens:
-            batches = self._batches.setdefault(customer, [])
-            batches.append(_Batch(tokens, expires_at))
-
-    def take(self, customer: str) -> bool:
-        """Use one token; return whether there was one."""
-        now = self._clock.monotonic()
-        batches = [
-            batch
-            for batch in self._batches.get(customer, ())
-            if batch.tokens and batch.expires_at > now
-        ]
-        self._batches[customer] = batches
-        if not batches:
-            return False
-        batches[0].tokens -= 1
-        return True
+        is_seen = loan.loan_id in self._batches
+        if is_seen or loan.loan_id in self._settled_until:
+            return
+        expires_at = asked_at + shorten(loan.lifetime_s)
+        self._batches[loan.loan_id] = _Batch(
+            loan.loan_id,
+            loan.granted,
+            expires_at,
+        )
+
+    def take(self, now: float) -> bool:
+        """Use one token; return whether there was one.
+
+        :param now: monotonic time in seconds.
+        """
+        for batch in self._batches.values():
+            if batch.tokens and batch.expires_at > now:
+                batch.tokens -= 1
+                return True
+        return False
+
+    def count(self, now: float) -> int:
+        """Return the number of usable tokens."""
+        return sum(
+            batch.tokens
+            for batch in self._batches.values()
+            if batch.expires_at > now
+        )
+
+    def settle(self, now: float, keep: int = 0) -> tuple[Settlement, ...]:
+        """Give up loans and return what to tell the home, once each.
+
+        :param keep: batches are kept while they hold fewer tokens in all.
+        """
+        self._settled_until = {
+            loan_id: until
+            for loan_id, until in self._settled_until.items()
+            if until > now
+        }
+        kept = 0
+        settlements = []
+        for batch in tuple(self._batches.values()):
+            is_usable = batch.tokens and batch.expires_at > now
+            if is_usable and kept < keep:
+                kept += batch.tokens
+                continue
+            settlements.append(self._close(batch, now))
+        return tuple(settlements)
+
+    def _close(self, batch: _Batch, now: float) -> Settlement:
+        self._batches.pop(batch.loan_id)
+        # A late duplicate of the loan may still come until it is void.
+        self._settled_until[batch.loan_id] = max(batch.expires_at, now) + 1
+        return Settlement(batch.loan_id, batch.tokens)
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -1,7 +1,6 @@
 """Typed, versioned messages between the system's processes."""
 
 from crocusshunt.messages._bodies import (
-    BorrowTokens,
     Body,
     ChangeFeed,
     FetchChanges,
@@ -9,7 +8,6 @@
     HostList,
     Refusal,
     SnapshotFeed,
-    TokenLoan,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -25,6 +23,14 @@
     PeerTimeoutError,
     TransportError,
 )
+from crocusshunt.messages._loans import (
+    BorrowTokens,
+    FencedLease,
+    LeaseEpoch,
+    LeasesRenewed,
+    RenewLeases,
+    TokenLoan,
+)
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -47,16 +53,20 @@
     'ChangeFeed',
     'Codec',
     'DamagedMessageError',
+    'FencedLease',
     'FetchChanges',
     'FetchHosts',
     'Handlers',
     'HostList',
+    'LeaseEpoch',
+    'LeasesRenewed',
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
     'QueryRows',
     'ReadRow',
     'Refusal',
+    'RenewLeases',
     'Replier',
     'Requester',
     'RequesterPool',
--- a/crocusshunt/messages/_bodies.py
+++ b/crocusshunt/messages/_bodies.py
@@ -87,32 +87,3 @@
     """Hosts, with the states that the answering process believes."""
 
     hosts: tuple[HostEntry, ...]
-
-
-@register_body('borrow-tokens')
-class BorrowTokens(Body, frozen=True):
-    """Asks a customer's home host for admission tokens.
-
-    :param loan_id: identifies the loan when the message is repeated.
-    :param wanted: number of tokens wanted.
-    """
-
-    loan_id: str
-    customer: str
-    wanted: int
-
-
-@register_body('token-loan')
-class TokenLoan(Body, frozen=True):
-    """Tokens lent to a gateway.
-
-    :param granted: number of tokens, possibly none.
-    :param lifetime_s: seconds from the sending of the request after which
-        unused tokens are void.
-    :param retry_after_s: seconds until more tokens may be had.
-    """
-
-    loan_id: str
-    granted: int
-    lifetime_s: float
-    retry_after_s: float
