--- /dev/null
+++ b/crocusshunt/bench/_simulation/__init__.py
@@ -0,0 +1,28 @@
+"""Hosts, messages and time within one process, for benchmarks and tests."""
+
+from crocusshunt.bench._simulation._audit import count_overshoot
+from crocusshunt.bench._simulation._fleet import Layout, LimitFleet
+from crocusshunt.bench._simulation._network import Faults, Network
+from crocusshunt.bench._simulation._time import LoopClock, simulate
+from crocusshunt.bench._simulation._traffic import (
+    Arrival,
+    Load,
+    Tally,
+    create_arrivals,
+    drive,
+)
+
+__all__ = (
+    'Arrival',
+    'Faults',
+    'Load',
+    'Layout',
+    'LimitFleet',
+    'LoopClock',
+    'Network',
+    'Tally',
+    'count_overshoot',
+    'create_arrivals',
+    'drive',
+    'simulate',
+)
--- /dev/null
+++ b/crocusshunt/bench/_simulation/_fleet.py
@@ -0,0 +1,252 @@
+"""Simulated hosts that run the product's controllers and limiters."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from crocusshunt.bench._simulation._network import Network, NetworkPeers
+from crocusshunt.bench._simulation._time import LoopClock
+from crocusshunt.controller import Lending, LendingContext
+from crocusshunt.core import HostIdentity, Identifiers
+from crocusshunt.gateway import Limiter
+from crocusshunt.limits import QueueSettings
+from crocusshunt.messages import (
+    BorrowTokens,
+    Handlers,
+    PeerRefusalError,
+    PeerTimeoutError,
+    TokenLoan,
+    TransportError,
+)
+from crocusshunt.routing import Customer, Tables
+from crocusshunt.standin import MemoryPlatform
+from crocusshunt.store import (
+    Query,
+    StoredRow,
+    StoreError,
+    StoreUnknownOutcomeError,
+    Write,
+)
+
+_LOCAL_DELAY_S = 0.0005
+_STORE_TIMEOUT_S = 3
+
+_Found = TypeVar('_Found')
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Hosts and distances.
+
+    :param regions: names of regions, hosts are dealt out to them.
+    :param region_delay_s: one way between two regions, in seconds.
+    :param domain_delay_s: one way within a region, in seconds.
+    """
+
+    hosts: int = 10
+    regions: tuple[str, ...] = ('zagreb', 'split', 'osijek')
+    region_delay_s: float = 0.02
+    domain_delay_s: float = 0.001
+    queue: QueueSettings = field(default_factory=QueueSettings)
+
+    def find_region(self, host: str) -> str:
+        """Return the region of a host."""
+        return self.regions[int(host[1:]) % len(self.regions)]
+
+    def find_domain(self, host: str) -> str:
+        """Return the failure domain of a host, two in each region."""
+        half = int(host[1:]) // len(self.regions) % 2
+        return f'{self.find_region(host)}-{half}'
+
+    def measure_delay(self, sender: str, host: str) -> float:
+        """Return the delay one way between two hosts, in seconds."""
+        if self.find_region(sender) == self.find_region(host):
+            return self.domain_delay_s
+        return self.region_delay_s
+
+
+class _PausedTables:
+    """The table service as a host that may be paused sees it."""
+
+    def __init__(self, host: str, fleet: 'LimitFleet') -> None:
+        self._host = host
+        self._fleet = fleet
+
+    async def read(
+        self,
+        table: str,
+        key: str,
+    ) -> Result[StoredRow | None, StoreError]:
+        """Return a row, None where it is absent."""
+        return await self._call(self._fleet.platform.read(table, key))
+
+    async def query(
+        self,
+        query: Query,
+    ) -> Result[tuple[StoredRow, ...], StoreError]:
+        """Return the rows of a range."""
+        return await self._call(self._fleet.platform.query(query))
+
+    async def transact(
+        self,
+        writes: tuple[Write, ...],
+    ) -> Result[None, StoreError]:
+        """Do all writes or none."""
+        return await self._call(self._fleet.platform.transact(writes))
+
+    async def _call(
+        self,
+        call: Coroutine[Any, Any, Result[_Found, StoreError]],
+    ) -> Result[_Found, StoreError]:
+        network = self._fleet.network
+        await network.wait_while_paused(self._host)
+        running = asyncio.ensure_future(call)
+        try:
+            async with asyncio.timeout(_STORE_TIMEOUT_S):
+                found = await asyncio.shield(running)
+        except TimeoutError:
+            return Err(StoreUnknownOutcomeError('no answer in time'))
+        await network.wait_while_paused(self._host)
+        return found
+
+
+class _LocalRequester:
+    """The way from a gateway to its controller."""
+
+    def __init__(self, lending: Lending) -> None:
+        self._lending = lending
+
+    def get(self, address: str) -> '_LocalRequester':
+        """Return itself for the only address."""
+        return self
+
+    async def ask(
+        self,
+        body: BorrowTokens,
+        expected: type[TokenLoan],
+        timeout_s: float,
+    ) -> Result[TokenLoan, TransportError]:
+        """Ask the controller of the same host."""
+        await asyncio.sleep(_LOCAL_DELAY_S)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._lending.loans.answer(body)
+        except TimeoutError:
+            return Err(PeerTimeoutError('controller'))
+        await asyncio.sleep(_LOCAL_DELAY_S)
+        if isinstance(answer, TokenLoan):
+            return Ok(answer)
+        return Err(PeerRefusalError(type(answer).__name__))
+
+
+@dataclass(slots=True)
+class SimulatedHost:
+    """One host's controller and limiter."""
+
+    name: str
+    lending: Lending
+    limiter: Limiter
+    peers: NetworkPeers
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+
+class LimitFleet:
+    """Controllers and limiters of all hosts, with a network and a store."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        customers: tuple[Customer, ...],
+        seed: int,
+    ) -> None:
+        """Prepare the hosts; call it within a simulation."""
+        self.layout = layout
+        self.tables = Tables().put(*customers)
+        self.platform = MemoryPlatform()
+        self.source = random.Random(seed)
+        self.network = Network(self.source, layout.measure_delay)
+        self.hosts: dict[str, SimulatedHost] = {}
+        self._starts = 0
+
+    def start(self, drift: float = 0) -> None:
+        """Start every host.
+
+        :param drift: greatest difference of a clock's speed, as a ratio.
+        """
+        for number in range(self.layout.hosts):
+            ratio = self.source.uniform(-drift, drift)
+            self.start_host(f'h{number}', ratio)
+
+    def start_host(self, name: str, drift: float = 0) -> None:
+        """Start a new process on a host."""
+        self._starts += 1
+        clock = LoopClock(drift, origin=self.source.uniform(0, 1000))
+        names = [f'h{number}' for number in range(self.layout.hosts)]
+        domains = {one: self.layout.find_domain(one) for one in names}
+        peers = NetworkPeers(name, self.network, domains)
+        identity = HostIdentity(
+            name,
+            self.layout.find_region(name),
+            self.layout.find_domain(name),
+        )
+        lending = Lending(
+            LendingContext(
+                identity,
+                f'{name}/{self._starts}',
+                lambda: self.tables,
+                peers,
+                _PausedTables(name, self),
+                clock,
+            ),
+        )
+        limiter = Limiter(
+            'controller',
+            _LocalRequester(lending),
+            clock,
+            Identifiers(self.source),
+            self.layout.queue,
+        )
+        handlers = Handlers()
+        lending.register(handlers)
+        self.network.handlers[name] = handlers
+        host = SimulatedHost(name, lending, limiter, peers)
+        host.tasks.append(asyncio.create_task(lending.loans.run()))
+        host.tasks.append(asyncio.create_task(lending.run_supports()))
+        self.hosts[name] = host
+
+    def kill(self, name: str) -> None:
+        """Stop a host's process without a word."""
+        host = self.hosts.pop(name)
+        self.network.handlers.pop(name, None)
+        for task in host.tasks:
+            task.cancel()
+
+    def forget(self, name: str) -> None:
+        """Let every host learn that a host is gone."""
+        for host in self.hosts.values():
+            host.peers.domains.pop(name, None)
+
+    def pause(self, name: str) -> None:
+        """Pause a host's process."""
+        self.network.paused[name] = asyncio.Event()
+
+    def resume(self, name: str) -> None:
+        """Resume a paused process."""
+        self.network.paused.pop(name).set()
+
+    def find_lenders(self, shard: str) -> list[str]:
+        """Return the hosts that would lend for a shard now."""
+        return [
+            name
+            for name, host in self.hosts.items()
+            if host.lending.keeper.find_tenure(shard) is not None
+        ]
+
+    def stop(self) -> None:
+        """Stop all hosts."""
+        for name in tuple(self.hosts):
+            self.kill(name)
--- /dev/null
+++ b/crocusshunt/bench/_simulation/_network.py
@@ -0,0 +1,165 @@
+"""Messages between simulated hosts, with their faults."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from crocusshunt.messages import (
+    Body,
+    Codec,
+    Handlers,
+    PeerRefusalError,
+    PeerTimeoutError,
+    Refusal,
+    TransportError,
+)
+
+_BodyType = TypeVar('_BodyType', bound=Body)
+
+
+@dataclass(slots=True)
+class Faults:
+    """What goes wrong with messages.
+
+    :param loss: share of messages lost, on each way.
+    :param duplication: share of requests that arrive twice.
+    :param jitter_s: greatest extra delay, which reorders messages.
+    """
+
+    loss: float = 0
+    duplication: float = 0
+    jitter_s: float = 0
+
+
+class Network:
+    """Carries questions and answers between controllers."""
+
+    def __init__(
+        self,
+        source: random.Random,
+        delay: Callable[[str, str], float],
+    ) -> None:
+        """Start without hosts.
+
+        :param delay: seconds one way between two hosts.
+        """
+        self.faults = Faults()
+        self.handlers: dict[str, Handlers] = {}
+        self.groups: dict[str, int] = {}
+        self.paused: dict[str, asyncio.Event] = {}
+        self.sent: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self._source = source
+        self._delay = delay
+        self._codec = Codec()
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def ask(
+        self,
+        sender: str,
+        host: str,
+        body: Body,
+        expected: type[_BodyType],
+        timeout_s: float,
+    ) -> Result[_BodyType, TransportError]:
+        """Send a question and return its answer."""
+        answer: Body | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._exchange(sender, host, body)
+        except TimeoutError:
+            return Err(PeerTimeoutError(host))
+        await self.wait_while_paused(sender)
+        if isinstance(answer, expected):
+            return Ok(answer)
+        if isinstance(answer, Refusal):
+            return Err(PeerRefusalError(answer.code))
+        return Err(PeerTimeoutError(host))
+
+    async def wait_while_paused(self, host: str) -> None:
+        """Wait until a host is no longer paused."""
+        resumed = self.paused.get(host)
+        if resumed is not None:
+            await resumed.wait()
+
+    async def _exchange(self, sender: str, host: str, body: Body) -> Body:
+        await self.wait_while_paused(sender)
+        await self._travel(sender, host, body)
+        if self._source.random() < self.faults.duplication:
+            self._repeat(sender, host, body)
+        answer = await self._serve(host, body)
+        await self._travel(host, sender, answer)
+        return answer
+
+    def _repeat(self, sender: str, host: str, body: Body) -> None:
+        async def serve_late() -> None:
+            await asyncio.sleep(self._source.random())
+            await self._serve(host, body)
+
+        task = asyncio.create_task(serve_late())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _serve(self, host: str, body: Body) -> Body:
+        await self.wait_while_paused(host)
+        if host not in self.handlers:
+            await asyncio.Event().wait()
+        # A handler goes on when its asker has given up.
+        serving: Awaitable[Body] = asyncio.ensure_future(
+            self.handlers[host].answer(body),
+        )
+        return await asyncio.shield(serving)
+
+    async def _travel(self, sender: str, host: str, body: Body) -> None:
+        if sender == host:
+            return
+        self.sent[type(body).__name__] += 1
+        self.sent_bytes[sender] += len(self._codec.encode(body))
+        is_cut = self.groups.get(sender, 0) != self.groups.get(host, 0)
+        if is_cut or self._source.random() < self.faults.loss:
+            await asyncio.Event().wait()
+        extra = self._source.random() * self.faults.jitter_s
+        await asyncio.sleep(self._delay(sender, host) + extra)
+
+
+class NetworkPeers:
+    """Peers of one simulated host.
+
+    :param domains: failure domain of each host that it believes to live.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        network: Network,
+        domains: dict[str, str],
+    ) -> None:
+        """Believe in the hosts given."""
+        self.domains = domains
+        self._name = name
+        self._network = network
+
+    def find_domains(self) -> dict[str, str]:
+        """Return the failure domain of each live host."""
+        return self.domains
+
+    async def ask(
+        self,
+        host: str,
+        body: Body,
+        expected: type[_BodyType],
+        timeout_s: float,
+    ) -> Result[_BodyType, TransportError]:
+        """Send a message to the controller of a host."""
+        return await self._network.ask(
+            self._name,
+            host,
+            body,
+            expected,
+            timeout_s,
+        )
--- a/crocusshunt/controller/__init__.py
+++ b/crocusshunt/controller/__init__.py
@@ -1,9 +1,16 @@
 """The control process of a host."""
 
+from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._service import ControllerService
 from crocusshunt.controller._settings import (
     ControllerSection,
     ControllerSettings,
 )
 
-__all__ = ('ControllerSection', 'ControllerService', 'ControllerSettings')
+__all__ = (
+    'ControllerSection',
+    'ControllerService',
+    'ControllerSettings',
+    'Lending',
+    'LendingContext',
+)
--- a/crocusshunt/controller/_directory.py
+++ b/crocusshunt/controller/_directory.py
@@ -22,6 +22,7 @@
         self._clock = clock
         self._failing: dict[str, float] = {}
         self._displaced: dict[str, float] = {}
+        self._leaving: set[str] = set()
 
     def find_live(self) -> dict[str, str]:
         """Return the failure domain of each host believed to live."""
@@ -37,9 +38,17 @@
             if host not in silent
         }
 
-    def find_home(self, shard: str) -> str | None:
-        """Return the host that should lend for a shard."""
-        ranked = rank_by_rendezvous(shard, self.find_live())
+    def leave(self) -> None:
+        """Be no longer a home."""
+        self._leaving.add(self._host)
+
+    def find_home(self, shard: str, released_by: str = '') -> str | None:
+        """Return the host that should lend for a shard.
+
+        :param released_by: host that has just given the shard up.
+        """
+        homes = set(self.find_live()) - self._leaving - {released_by}
+        ranked = rank_by_rendezvous(shard, homes)
         return ranked[0] if ranked else None
 
     def choose_witnesses(self, shard: str) -> tuple[str, ...]:
--- a/crocusshunt/controller/_leases.py
+++ b/crocusshunt/controller/_leases.py
@@ -141,7 +141,7 @@
             self._adopt(shard, row, version, asked_at)
             return Ok(None)
         self.tenancies.pop(shard, None)
-        candidate = self._describe(shard)
+        candidate = self._describe(shard, row)
         if not may_acquire(row, candidate):
             return Ok(None)
         return await self._acquire(shard, row, version)
@@ -168,7 +168,7 @@
         before: LeaseRow | None,
         version: int,
     ) -> Result[None, StoreError]:
-        row = succeed(before, self._describe(shard))
+        row = succeed(before, self._describe(shard, before))
         asked_at = self._clock.monotonic()
         written = await self._put(shard, row, version)
         if isinstance(written, Ok):
@@ -209,11 +209,13 @@
         write = Write(LEASE_TABLE, shard, encode_lease(row), version)
         return await self._tables.transact((write,))
 
-    def _describe(self, shard: str) -> Candidate:
+    def _describe(self, shard: str, row: LeaseRow | None) -> Candidate:
+        released_by = '' if row is None else row.released_by
+        home = self._directory.find_home(shard, released_by)
         return Candidate(
             self._identity.name,
             self._incarnation,
             frozenset(self._directory.find_live()),
-            self._directory.find_home(shard) == self._identity.name,
+            home == self._identity.name,
             self._directory.choose_witnesses(shard),
         )
--- a/crocusshunt/controller/_lending.py
+++ b/crocusshunt/controller/_lending.py
@@ -1,6 +1,7 @@
 """The parts of a controller that lend tokens."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from crocusshunt.controller._directory import Directory
@@ -11,7 +12,7 @@
 from crocusshunt.controller._witnessing import WitnessDesk
 from crocusshunt.core import Clock, HostIdentity
 from crocusshunt.messages import BorrowTokens, Handlers, RenewLeases
-from crocusshunt.replication import Feed
+from crocusshunt.routing import Tables
 from crocusshunt.store import TableStore
 
 _PERIOD_S = 1
@@ -23,11 +24,12 @@
     """What lending needs from the rest of the controller.
 
     :param incarnation: identifies this process.
+    :param configured: returns the tables in force.
     """
 
     identity: HostIdentity
     incarnation: str
-    feed: Feed
+    configured: Callable[[], Tables]
     peers: Peers
     tables: TableStore
     clock: Clock
@@ -60,7 +62,7 @@
         )
         self.loans = LoanDesk(
             context.identity,
-            context.feed,
+            context.configured,
             self.keeper,
             directory,
             context.peers,
--- a/crocusshunt/controller/_loans.py
+++ b/crocusshunt/controller/_loans.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import replace
 
 import msgspec
@@ -19,8 +20,7 @@
     find_shard,
 )
 from crocusshunt.messages import Body, BorrowTokens, Refusal, TokenLoan
-from crocusshunt.replication import Feed
-from crocusshunt.routing import Customer
+from crocusshunt.routing import Customer, Tables
 
 _TIMEOUT_S = 1
 _PERIOD_S = 0.5
@@ -35,7 +35,7 @@
     def __init__(
         self,
         identity: HostIdentity,
-        feed: Feed,
+        tables: Callable[[], Tables],
         keeper: LeaseKeeper,
         directory: Directory,
         peers: Peers,
@@ -43,7 +43,7 @@
     ) -> None:
         """Start with an empty ledger."""
         self._identity = identity
-        self._feed = feed
+        self._tables = tables
         self._keeper = keeper
         self._peers = peers
         self._directory = directory
@@ -53,10 +53,7 @@
 
     async def answer(self, question: BorrowTokens) -> Body:
         """Return a loan, or why there is none."""
-        customer = self._feed.configuration.tables.find(
-            Customer,
-            question.customer,
-        )
+        customer = self._tables().find(Customer, question.customer)
         if customer is None:
             return Refusal('customer-unknown', question.customer)
         if not question.borrower:
@@ -89,6 +86,7 @@
 
     async def leave(self) -> None:
         """Release all leases before a planned stop."""
+        self._directory.leave()
         await self._hand_over(tuple(self._keeper.tenancies))
 
     def measure(self, shard: str, tenure: Tenure) -> tuple[Level, ...]:
@@ -122,7 +120,7 @@
 
     def _group_customers(self) -> defaultdict[str, list[Customer]]:
         groups: defaultdict[str, list[Customer]] = defaultdict(list)
-        for customer in self._feed.configuration.tables.select(Customer):
+        for customer in self._tables().select(Customer):
             groups[find_shard(customer.name)].append(customer)
         return groups
 
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -44,7 +44,7 @@
             LendingContext(
                 settings.host,
                 Identifiers().create('controller'),
-                self.feed,
+                lambda: self.feed.configuration.tables,
                 HostPeers(self.hosts, self._requesters),
                 RelayedTables(
                     RelaySettings(settings.controller.sources),
@@ -66,6 +66,7 @@
     async def stop(self, exception: Exception | None = None) -> Any:
         """Stop all tasks and close all sockets."""
         await self._tasks.stop()
+        await self._lending.loans.leave()
         await self.replier.stop()
         self._requesters.close()
 
--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -1,6 +1,20 @@
-"""The process that passes callers' requests to backend servers."""
+"""Service that admits callers' requests and forwards them."""
 
+from crocusshunt.gateway._limits import (
+    Limiter,
+    LimitUnavailableError,
+    RateExceededError,
+    format_limit_headers,
+)
 from crocusshunt.gateway._service import GatewayService
 from crocusshunt.gateway._settings import GatewaySection, GatewaySettings
 
-__all__ = ('GatewaySection', 'GatewayService', 'GatewaySettings')
+__all__ = (
+    'GatewaySection',
+    'GatewayService',
+    'GatewaySettings',
+    'LimitUnavailableError',
+    'Limiter',
+    'RateExceededError',
+    'format_limit_headers',
+)
--- a/crocusshunt/gateway/_limits.py
+++ b/crocusshunt/gateway/_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -15,7 +16,7 @@
     QueueSettings,
     Verdict,
 )
-from crocusshunt.messages import BorrowTokens, RequesterPool, TokenLoan
+from crocusshunt.messages import BorrowTokens, TokenLoan, TransportError
 
 _STATUS_TOO_MANY = 429
 _STATUS_UNAVAILABLE = 503
@@ -101,6 +102,23 @@
     }
 
 
+class _Lender(Protocol):
+    async def ask(
+        self,
+        body: BorrowTokens,
+        expected: type[TokenLoan],
+        timeout_s: float,
+    ) -> Result[TokenLoan, TransportError]:
+        """Return the answer to a question."""
+
+
+class Requesters(Protocol):
+    """Requesters by address."""
+
+    def get(self, address: str) -> _Lender:
+        """Return the requester for an address."""
+
+
 @dataclass(slots=True)
 class _Account:
     queue: AdmissionQueue
@@ -116,7 +134,7 @@
     def __init__(
         self,
         controller: str,
-        requesters: RequesterPool,
+        requesters: Requesters,
         clock: Clock,
         identifiers: Identifiers,
         settings: QueueSettings | None = None,
--- a/crocusshunt/limits/_lease.py
+++ b/crocusshunt/limits/_lease.py
@@ -29,6 +29,7 @@
     :param witnesses: hosts of which a majority must support the holder.
     :param unfenced: witnesses of earlier holders that may still lend.
     :param levels: tokens left by the holder that released.
+    :param released_by: host of that holder.
     """
 
     holder: str
@@ -37,6 +38,7 @@
     witnesses: tuple[str, ...]
     unfenced: tuple[tuple[str, ...], ...] = ()
     levels: tuple[Level, ...] = ()
+    released_by: str = ''
 
 
 def find_shard(customer: str) -> str:
--- a/crocusshunt/limits/_tenancy.py
+++ b/crocusshunt/limits/_tenancy.py
@@ -85,7 +85,15 @@
     """
     is_settled = tenancy.started_at is not None
     unfenced = () if is_settled else tenancy.row.unfenced
-    return LeaseRow('', '', tenancy.row.epoch + 1, (), unfenced, levels)
+    return LeaseRow(
+        '',
+        '',
+        tenancy.row.epoch + 1,
+        (),
+        unfenced,
+        levels,
+        tenancy.row.holder,
+    )
 
 
 @dataclass(slots=True)
