--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -5,17 +5,18 @@
 
 from aiomisc import Service
 
-from crocusshunt.membership import HostTable, MembershipService
-from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._lending import Lending, LendingContext
+from crocusshunt.controller._peers import HostPeers
 from crocusshunt.controller._settings import ControllerSettings
-from crocusshunt.core import Clock
+from crocusshunt.core import Clock, Identifiers
+from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
-    BorrowTokens,
     FetchChanges,
     Handlers,
     Replier,
     RequesterPool,
 )
+from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
 
@@ -43,13 +44,7 @@
             self._requesters,
             clock,
         )
-        self._loans = LoanDesk(
-            settings.host,
-            self.feed,
-            self.hosts,
-            self._requesters,
-            clock,
-        )
+        self._lending = self._create_lending(clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -58,18 +53,34 @@
         self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
+        self._tasks.start(self._lending.loans.run())
+        self._tasks.start(self._lending.run_supports())
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Announce the stop, stop all tasks and close all sockets."""
         await self.membership.leave()
         await self._tasks.stop()
+        await self._lending.loans.leave()
         await self.replier.stop()
         self.membership.close()
         self._requesters.close()
 
+    def _create_lending(self, clock: Clock) -> Lending:
+        sources = self._settings.controller.sources
+        return Lending(
+            LendingContext(
+                self._settings.host,
+                Identifiers().create('controller'),
+                lambda: self.feed.configuration.tables,
+                HostPeers(self.hosts, self._requesters),
+                RelayedTables(RelaySettings(sources), self._requesters),
+                clock,
+            ),
+        )
+
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
-        handlers.register(BorrowTokens)(self._loans.answer)
+        self._lending.register(handlers)
         self.membership.register(handlers)
         return handlers
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -66,7 +66,11 @@
 
 
 class _UnlimitedLimiter(Limiter):
-    async def take(self, customer: str) -> Result[None, NotRun]:
+    async def take(
+        self,
+        customer: str,
+        patience_s: float = 0,
+    ) -> Result[None, NotRun]:
         return Ok(None)
 
 
