Take a host off the locators while its gateway is gone

Cause: a stopping gateway told nobody, and a dead one beside a live controller stayed in the locators' answers. Change: heartbeats from gateway to controller; the controller leaves or comes back (as a new incarnation) in the membership. A stop waits until locators know and their answers have expired. Before: a killed gateway stayed listed. After: the test kills, restarts and stops one and sees it go, come and go.

--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -7,11 +7,13 @@
 
 from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._peers import HostPeers
+from crocusshunt.controller._presence import PresenceWatch
 from crocusshunt.controller._settings import ControllerSettings
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
     FetchChanges,
+    GatewayHeartbeat,
     Handlers,
     Replier,
     RequesterPool,
@@ -45,6 +47,7 @@
             clock,
         )
         self._lending = self._create_lending(clock)
+        self._presence = PresenceWatch(self.membership, clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -53,6 +56,7 @@
         self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
+        self._tasks.start(self._presence.run())
         self._tasks.start(self._lending.loans.run())
         self._tasks.start(self._lending.run_supports())
 
@@ -81,6 +85,7 @@
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
+        handlers.register(GatewayHeartbeat)(self._presence.answer)
         self._lending.register(handlers)
         self.membership.register(handlers)
         return handlers
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -1,5 +1,6 @@
 """All roles and stand-ins of a deployment, as tasks of one process."""
 
+import asyncio
 import random
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -33,6 +34,7 @@
 
 _LOOPBACK = '127.0.0.1'
 _ANY_PORT = 0
+_ANSWER_LIFETIME_S = 1
 _ANY_ADDRESS = f'tcp://{_LOOPBACK}:{_ANY_PORT}'
 _OPERATOR_KEY_NAME = 'bootstrap'
 
@@ -58,6 +60,12 @@
     gateway: GatewayService
     locator: LocatorService
 
+    async def stop(self) -> None:
+        """Stop the processes of the host, callers' side first."""
+        await self.locator.stop()
+        await self.gateway.stop()
+        await self.controller.stop()
+
 
 @dataclass(slots=True)
 class Fleet:
@@ -88,10 +96,7 @@
 
     async def stop(self) -> None:
         """Stop everything, callers' side first."""
-        for host in self.hosts:
-            await host.locator.stop()
-            await host.gateway.stop()
-            await host.controller.stop()
+        await asyncio.gather(*(host.stop() for host in self.hosts))
         for service in (*self.apis, *self.backends, self.platform):
             await service.stop()
 
@@ -164,7 +169,12 @@
         gateway = GatewayService(
             GatewaySettings(
                 identity,
-                GatewaySection(_LOOPBACK, _ANY_PORT, address),
+                GatewaySection(
+                    _LOOPBACK,
+                    _ANY_PORT,
+                    address,
+                    answer_lifetime_s=_ANSWER_LIFETIME_S,
+                ),
                 PlatformSettings(self.platform.url),
             ),
             self.clock,
@@ -174,7 +184,12 @@
         locator = LocatorService(
             LocatorSettings(
                 identity,
-                LocatorSection(_LOOPBACK, _ANY_PORT, address),
+                LocatorSection(
+                    _LOOPBACK,
+                    _ANY_PORT,
+                    address,
+                    _ANSWER_LIFETIME_S,
+                ),
             ),
             self.clock,
         )
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -22,6 +22,7 @@
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
+from crocusshunt.gateway._heartbeat import HeartbeatSender
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._rooms import Rooms, ServerState
 from crocusshunt.gateway._settings import GatewaySettings
@@ -61,7 +62,13 @@
         self._platform = HttpPlatform(settings.platform)
         self._board = SuspectBoard(self._platform, clock)
         self._in_flight = InFlight()
-        self._drain_hooks: list[DrainHook] = []
+        self._heartbeats = HeartbeatSender(
+            section.controller,
+            self._requesters,
+        )
+        self._drain_hooks: list[DrainHook] = [
+            self._heartbeats.announce_leave,
+        ]
         self._forwarder = Forwarder()
         identifiers = Identifiers(source)
         self._handler = RequestHandler(
@@ -99,6 +106,7 @@
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
         self._tasks.start(self._board.run())
+        self._tasks.start(self._heartbeats.run())
         await super().start()
 
     async def begin_drain(self) -> None:
@@ -113,8 +121,7 @@
         """Leave the locator, finish requests, then close."""
         section = self._settings.gateway
         await self.begin_drain()
-        if self._drain_hooks:
-            await asyncio.sleep(section.answer_lifetime_s)
+        await asyncio.sleep(section.answer_lifetime_s)
         await self._in_flight.finish(section.finish_s)
         await super().stop(exception)
         await self._tasks.stop()
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -13,8 +13,9 @@
     :param controller: address of this host's controller.
     :param key_evidence_s: greatest age of the evidence under which keys
         are honoured, in seconds.
-    :param answer_lifetime_s: how long callers keep an answer of the locator
-        that names this host, in seconds.
+    :param answer_lifetime_s: how long callers may still come after a stop
+        began, in seconds: until every locator knows of it, and then for as
+        long as they keep a locator's answer.
     :param finish_s: longest wait for running requests at a stop, in seconds.
     """
 
@@ -22,7 +23,7 @@
     port: int
     controller: str
     key_evidence_s: float = 4
-    answer_lifetime_s: float = 5
+    answer_lifetime_s: float = 8
     finish_s: float = 35
 
 
--- a/crocusshunt/membership/_service.py
+++ b/crocusshunt/membership/_service.py
@@ -87,10 +87,10 @@
             self._repeat(agent.probe_lost, settings.rejoin_period_s),
         )
 
-    async def leave(self) -> None:
-        """Tell other hosts at once that this one is leaving."""
+    async def leave(self, *, is_leaving: bool = True) -> None:
+        """Tell other hosts at once that this one leaves, or is back."""
         agent = self._get_agent()
-        agent.table.leave()
+        agent.table.leave(is_leaving=is_leaving)
         self._publish()
         await agent.announce()
 
--- a/crocusshunt/membership/_table.py
+++ b/crocusshunt/membership/_table.py
@@ -55,9 +55,18 @@
         member = self._members[name]
         self._merge(msgspec.structs.replace(member, status=status))
 
-    def leave(self) -> None:
-        """Record that this host is leaving."""
-        self._replace_me(msgspec.structs.replace(self.me, is_leaving=True))
+    def leave(self, *, is_leaving: bool = True) -> None:
+        """Record that this host is leaving, or takes requests again.
+
+        Within one incarnation leaving wins, so coming back starts another.
+        """
+        self._replace_me(
+            msgspec.structs.replace(
+                self.me,
+                incarnation=self.me.incarnation + int(not is_leaving),
+                is_leaving=is_leaving,
+            ),
+        )
 
     def compare_listing(self, hosts: tuple[HostEntry, ...]) -> None:
         """Merge the platform's list, which lags.
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -40,6 +40,7 @@
     ProbeAnswer,
     RelayProbe,
 )
+from crocusshunt.messages._presence import GatewayHeartbeat, HeartbeatNoted
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -66,7 +67,9 @@
     'FetchChanges',
     'FetchHosts',
     'FetchMembers',
+    'GatewayHeartbeat',
     'Handlers',
+    'HeartbeatNoted',
     'HostList',
     'Member',
     'MemberList',
--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -201,6 +201,7 @@
             'gateway': (
                 f'{_HOST}{platform}[gateway]\n'
                 f'{self._listen("gateway")}{control}'
+                'answer_lifetime_s = 1\n'
             ),
             'locator': (
                 f'{_HOST}[locator]\n{self._listen("locator")}{control}'
--- a/crocusshunt/programs/tests/test_process_failures.py
+++ b/crocusshunt/programs/tests/test_process_failures.py
@@ -10,6 +10,7 @@
     STATUS_OK,
     Answer,
     Site,
+    poll,
 )
 from crocusshunt.routing import Customer
 from crocusshunt.standin import Switches
@@ -81,6 +82,17 @@
     assert site.processes['gateway'].wait(GIVE_UP_S) == 0
 
 
+async def test_leaving_or_dead_gateway_is_not_looked_up(site: Site) -> None:
+    await site.call_until(_is_answered)
+    await poll(lambda: _look_up(site), _is_answered)
+    site.kill('gateway')
+    await poll(lambda: _look_up(site), _is_without_hosts)
+    site.start('gateway')
+    await poll(lambda: _look_up(site), _is_answered)
+    site.send_signal('gateway', signal.SIGTERM)
+    await poll(lambda: _look_up(site), _is_without_hosts)
+
+
 async def test_change_during_an_outage_is_not_lost_nor_doubled(
     site: Site,
 ) -> None:
@@ -110,6 +122,15 @@
     assert 'revision-conflict' in loser.describe()
 
 
+async def _look_up(site: Site) -> Answer:
+    async with site.session.get(f'{site.url("locator")}/v1/lookup') as found:
+        return Answer(found.status, await found.json())
+
+
+def _is_without_hosts(answer: Answer) -> bool:
+    return answer.document.get('code') == 'no-hosts'
+
+
 def _is_answered(answer: Answer) -> bool:
     return answer.status == STATUS_OK
 
