--- a/crocusshunt/schema/__init__.py
+++ b/crocusshunt/schema/__init__.py
@@ -19,6 +19,7 @@
     row_type,
     table_names,
 )
+from crocusshunt.witnesses import Witness
 
 __all__ = (
     'Block',
@@ -30,6 +31,7 @@
     'Pool',
     'Route',
     'Server',
+    'Witness',
     'is_table',
     'row_type',
     'table_names',
--- /dev/null
+++ b/crocusshunt/witnesses/_rows.py
@@ -0,0 +1,53 @@
+"""The table of witnesses."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from crocusshunt.core import Fault
+from crocusshunt.routing import (
+    FailureDomain,
+    Name,
+    Tables,
+    check,
+    register_table,
+)
+
+WireAddress = Annotated[str, Meta(pattern='^tcp://[0-9.]+:[0-9]{1,5}$')]
+
+
+@register_table('witness')
+@dataclass(frozen=True, slots=True)
+class Witness:
+    """A seat among the witnesses; a majority is counted over seats.
+
+    :param address: ``tcp://ip:port`` where its ``crocus-api`` listens.
+    """
+
+    name: Name
+    address: WireAddress
+    region: str
+    failure_domain: str
+
+
+@check
+def _check_addresses(tables: Tables) -> Iterator[Fault]:
+    holders: dict[str, str] = {}
+    for witness in tables.select(Witness):
+        holder = holders.setdefault(witness.address, witness.name)
+        if holder != witness.name:
+            place = f'witness {witness.name}'
+            yield Fault(place, f"address is also that of witness '{holder}'")
+
+
+@check
+def _check_domains(tables: Tables) -> Iterator[Fault]:
+    domains = {row.name: row.region for row in tables.select(FailureDomain)}
+    for witness in tables.select(Witness):
+        place = f'witness {witness.name}'
+        if domains.get(witness.failure_domain) != witness.region:
+            allowed = ', '.join(sorted(domains)) or 'none yet'
+            problem = 'failure domain does not exist in its region'
+            yield Fault(place, problem, allowed)
--- /dev/null
+++ b/crocusshunt/witnesses/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the witnesses' decisions."""
