Announce changes, relay testimonies and settle lost answers

Cause: the decisions on witnesses were not used, lost answers stayed unknown while the store answered, and damaged rows raised out of the repository. Change: crocus-api announces, witnesses and collects; feeds relay the youngest testimonies with their ages; gateways suspend named keys and servers; rewriting the head row settles a write of unknown outcome; a reused change id, a diverged history and a missing quorum are typed refusals, and a conflict carries the other change's edits. Before: no announcement before a write. After: none is written without a majority once the configuration names witnesses. Conclusion: the store alone decides; witnesses only testify.

--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -18,9 +18,18 @@
     HostList,
     Refusal,
     Replier,
+    RequesterPool,
 )
 from crocusshunt.relay import register_relay
-from crocusshunt.replication import Feed, Origin
+from crocusshunt.replication import (
+    Feed,
+    Follower,
+    FollowerSettings,
+    Origin,
+    TestimonyCollector,
+    WitnessAnnouncer,
+    WitnessDesk,
+)
 from crocusshunt.services import HttpService, TaskGroup
 from crocusshunt.store import HttpPlatform
 
@@ -36,16 +45,22 @@
         """Assemble the parts; nothing runs yet."""
         super().__init__(settings.api.address, settings.api.port)
         self._tasks = TaskGroup()
+        self._requesters = RequesterPool()
         self._platform = HttpPlatform(settings.platform)
-        repository = Repository(self._platform, clock)
+        repository = Repository(
+            self._platform,
+            clock,
+            WitnessAnnouncer(self._requesters),
+        )
         self.feed = Feed(clock)
+        self._desk = WitnessDesk(repository, clock)
         self._parts = ApiParts(
             settings=settings,
             clock=clock,
             platform=self._platform,
             repository=repository,
             feed=self.feed,
-            origin=Origin(repository, self.feed, clock),
+            origin=Origin(repository, self.feed, clock, self._desk.observe),
         )
         self._replier = Replier(settings.api.listen, self._register())
 
@@ -64,6 +79,7 @@
         """Read the store, listen for controllers and operators."""
         await self._replier.start()
         self._tasks.start(self._parts.origin.run())
+        self._start_witnessing()
         await super().start()
 
     async def stop(self, exception: Exception | None = None) -> Any:
@@ -71,12 +87,34 @@
         await super().stop(exception)
         await self._tasks.stop()
         await self._replier.stop()
+        self._requesters.close()
         await self._platform.close()
 
+    def _start_witnessing(self) -> None:
+        parts = self._parts
+        collector = TestimonyCollector(
+            self.feed,
+            self._requesters,
+            parts.clock,
+        )
+        self._tasks.start(collector.run())
+        self._tasks.start(
+            self._desk.run(lambda: self.address in self.feed.seats),
+        )
+        if parts.settings.api.peers:
+            follower = Follower(
+                FollowerSettings(parts.settings.api.peers),
+                self.feed,
+                self._requesters,
+                parts.clock,
+            )
+            self._tasks.start(follower.run())
+
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
         handlers.register(FetchHosts)(self._list_hosts)
+        self._desk.register(handlers)
         register_relay(handlers, self._platform)
         return handlers
 
--- a/crocusshunt/api/_settings.py
+++ b/crocusshunt/api/_settings.py
@@ -11,6 +11,8 @@
     """Addresses of the interface.
 
     :param listen: ``tcp://ip:port`` where controllers ask for changes.
+    :param peers: ``tcp://ip:port`` of other such processes, asked for the
+        configuration while the store is down.
     :param bootstrap_digest: SHA-256 of the key of a first operator, who may
         administer until the operator table has a row.
     """
@@ -19,6 +21,7 @@
     port: int
     listen: str
     bootstrap_digest: str = ''
+    peers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/configuration/__init__.py
+++ b/crocusshunt/configuration/__init__.py
@@ -1,55 +1,71 @@
 """Revisions of the configuration: changes, history and evidence."""
 
+from crocusshunt.configuration._announcing import (
+    Announcer,
+    describe_change,
+)
 from crocusshunt.configuration._changes import (
     GENESIS_DIGEST,
     Change,
     Configuration,
-    Edit,
     apply_change,
     seal_change,
 )
 from crocusshunt.configuration._errors import (
     BrokenChainError,
+    BusyHeadError,
     ConfigurationError,
+    DivergedHistoryError,
+    Edit,
     InvalidChangeError,
     MissingHistoryError,
+    MissingQuorumError,
     ProposalError,
+    ReusedChangeIdError,
     RevisionConflictError,
     UnknownOutcomeError,
     UnreachableStoreError,
 )
 from crocusshunt.configuration._evidence import Evidence, EvidenceLog
 from crocusshunt.configuration._history import History
-from crocusshunt.configuration._repository import (
+from crocusshunt.configuration._records import Head
+from crocusshunt.configuration._repository import Repository
+from crocusshunt.configuration._requests import (
     ChangeRequest,
     EditRequest,
-    Head,
-    Repository,
+    prepare_change,
 )
 from crocusshunt.configuration._rows import decode_row, encode_row
 
 __all__ = (
-    'GENESIS_DIGEST',
+    'Announcer',
     'BrokenChainError',
+    'BusyHeadError',
     'Change',
     'ChangeRequest',
     'Configuration',
     'ConfigurationError',
+    'DivergedHistoryError',
     'Edit',
     'EditRequest',
     'Evidence',
     'EvidenceLog',
+    'GENESIS_DIGEST',
     'Head',
     'History',
     'InvalidChangeError',
     'MissingHistoryError',
+    'MissingQuorumError',
     'ProposalError',
     'Repository',
+    'ReusedChangeIdError',
     'RevisionConflictError',
     'UnknownOutcomeError',
     'UnreachableStoreError',
     'apply_change',
     'decode_row',
+    'describe_change',
     'encode_row',
+    'prepare_change',
     'seal_change',
 )
--- a/crocusshunt/configuration/_changes.py
+++ b/crocusshunt/configuration/_changes.py
@@ -9,6 +9,7 @@
 from crocusshunt.configuration._errors import (
     BrokenChainError,
     ConfigurationError,
+    Edit,
     InvalidChangeError,
 )
 from crocusshunt.configuration._rows import decode_row
@@ -19,20 +20,6 @@
 GENESIS_DIGEST = '0' * _DIGEST_DIGITS
 
 
-@dataclass(frozen=True, slots=True)
-class Edit:
-    """One row before and after a change, in text form.
-
-    :param before: the row replaced or removed, None where there was none.
-    :param after: the row put, None where it is removed.
-    """
-
-    table: str
-    name: str
-    before: str | None
-    after: str | None
-
-
 @dataclass(frozen=True, slots=True)
 class Change:
     """An accepted change, which is also its record in the audit trail.
--- a/crocusshunt/configuration/_errors.py
+++ b/crocusshunt/configuration/_errors.py
@@ -5,6 +5,20 @@
 from crocusshunt.core import CrocusError, Fault
 
 
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """One row before and after a change, in text form.
+
+    :param before: the row replaced or removed, None where there was none.
+    :param after: the row put, None where it is removed.
+    """
+
+    table: str
+    name: str
+    before: str | None
+    after: str | None
+
+
 @dataclass(unsafe_hash=True)
 class ConfigurationError(CrocusError):
     """A change that cannot be applied to a configuration."""
@@ -66,6 +80,7 @@
     :param actual: revision in force.
     :param author: author of the change that came first.
     :param reason: reason of the change that came first.
+    :param edits: what the change that came first did.
     """
 
     code = 'revision-conflict'
@@ -74,6 +89,7 @@
     actual: int
     author: str
     reason: str
+    edits: tuple[Edit, ...] = ()
 
 
 @dataclass(unsafe_hash=True)
@@ -92,3 +108,56 @@
     code = 'store-unreachable'
 
     change_id: str
+
+
+@dataclass(unsafe_hash=True)
+class DivergedHistoryError(ProposalError):
+    """The store's newest revision is not the one held; nothing was written.
+
+    :param held: revision held by the process that was asked.
+    :param actual: revision in the store.
+    """
+
+    code = 'history-diverged'
+
+    held: int
+    actual: int
+
+
+@dataclass(unsafe_hash=True)
+class MissingQuorumError(ProposalError):
+    """Too few witnesses noted the change; nothing was written.
+
+    :param noted: witnesses that noted it.
+    :param needed: witnesses that must.
+    """
+
+    code = 'witnesses-missing'
+
+    change_id: str
+    noted: int
+    needed: int
+
+
+@dataclass(unsafe_hash=True)
+class ReusedChangeIdError(ProposalError):
+    """The change id stands for a different accepted change.
+
+    :param revision: revision of the accepted change.
+    :param author: its author.
+    """
+
+    code = 'change-id-reused'
+
+    change_id: str
+    revision: int
+    author: str
+
+
+@dataclass(unsafe_hash=True)
+class BusyHeadError(ProposalError):
+    """The head row kept changing without a new revision; nothing written."""
+
+    code = 'head-busy'
+
+    change_id: str
--- a/crocusshunt/configuration/_repository.py
+++ b/crocusshunt/configuration/_repository.py
@@ -1,126 +1,114 @@
 """The configuration in the platform's table service."""
 
-from dataclasses import dataclass
-
-import msgspec
 from result import Err, Ok, Result
 
-from crocusshunt.configuration._changes import (
-    GENESIS_DIGEST,
-    Change,
-    Configuration,
-    Edit,
-    apply_edits,
-    seal_change,
-)
+from crocusshunt.configuration._announcing import Announcer, describe_change
+from crocusshunt.configuration._changes import Change, Configuration
 from crocusshunt.configuration._errors import (
-    InvalidChangeError,
+    BusyHeadError,
+    DivergedHistoryError,
+    MissingQuorumError,
     ProposalError,
+    ReusedChangeIdError,
     RevisionConflictError,
     UnknownOutcomeError,
     UnreachableStoreError,
 )
-from crocusshunt.configuration._rows import encode_row
+from crocusshunt.configuration._records import (
+    CHANGE_IDS,
+    CHANGES,
+    HEAD_KEY,
+    HEADS,
+    Head,
+    decode_changes,
+    decode_head,
+    format_revision,
+    plan_head,
+    plan_writes,
+)
+from crocusshunt.configuration._requests import (
+    ChangeRequest,
+    is_same_change,
+    prepare_change,
+)
 from crocusshunt.core import Clock
-from crocusshunt.routing import Tables, find_faults
 from crocusshunt.store import (
-    ABSENT,
     Query,
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
+    StoreUnknownOutcomeError,
     TableStore,
-    Write,
 )
+from crocusshunt.witnesses import Witness
 
-_HEADS = 'configuration-head'
-_CHANGES = 'configuration-change'
-_CHANGE_IDS = 'configuration-change-id'
-_HEAD_KEY = 'head'
-_REVISION_DIGITS = 12
-
-
-@dataclass(frozen=True, slots=True)
-class Head:
-    """The newest revision.
-
-    :param version: version of the head's row, for the next conditional
-        write.
-    """
-
-    revision: int = 0
-    digest: str = GENESIS_DIGEST
-    version: int = ABSENT
-
-
-@dataclass(frozen=True, slots=True)
-class EditRequest:
-    """A row that an operator wants put, or removed where it is None."""
-
-    table: str
-    name: str
-    row: str | None
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeRequest:
-    """A change that an operator proposes.
-
-    :param change_id: chosen by the operator's program; the same id asks
-        again about the same change.
-    :param expected: revision that the operator had seen.
-    """
-
-    change_id: str
-    expected: int
-    author: str
-    reason: str
-    edits: tuple[EditRequest, ...]
+_MAX_WRITES = 3
 
 
 class Repository:
     """Reads and conditionally extends the chain of changes."""
 
-    def __init__(self, store: TableStore, clock: Clock) -> None:
-        """Use a table service."""
+    def __init__(
+        self,
+        store: TableStore,
+        clock: Clock,
+        announcer: Announcer | None = None,
+    ) -> None:
+        """Use a table service.
+
+        :param announcer: tells the witnesses of each change; without it no
+            change is accepted once the configuration names witnesses.
+        """
         self._store = store
         self._clock = clock
+        self._announcer = announcer
 
     async def read_head(self) -> Result[Head, StoreError]:
         """Return the newest revision."""
-        row = await self._store.read(_HEADS, _HEAD_KEY)
-        return row.map(
-            lambda found: (
-                Head()
-                if found is None
-                else _decode_head(found.body, found.version)
-            ),
-        )
+        row = await self._store.read(HEADS, HEAD_KEY)
+        return row.and_then(decode_head)
 
     async def read_changes(
         self,
         after: int,
     ) -> Result[tuple[Change, ...], StoreError]:
-        """Return some of the changes after a revision, oldest first."""
-        rows = await self._store.query(Query(_CHANGES, _format(after)))
-        return rows.map(
-            lambda found: tuple(_decode_change(row.body) for row in found),
-        )
+        """Return a page of the changes after a revision, oldest first."""
+        rows = await self._store.query(Query(CHANGES, format_revision(after)))
+        return rows.and_then(decode_changes)
 
     async def find_change(
         self,
         change_id: str,
     ) -> Result[Change | None, StoreError]:
         """Return the accepted change of an id, None where there is none."""
-        pointer = await self._store.read(_CHANGE_IDS, change_id)
+        pointer = await self._store.read(CHANGE_IDS, change_id)
         if isinstance(pointer, Err):
             return pointer
         if pointer.ok_value is None:
             return Ok(None)
-        row = await self._store.read(_CHANGES, pointer.ok_value.body)
-        return row.map(
-            lambda found: None if found is None else _decode_change(found.body),
-        )
+        row = await self._store.read(CHANGES, pointer.ok_value.body)
+        if isinstance(row, Err):
+            return row
+        found = () if row.ok_value is None else (row.ok_value,)
+        changes = decode_changes(found)
+        return changes.map(lambda read: read[0] if read else None)
+
+    async def fence(self) -> Result[Head, StoreError]:
+        """Rewrite the head row unchanged and return its new version.
+
+        Every write that was prepared against an older version is settled
+        then: it took effect before, or it never does.
+        """
+        before = await self.read_head()
+        if isinstance(before, Err):
+            return before
+        await self._store.transact((plan_head(before.ok_value),))
+        after = await self.read_head()
+        if isinstance(after, Err):
+            return after
+        if after.ok_value.version > before.ok_value.version:
+            return after
+        return Err(StoreUnknownOutcomeError('the head row was not rewritten'))
 
     async def propose(
         self,
@@ -132,136 +120,123 @@
         :param held: the configuration of the newest revision, against
             which the change is checked.
         """
-        known = await self._find_known(request)
-        if isinstance(known, Err) or known.ok_value is not None:
-            return known  # type: ignore[return-value]
-        head = await self.read_head()
-        if isinstance(head, Err):
-            return Err(UnreachableStoreError(request.change_id))
-        if head.ok_value.revision != request.expected:
-            return await self._explain_conflict(request)
-        if held.digest != head.ok_value.digest:
-            return await self._explain_conflict(request)
-        change = prepare_change(request, held, self._clock.wall())
-        if isinstance(change, Err):
-            return change
-        return await self._write(change.ok_value, head.ok_value)
-
-    async def _find_known(
+        for _ in range(_MAX_WRITES):
+            ended = await self._find_end(request)
+            if ended is not None:
+                return ended
+            head = await self.read_head()
+            if isinstance(head, Err):
+                return Err(UnreachableStoreError(request.change_id))
+            refused = await self._check_head(request, held, head.ok_value)
+            if refused is not None:
+                return Err(refused)
+            ended = await self._write(request, held, head.ok_value)
+            if ended is not None:
+                return ended
+        return Err(BusyHeadError(request.change_id))
+
+    async def _find_end(
         self,
         request: ChangeRequest,
-    ) -> Result[Change | None, ProposalError]:
+    ) -> Result[Change, ProposalError] | None:
+        """Return the outcome of a change id that was accepted before."""
         known = await self.find_change(request.change_id)
-        return known.map_err(
-            lambda _error: UnreachableStoreError(request.change_id),
+        if isinstance(known, Err):
+            return Err(UnreachableStoreError(request.change_id))
+        change = known.ok_value
+        if change is None:
+            return None
+        if is_same_change(request, change):
+            return Ok(change)
+        return Err(
+            ReusedChangeIdError(
+                change.change_id,
+                change.revision,
+                change.author,
+            ),
         )
 
+    async def _check_head(
+        self,
+        request: ChangeRequest,
+        held: Configuration,
+        head: Head,
+    ) -> ProposalError | None:
+        if head.revision > request.expected:
+            return await self._explain_conflict(request, head)
+        if held.revision < head.revision:
+            return UnreachableStoreError(request.change_id)
+        if held.digest != head.digest:
+            return DivergedHistoryError(held.revision, head.revision)
+        if head.revision != request.expected:
+            return await self._explain_conflict(request, head)
+        return None
+
     async def _write(
         self,
-        change: Change,
+        request: ChangeRequest,
+        held: Configuration,
         head: Head,
-    ) -> Result[Change, ProposalError]:
-        written = await self._store.transact(_plan_writes(change, head))
+    ) -> Result[Change, ProposalError] | None:
+        """Announce and write; None where nothing was written for sure."""
+        prepared = prepare_change(request, held, self._clock.wall())
+        if isinstance(prepared, Err):
+            return prepared
+        change = prepared.ok_value
+        announced = await self._announce(change, held, head)
+        if isinstance(announced, Err):
+            return announced
+        written = await self._store.transact(plan_writes(change, head))
         if isinstance(written, Ok):
             return Ok(change)
         return await self._resolve(change, written.err_value)
 
+    async def _announce(
+        self,
+        change: Change,
+        held: Configuration,
+        head: Head,
+    ) -> Result[None, MissingQuorumError]:
+        witnesses = held.tables.select(Witness)
+        if not witnesses:
+            return Ok(None)
+        if self._announcer is None:
+            needed = len(witnesses) // 2 + 1
+            return Err(MissingQuorumError(change.change_id, 0, needed))
+        announcement = describe_change(change, head.version)
+        return await self._announcer.announce(announcement, witnesses)
+
     async def _resolve(
         self,
         change: Change,
         error: StoreError,
-    ) -> Result[Change, ProposalError]:
+    ) -> Result[Change, ProposalError] | None:
         if isinstance(error, StoreUnavailableError):
             return Err(UnreachableStoreError(change.change_id))
+        if isinstance(error, StoreConflictError):
+            return None
         found = await self.find_change(change.change_id)
-        if isinstance(found, Err):
+        if isinstance(found, Ok) and found.ok_value == change:
+            return Ok(change)
+        # The write may still be on its way; a new head version settles it.
+        settled = await self.fence()
+        if isinstance(settled, Err):
             return Err(UnknownOutcomeError(change.change_id))
-        if found.ok_value is not None:
-            return Ok(found.ok_value)
-        if isinstance(error, StoreConflictError):
-            return await self._explain_conflict(
-                ChangeRequest(
-                    change.change_id,
-                    change.revision - 1,
-                    change.author,
-                    change.reason,
-                    (),
-                ),
-            )
-        return Err(UnknownOutcomeError(change.change_id))
+        return None
 
     async def _explain_conflict(
         self,
         request: ChangeRequest,
-    ) -> Result[Change, ProposalError]:
+        head: Head,
+    ) -> ProposalError:
         later = await self.read_changes(request.expected)
         if isinstance(later, Err):
-            return Err(UnreachableStoreError(request.change_id))
+            return UnreachableStoreError(request.change_id)
         first = later.ok_value[0] if later.ok_value else None
-        return Err(
-            RevisionConflictError(
-                expected=request.expected,
-                actual=later.ok_value[-1].revision if later.ok_value else 0,
-                author=first.author if first else '',
-                reason=first.reason if first else '',
-            ),
+        return RevisionConflictError(
+            expected=request.expected,
+            actual=head.revision,
+            author=first.author if first else '',
+            reason=first.reason if first else '',
+            edits=first.edits if first else (),
         )
-
-
-def prepare_change(
-    request: ChangeRequest,
-    held: Configuration,
-    time: float,
-) -> Result[Change, InvalidChangeError]:
-    """Return the sealed change of a request, or all its faults.
-
-    :param time: seconds since the Unix epoch.
-    """
-    edits = tuple(_prepare_edit(edit, held.tables) for edit in request.edits)
-    applied = apply_edits(held.tables, edits)
-    if isinstance(applied, Err):
-        return applied
-    faults = find_faults(applied.ok_value)
-    if faults:
-        return Err(InvalidChangeError(faults))
-    change = Change(
-        revision=held.revision + 1,
-        change_id=request.change_id,
-        author=request.author,
-        reason=request.reason,
-        time=time,
-        edits=edits,
-        previous=held.digest,
-    )
-    return Ok(seal_change(change))
-
-
-def _prepare_edit(edit: EditRequest, tables: Tables) -> Edit:
-    before = tables.rows.get(edit.table, {}).get(edit.name)
-    text = None if before is None else encode_row(before)
-    return Edit(edit.table, edit.name, text, edit.row)
-
-
-def _plan_writes(change: Change, head: Head) -> tuple[Write, ...]:
-    key = _format(change.revision)
-    body = msgspec.json.encode(change, order='sorted').decode()
-    moved = Head(change.revision, change.digest)
-    head_body = msgspec.json.encode(moved).decode()
-    return (
-        Write(_HEADS, _HEAD_KEY, head_body, head.version),
-        Write(_CHANGES, key, body, ABSENT),
-        Write(_CHANGE_IDS, change.change_id, key, ABSENT),
-    )
-
-
-def _decode_head(body: str, version: int) -> Head:
-    head = msgspec.json.decode(body, type=Head)
-    return Head(head.revision, head.digest, version)
-
-
-def _decode_change(body: str) -> Change:
-    return msgspec.json.decode(body, type=Change)
-
-
-def _format(revision: int) -> str:
-    return f'{revision:0{_REVISION_DIGITS}d}'
--- a/crocusshunt/gateway/_admission.py
+++ b/crocusshunt/gateway/_admission.py
@@ -58,9 +58,20 @@
         self._key_evidence_s = key_evidence_s
         self._keyring = Keyring(())
         self._matcher = RouteMatcher(())
-        self.servers: Mapping[str, tuple[Server, ...]] = {}
+        self._servers: Mapping[str, tuple[Server, ...]] = {}
         feed.listen(self._rebuild)
 
+    @property
+    def servers(self) -> Mapping[str, tuple[Server, ...]]:
+        """Return backend servers by pool, without those that may be leaving."""
+        leaving = self._feed.find_suspension().servers
+        if not leaving:
+            return self._servers
+        return {
+            pool: tuple(one for one in servers if one.name not in leaving)
+            for pool, servers in self._servers.items()
+        }
+
     def admit(self, ask: Ask) -> Result[Admission, NotRun]:
         """Return the route and customer of a request, or why not."""
         if not self._feed.configuration.revision:
@@ -101,7 +112,21 @@
                 ),
             )
         key = self._keyring.authenticate(presented)
-        return key.map_err(lambda error: _refuse_key(error.code))
+        return key.map_err(lambda error: _refuse_key(error.code)).and_then(
+            self._check_suspension,
+        )
+
+    def _check_suspension(self, key: Key) -> Result[Key, NotRun]:
+        if key.name not in self._feed.find_suspension().keys:
+            return Ok(key)
+        return Err(
+            NotRun(
+                'key-suspended',
+                _STATUS_UNAVAILABLE,
+                'a change of this key is being accepted; ask again',
+                _EVIDENCE_RETRY_S,
+            ),
+        )
 
     def _rebuild(self, configuration: Configuration) -> None:
         tables = configuration.tables
@@ -111,7 +136,7 @@
         for server in tables.select(Server):
             held = servers.get(server.pool, ())
             servers[server.pool] = (*held, server)
-        self.servers = servers
+        self._servers = servers
 
 
 def _refuse_key(code: str) -> NotRun:
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -2,10 +2,7 @@
 
 from crocusshunt.messages._bodies import (
     Body,
-    ChangeFeed,
-    FetchChanges,
     Refusal,
-    SnapshotFeed,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -16,6 +13,15 @@
     UnknownKindError,
     UnknownVersionError,
 )
+from crocusshunt.messages._configuration import (
+    AnnounceChange,
+    ChangeFeed,
+    ChangeNoted,
+    FetchChanges,
+    FetchTestimony,
+    GivenTestimony,
+    SnapshotFeed,
+)
 from crocusshunt.messages._errors import (
     PeerRefusalError,
     PeerTimeoutError,
@@ -57,15 +63,19 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'AnnounceChange',
     'Body',
     'BorrowTokens',
     'ChangeFeed',
+    'ChangeNoted',
     'Codec',
     'DamagedMessageError',
     'FencedLease',
     'FetchChanges',
     'FetchHosts',
     'FetchMembers',
+    'FetchTestimony',
+    'GivenTestimony',
     'Handlers',
     'HostList',
     'Member',
--- a/crocusshunt/messages/_bodies.py
+++ b/crocusshunt/messages/_bodies.py
@@ -5,8 +5,6 @@
 
 import msgspec
 
-from crocusshunt.configuration import Change, Edit, Evidence
-
 
 class Body(msgspec.Struct, frozen=True):
     """Base of all message bodies."""
@@ -41,36 +39,3 @@
 
     code: str
     detail: str = ''
-
-
-@register_body('fetch-changes')
-class FetchChanges(Body, frozen=True):
-    """Asks for the changes after a revision, waiting for news if none.
-
-    :param held: revision that the sender holds.
-    :param wait_s: longest wait for a newer revision, in seconds.
-    """
-
-    held: int
-    wait_s: float = 0
-
-
-@register_body('change-feed')
-class ChangeFeed(Body, frozen=True):
-    """Changes that follow the revision asked about, oldest first."""
-
-    changes: tuple[Change, ...]
-    evidence: Evidence
-
-
-@register_body('snapshot-feed')
-class SnapshotFeed(Body, frozen=True):
-    """A whole configuration, for a follower that is far behind.
-
-    :param rows: one edit for each row, with its text in ``after``.
-    """
-
-    revision: int
-    digest: str
-    rows: tuple[Edit, ...]
-    evidence: Evidence
--- a/crocusshunt/replication/__init__.py
+++ b/crocusshunt/replication/__init__.py
@@ -2,6 +2,20 @@
 
 from crocusshunt.replication._feed import Feed
 from crocusshunt.replication._follower import Follower, FollowerSettings
-from crocusshunt.replication._origin import Origin
+from crocusshunt.replication._origin import POLL_S, Origin
+from crocusshunt.replication._witnessing import (
+    TestimonyCollector,
+    WitnessAnnouncer,
+    WitnessDesk,
+)
 
-__all__ = ('Feed', 'Follower', 'FollowerSettings', 'Origin')
+__all__ = (
+    'POLL_S',
+    'Feed',
+    'Follower',
+    'FollowerSettings',
+    'Origin',
+    'TestimonyCollector',
+    'WitnessAnnouncer',
+    'WitnessDesk',
+)
--- a/crocusshunt/replication/_feed.py
+++ b/crocusshunt/replication/_feed.py
@@ -19,7 +19,9 @@
 from crocusshunt.logs import log_event
 from crocusshunt.messages import Body, ChangeFeed, FetchChanges, SnapshotFeed
 from crocusshunt.routing import Tables
+from crocusshunt.witnesses import QuorumLog, Suspension, Testimony, Witness
 
+_RECENT_S = 5
 Listener = Callable[[Configuration], None]
 
 
@@ -32,6 +34,8 @@
         self._history = History()
         self._listeners: list[Listener] = []
         self._news = asyncio.Event()
+        self._testimonies = QuorumLog(clock)
+        self.seats: frozenset[str] = frozenset()
 
     @property
     def configuration(self) -> Configuration:
@@ -39,8 +43,24 @@
         return self._history.configuration
 
     def measure_age(self) -> float:
-        """Return the age in seconds of the evidence for what is held."""
-        return self.evidence.measure_age(self.configuration.revision)
+        """Return the age in seconds of the evidence for what is held.
+
+        The evidence is the store's or that of a quorum of witnesses.
+        """
+        revision = self.configuration.revision
+        quorum_age = self._testimonies.measure_age(revision, self.seats)
+        return min(self.evidence.measure_age(revision), quorum_age)
+
+    def find_suspension(self) -> Suspension:
+        """Return what announced changes may already have withdrawn."""
+        return self._testimonies.find_suspension(
+            self.configuration.revision,
+            _RECENT_S,
+        )
+
+    def is_behind(self) -> bool:
+        """Tell whether a witness knows of a newer revision."""
+        return self._testimonies.find_newest() > self.configuration.revision
 
     def listen(self, listener: Listener) -> None:
         """Call a function with each new configuration."""
@@ -84,16 +104,30 @@
         self._announce(before)
         return True
 
+    def accept_testimonies(
+        self,
+        testimonies: tuple[Testimony, ...],
+        asked_at: float,
+    ) -> None:
+        """Keep the youngest testimony of each witness.
+
+        :param asked_at: monotonic time before the question was sent.
+        """
+        for testimony in testimonies:
+            self._testimonies.note(testimony, asked_at)
+
     async def answer(self, question: FetchChanges) -> Body:
         """Return what a follower lacks, waiting for news if it has all."""
         if question.held >= self.configuration.revision:
             await self._wait(question.wait_s)
         held = self.configuration
-        evidence = Evidence(held.revision, self.measure_age())
+        age = self.evidence.measure_age(held.revision)
+        evidence = Evidence(held.revision, age)
+        testimonies = self._testimonies.collect()
         changes = self._history.find_since(question.held)
         if isinstance(changes, Err):
-            return _snapshot(held, evidence)
-        return ChangeFeed(changes.ok_value, evidence)
+            return _snapshot(held, evidence, testimonies)
+        return ChangeFeed(changes.ok_value, evidence, testimonies)
 
     def _append(self, change: Change) -> bool:
         appended = self._history.append(change)
@@ -111,16 +145,28 @@
     def _announce(self, before: int) -> None:
         if self.configuration.revision == before:
             return
+        witnesses = self.configuration.tables.select(Witness)
+        self.seats = frozenset(one.address for one in witnesses)
         for listener in self._listeners:
             listener(self.configuration)
         self._news.set()
         self._news = asyncio.Event()
 
 
-def _snapshot(held: Configuration, evidence: Evidence) -> SnapshotFeed:
+def _snapshot(
+    held: Configuration,
+    evidence: Evidence,
+    testimonies: tuple[Testimony, ...],
+) -> SnapshotFeed:
     rows = tuple(
         Edit(table, name, None, encode_row(row))
         for table, named in held.tables.rows.items()
         for name, row in named.items()
     )
-    return SnapshotFeed(held.revision, held.digest, rows, evidence)
+    return SnapshotFeed(
+        held.revision,
+        held.digest,
+        rows,
+        evidence,
+        testimonies,
+    )
--- a/crocusshunt/replication/_follower.py
+++ b/crocusshunt/replication/_follower.py
@@ -68,12 +68,16 @@
         if isinstance(answer, Err):
             return False
         body = answer.ok_value
-        if isinstance(body, ChangeFeed):
-            return self._feed.accept_changes(
-                body.changes,
-                body.evidence,
-                asked_at,
-            )
+        if not isinstance(body, ChangeFeed | SnapshotFeed):
+            return False
+        self._feed.accept_testimonies(body.testimonies, asked_at)
         if isinstance(body, SnapshotFeed):
             return self._feed.accept_snapshot(body, asked_at)
-        return False
+        is_applied = self._feed.accept_changes(
+            body.changes,
+            body.evidence,
+            asked_at,
+        )
+        # A source without news that a witness has is behind: ask another.
+        has_news = bool(body.changes) or not self._feed.is_behind()
+        return is_applied and has_news
--- a/crocusshunt/replication/_origin.py
+++ b/crocusshunt/replication/_origin.py
@@ -1,14 +1,20 @@
 """Keeps a feed up to date from the platform's table service."""
 
 import asyncio
+import random
+from collections.abc import Callable
 
 from result import Err
 
-from crocusshunt.configuration import Evidence, Repository
+from crocusshunt.configuration import Evidence, Head, Repository
 from crocusshunt.core import Clock
 from crocusshunt.replication._feed import Feed
 
-_POLL_S = 0.5
+POLL_S = 0.5
+
+
+def _ignore(head: Head) -> None:
+    """Take no note of a head."""
 
 
 class Origin:
@@ -19,17 +25,22 @@
         repository: Repository,
         feed: Feed,
         clock: Clock,
+        observe: Callable[[Head], None] = _ignore,
     ) -> None:
-        """Prepare to poll."""
+        """Prepare to poll.
+
+        :param observe: called with each head that was read.
+        """
         self._repository = repository
         self._feed = feed
         self._clock = clock
+        self._observe = observe
 
     async def run(self) -> None:
-        """Poll for ever."""
+        """Poll for ever, with jitter."""
         while True:
             await self.poll()
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(POLL_S * (0.5 + random.random()))
 
     async def poll(self) -> bool:
         """Read the store once; return whether all of it was read.
@@ -41,6 +52,7 @@
             head = await self._repository.read_head()
             if isinstance(head, Err):
                 return False
+            self._observe(head.ok_value)
             revision = head.ok_value.revision
             if revision <= self._feed.configuration.revision:
                 self._feed.accept_changes((), Evidence(revision, 0), asked_at)
--- a/crocusshunt/store/__init__.py
+++ b/crocusshunt/store/__init__.py
@@ -3,6 +3,7 @@
 from crocusshunt.store._client import HttpPlatform, PlatformSettings
 from crocusshunt.store._errors import (
     StoreConflictError,
+    StoreDamagedAnswerError,
     StoreError,
     StoreUnavailableError,
     StoreUnknownOutcomeError,
@@ -29,6 +30,7 @@
     'PlatformSettings',
     'Query',
     'StoreConflictError',
+    'StoreDamagedAnswerError',
     'StoreError',
     'StoreUnavailableError',
     'StoreUnknownOutcomeError',
--- a/crocusshunt/store/_errors.py
+++ b/crocusshunt/store/_errors.py
@@ -50,3 +50,15 @@
     table: str
     key: str
     version: int
+
+
+@dataclass(unsafe_hash=True)
+class StoreDamagedAnswerError(StoreError):
+    """An answer that cannot be decoded; a write may have taken effect.
+
+    :param detail: what was seen.
+    """
+
+    code = 'store-damaged-answer'
+
+    detail: str
