Type every answer of the platform and bound the calls to it

Cause: undecodable bodies and unexpected statuses raised msgspec errors out of the client; nothing bounded retries or calls to a store that is down. Change: expected statuses per call, typed damaged answers, one deadline for a read with its retries (full jitter, budget of a tenth), a circuit that probes one call at a time, a tally of calls a second; writes are sent once, and a 5xx other than 503 leaves their outcome unknown. Before: 0 tests. After: 16 and a doctest; 20 reads of a store that is down cost 5 calls. Conclusion: no answer of the platform escapes as an exception.

--- a/crocusshunt/replication/tests/test_outage.py
+++ b/crocusshunt/replication/tests/test_outage.py
@@ -21,7 +21,7 @@
 from crocusshunt.witnesses import (
     Announcement,
     AnnouncementLog,
-    Testimony,
+    Testimony as Given,
     Witness,
 )
 
@@ -78,7 +78,7 @@
     feed.accept_testimonies(_ask(witnesses), asked_at)
 
 
-def _ask(witnesses: dict[str, AnnouncementLog]) -> tuple[Testimony, ...]:
+def _ask(witnesses: dict[str, AnnouncementLog]) -> tuple[Given, ...]:
     asked = ((address, log.testify()) for address, log in witnesses.items())
     return tuple(
         replace(given, address=address)
@@ -144,7 +144,7 @@
     feed = _create_feed(clock)
     witnesses = _create_witnesses()
     accepted_at = _FAR
-    late: list[tuple[tuple[Testimony, ...], float]] = []
+    late: list[tuple[tuple[Given, ...], float]] = []
     for step in range(200):
         if step == 100:
             announced = Announcement('c2', 2, 2, keys=('court',))
--- a/crocusshunt/store/__init__.py
+++ b/crocusshunt/store/__init__.py
@@ -8,6 +8,7 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
+from crocusshunt.store._policy import CallPolicy, CircuitState, Tally
 from crocusshunt.store._values import (
     ABSENT,
     HostEntry,
@@ -22,6 +23,8 @@
 
 __all__ = (
     'ABSENT',
+    'CallPolicy',
+    'CircuitState',
     'HostEntry',
     'HostState',
     'HttpPlatform',
@@ -36,5 +39,6 @@
     'StoreUnknownOutcomeError',
     'StoredRow',
     'TableStore',
+    'Tally',
     'Write',
 )
--- a/crocusshunt/store/_client.py
+++ b/crocusshunt/store/_client.py
@@ -1,22 +1,34 @@
 """HTTP client of the platform."""
 
+import asyncio
+import random
 from dataclasses import dataclass
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+from crocusshunt.core import Clock, SystemClock
 from crocusshunt.store._errors import (
     StoreConflictError,
+    StoreDamagedAnswerError,
     StoreError,
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
+from crocusshunt.store._policy import CallPolicy
 from crocusshunt.store._values import HostEntry, Query, StoredRow, Write
 
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
+_STATUS_TOO_MANY = 429
+_STATUS_SERVER_ERROR = 500
+_STATUS_UNAVAILABLE = 503
+_METHOD_READ = 'GET'
+
+_Content = TypeVar('_Content')
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +36,8 @@
     """How to reach the platform.
 
     :param url: base URL of the platform.
-    :param timeout_s: longest wait for one answer, in seconds.
+    :param timeout_s: longest wait for one answer with its retries, in
+        seconds.
     """
 
     url: str
@@ -37,6 +50,7 @@
     path: str
     body: bytes | None = None
     query: tuple[tuple[str, str], ...] = ()
+    expected: tuple[int, ...] = (_STATUS_OK,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,11 +60,22 @@
 
 
 class HttpPlatform:
-    """Client of the platform's HTTP interface; owns its connections."""
+    """Client of the platform's HTTP interface; owns its connections.
+
+    Reads are retried within their deadline and a budget. A write is sent
+    once: whoever sent it resolves a lost answer by its change id.
+    """
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        clock: Clock | None = None,
+        source: random.Random | None = None,
+    ) -> None:
         """Prepare the client; connections open on first use."""
         self._settings = settings
+        self._clock = clock or SystemClock()
+        self.policy = CallPolicy(self._clock, source or random.Random())
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -64,9 +89,13 @@
         key: str,
     ) -> Result[StoredRow | None, StoreError]:
         """Return a row, None where it is absent."""
-        query = (('table', table), ('key', key))
-        answer = await self._call(_Call('GET', '/v1/row', query=query))
-        return answer.and_then(_decode_row)
+        call = _Call(
+            _METHOD_READ,
+            '/v1/row',
+            query=(('table', table), ('key', key)),
+            expected=(_STATUS_OK, _STATUS_NOT_FOUND),
+        )
+        return (await self._call(call)).and_then(_decode_row)
 
     async def query(
         self,
@@ -78,12 +107,10 @@
             ('after', query.after),
             ('limit', str(query.limit)),
         )
-        answer = await self._call(_Call('GET', '/v1/rows', query=parameters))
-        return answer.map(
-            lambda got: msgspec.json.decode(
-                got.body,
-                type=tuple[StoredRow, ...],
-            ),
+        call = _Call(_METHOD_READ, '/v1/rows', query=parameters)
+        answer = await self._call(call)
+        return answer.and_then(
+            lambda got: _decode(got, tuple[StoredRow, ...]),
         )
 
     async def transact(
@@ -91,13 +118,22 @@
         writes: tuple[Write, ...],
     ) -> Result[None, StoreError]:
         """Do all writes, or none if one condition does not hold."""
-        body = msgspec.json.encode(writes)
-        answer = await self._call(_Call('POST', '/v1/transactions', body))
-        return answer.and_then(_decode_outcome)
+        call = _Call(
+            'POST',
+            '/v1/transactions',
+            msgspec.json.encode(writes),
+            expected=(_STATUS_OK, _STATUS_CONFLICT),
+        )
+        return (await self._call(call)).and_then(_decode_outcome)
 
     async def get_object(self, name: str) -> Result[bytes | None, StoreError]:
         """Return an object, None where it is absent."""
-        answer = await self._call(_Call('GET', f'/v1/objects/{name}'))
+        call = _Call(
+            _METHOD_READ,
+            f'/v1/objects/{name}',
+            expected=(_STATUS_OK, _STATUS_NOT_FOUND),
+        )
+        answer = await self._call(call)
         return answer.map(
             lambda got: None if got.status == _STATUS_NOT_FOUND else got.body,
         )
@@ -113,50 +149,111 @@
 
     async def list_hosts(self) -> Result[tuple[HostEntry, ...], StoreError]:
         """Return the lagging list of hosts."""
-        answer = await self._call(_Call('GET', '/v1/hosts'))
-        return answer.map(
-            lambda got: msgspec.json.decode(
-                got.body,
-                type=tuple[HostEntry, ...],
-            ),
+        answer = await self._call(_Call(_METHOD_READ, '/v1/hosts'))
+        return answer.and_then(
+            lambda got: _decode(got, tuple[HostEntry, ...]),
         )
 
     async def _call(self, call: _Call) -> Result[_Answer, StoreError]:
+        if not self.policy.admit():
+            return Err(StoreUnavailableError('circuit open'))
         try:
-            answer = await self._send(call)
+            return await self._call_until_deadline(call)
+        finally:
+            self.policy.release()
+
+    async def _call_until_deadline(
+        self,
+        call: _Call,
+    ) -> Result[_Answer, StoreError]:
+        give_up_at = self._clock.monotonic() + self._settings.timeout_s
+        attempt = 1
+        while True:
+            answer = await self._try(call, give_up_at)
+            if isinstance(answer, Ok) or call.method != _METHOD_READ:
+                return answer
+            pause = self.policy.plan_retry(attempt)
+            if pause is None or self._clock.monotonic() + pause >= give_up_at:
+                return answer
+            await asyncio.sleep(pause)
+            attempt += 1
+
+    async def _try(
+        self,
+        call: _Call,
+        give_up_at: float,
+    ) -> Result[_Answer, StoreError]:
+        try:
+            answer = await self._send(call, give_up_at)
         except aiohttp.ClientConnectorError as error:
+            self.policy.note_failure()
             return Err(StoreUnavailableError(type(error).__name__))
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return Err(StoreUnknownOutcomeError(type(error).__name__))
-        expected = (_STATUS_OK, _STATUS_NOT_FOUND, _STATUS_CONFLICT)
-        if answer.status in expected:
+        except (aiohttp.ClientError, TimeoutError, OSError) as failure:
+            self.policy.note_failure()
+            return Err(StoreUnknownOutcomeError(type(failure).__name__))
+        refused = _check_status(call, answer.status)
+        if refused is None:
+            self.policy.note_success()
             return Ok(answer)
-        return Err(StoreUnavailableError(f'status {answer.status}'))
+        self.policy.note_failure()
+        return Err(refused)
 
-    async def _send(self, call: _Call) -> _Answer:
+    async def _send(self, call: _Call, give_up_at: float) -> _Answer:
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
-            self._session = aiohttp.ClientSession(timeout=timeout)
-        async with self._session.request(
-            call.method,
-            self._settings.url + call.path,
-            data=call.body,
-            params=call.query,
-        ) as response:
+            self._session = aiohttp.ClientSession()
+        remaining = max(0, give_up_at - self._clock.monotonic())
+        async with (
+            asyncio.timeout(remaining),
+            self._session.request(
+                call.method,
+                self._settings.url + call.path,
+                data=call.body,
+                params=call.query,
+                allow_redirects=False,
+            ) as response,
+        ):
             return _Answer(response.status, await response.read())
 
 
+def _check_status(call: _Call, status: int) -> StoreError | None:
+    if status in call.expected:
+        return None
+    detail = f'status {status}'
+    is_write = call.method != _METHOD_READ
+    is_taken = status not in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}
+    if is_write and is_taken and status >= _STATUS_SERVER_ERROR:
+        return StoreUnknownOutcomeError(detail)
+    return StoreUnavailableError(detail)
+
+
+def _decode(
+    answer: _Answer,
+    content: type[_Content],
+) -> Result[_Content, StoreError]:
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=content))
+    except (msgspec.DecodeError, UnicodeError) as error:
+        return Err(StoreDamagedAnswerError(str(error)))
+
+
 def _decode_row(answer: _Answer) -> Result[StoredRow | None, StoreError]:
     if answer.status == _STATUS_NOT_FOUND:
         return Ok(None)
-    return Ok(msgspec.json.decode(answer.body, type=StoredRow))
+    return _decode(answer, StoredRow).map(_widen)
+
+
+def _widen(row: StoredRow) -> StoredRow | None:
+    return row
 
 
 def _decode_outcome(answer: _Answer) -> Result[None, StoreError]:
-    if answer.status == _STATUS_CONFLICT:
-        found = msgspec.json.decode(answer.body, type=StoredRow)
-        return Err(StoreConflictError(found.table, found.key, found.version))
-    return Ok(None)
+    if answer.status != _STATUS_CONFLICT:
+        return Ok(None)
+    found = _decode(answer, StoredRow)
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value
+    return Err(StoreConflictError(row.table, row.key, row.version))
 
 
 def _ignore(answer: _Answer) -> None:
--- /dev/null
+++ b/crocusshunt/store/tests/test_client.py
@@ -0,0 +1,144 @@
+"""The client against a platform that misbehaves."""
+
+import random
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp import web
+
+from crocusshunt.core import ManualClock
+from crocusshunt.services import HttpService
+from crocusshunt.store import (
+    CallPolicy,
+    CircuitState,
+    HttpPlatform,
+    PlatformSettings,
+    Query,
+    StoreDamagedAnswerError,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnknownOutcomeError,
+    Write,
+)
+
+_WRITES = (Write('t', 'k', 'body'),)
+
+
+class _Misbehaving(HttpService):
+    status = 200
+    body = b'{}'
+    failures = 0
+    calls = 0
+
+    def create_application(self) -> web.Application:
+        application = web.Application()
+        application.router.add_route('*', '/{path:.*}', self._answer)
+        return application
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        if self.calls <= self.failures:
+            return web.Response(status=503)
+        return web.Response(status=self.status, body=self.body)
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[_Misbehaving]:
+    started = _Misbehaving('127.0.0.1', 0)
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+async def client(server: _Misbehaving) -> AsyncIterator[HttpPlatform]:
+    opened = HttpPlatform(PlatformSettings(server.url), source=random.Random(1))
+    yield opened
+    await opened.close()
+
+
+@pytest.mark.parametrize('body', [b'', b'{', b'\xff', b'[1]', b'{"a":1}'])
+async def test_undecodable_bodies_are_typed(
+    server: _Misbehaving,
+    client: HttpPlatform,
+    body: bytes,
+) -> None:
+    server.body = body
+    row = await client.read('t', 'k')
+    rows = await client.query(Query('t'))
+    hosts = await client.list_hosts()
+    for found in (row.err(), rows.err(), hosts.err()):
+        assert isinstance(found, StoreDamagedAnswerError)
+    server.status = 409
+    conflict = await client.transact(_WRITES)
+    assert isinstance(conflict.unwrap_err(), StoreDamagedAnswerError)
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        (302, StoreUnavailableError),
+        (400, StoreUnavailableError),
+        (404, StoreUnavailableError),
+        (429, StoreUnavailableError),
+        (500, StoreUnknownOutcomeError),
+        (503, StoreUnavailableError),
+        (504, StoreUnknownOutcomeError),
+    ],
+)
+async def test_status_of_a_write_is_typed_and_never_retried(
+    server: _Misbehaving,
+    client: HttpPlatform,
+    status: int,
+    error: type[StoreError],
+) -> None:
+    server.status = status
+    outcome = await client.transact(_WRITES)
+    assert isinstance(outcome.unwrap_err(), error)
+    assert server.calls == 1
+
+
+async def test_reads_are_retried(
+    server: _Misbehaving,
+    client: HttpPlatform,
+) -> None:
+    server.failures = 2
+    server.body = b'[]'
+    assert (await client.query(Query('t'))).is_ok()
+    assert server.calls == 3
+    assert client.policy.tally().retries * 10 == 2
+
+
+async def test_open_circuit_spares_the_store(
+    server: _Misbehaving,
+    client: HttpPlatform,
+) -> None:
+    server.failures = 1000
+    for _ in range(20):
+        assert (await client.read('t', 'k')).is_err()
+    assert client.policy.state is CircuitState.open
+    assert server.calls == 5
+
+
+def test_circuit_probes_one_call_at_a_time() -> None:
+    clock = ManualClock()
+    policy = CallPolicy(clock, random.Random(1))
+    for _ in range(5):
+        policy.note_failure()
+    clock.advance(2)
+    assert policy.state is CircuitState.probing
+    assert [policy.admit(), policy.admit()] == [True, False]
+    policy.release()
+    assert policy.admit()
+    policy.note_success()
+    assert policy.admit()
+    assert policy.admit()
+
+
+def test_retries_stay_within_their_budget() -> None:
+    policy = CallPolicy(ManualClock(), random.Random(1))
+    retries = 0
+    for _ in range(1000):
+        policy.admit()
+        retries += policy.plan_retry(1) is not None
+    assert retries <= 10 + 1000 / 10
