--- a/crocusshunt/api/_answers.py
+++ b/crocusshunt/api/_answers.py
@@ -2,8 +2,16 @@
 
 from aiohttp import web
 
-from crocusshunt.api._documents import AcceptedDocument, ErrorDocument
-from crocusshunt.configuration import Change, InvalidChangeError
+from crocusshunt.api._documents import (
+    AcceptedDocument,
+    ConflictDocument,
+    ErrorDocument,
+)
+from crocusshunt.configuration import (
+    Change,
+    InvalidChangeError,
+    RevisionConflictError,
+)
 from crocusshunt.core import CrocusError
 from crocusshunt.services import json_response
 
@@ -28,5 +36,21 @@
     faults: tuple[str, ...] = ()
     if isinstance(error, InvalidChangeError):
         faults = tuple(str(fault) for fault in error.faults)
-    document = ErrorDocument(error.code, error.describe(), faults)
+    document = ErrorDocument(
+        error.code,
+        error.describe(),
+        faults,
+        _show_conflict(error),
+    )
     return json_response(document, status)
+
+
+def _show_conflict(error: CrocusError) -> ConflictDocument | None:
+    if not isinstance(error, RevisionConflictError):
+        return None
+    return ConflictDocument(
+        error.actual,
+        error.author,
+        error.reason,
+        error.edits,
+    )
--- a/crocusshunt/api/_changes.py
+++ b/crocusshunt/api/_changes.py
@@ -19,6 +19,7 @@
     ChangeRequest,
     InvalidChangeError,
     ProposalError,
+    ReusedChangeIdError,
     RevisionConflictError,
 )
 from crocusshunt.operators import Role
@@ -78,6 +79,7 @@
     )
     if isinstance(written, Ok):
         await parts.origin.poll()
+        await parts.archive.save_if_due(parts.feed.configuration)
         return respond_accepted(written.ok_value)
     return respond_error(written.err_value, _find_status(written.err_value))
 
@@ -85,6 +87,6 @@
 def _find_status(error: ProposalError) -> int:
     if isinstance(error, InvalidChangeError):
         return _STATUS_BAD_REQUEST
-    if isinstance(error, RevisionConflictError):
+    if isinstance(error, RevisionConflictError | ReusedChangeIdError):
         return _STATUS_CONFLICT
     return _STATUS_UNAVAILABLE
--- a/crocusshunt/api/_documents.py
+++ b/crocusshunt/api/_documents.py
@@ -2,7 +2,19 @@
 
 import msgspec
 
-from crocusshunt.configuration import Change, EditRequest
+from crocusshunt.configuration import Change, Edit, EditRequest
+
+
+class ConflictDocument(msgspec.Struct, frozen=True):
+    """The change that came first.
+
+    :param revision: revision now in force.
+    """
+
+    revision: int
+    author: str
+    reason: str
+    edits: tuple[Edit, ...]
 
 
 class ErrorDocument(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -15,6 +27,7 @@
     code: str
     detail: str
     faults: tuple[str, ...] = ()
+    conflict: ConflictDocument | None = None
 
 
 class ChangeDocument(msgspec.Struct, frozen=True):
--- a/crocusshunt/api/_endpoints.py
+++ b/crocusshunt/api/_endpoints.py
@@ -17,7 +17,7 @@
     Role,
     UnknownOperatorError,
 )
-from crocusshunt.replication import Feed, Origin
+from crocusshunt.replication import Archive, Feed, Origin
 from crocusshunt.store import Platform
 
 _STATUS_UNAUTHORIZED = 401
@@ -36,6 +36,7 @@
     repository: Repository
     feed: Feed
     origin: Origin
+    archive: Archive
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -22,6 +22,7 @@
 )
 from crocusshunt.relay import register_relay
 from crocusshunt.replication import (
+    Archive,
     Feed,
     Follower,
     FollowerSettings,
@@ -54,13 +55,21 @@
         )
         self.feed = Feed(clock)
         self._desk = WitnessDesk(repository, clock)
+        archive = Archive(self._platform, repository)
         self._parts = ApiParts(
             settings=settings,
             clock=clock,
             platform=self._platform,
             repository=repository,
             feed=self.feed,
-            origin=Origin(repository, self.feed, clock, self._desk.observe),
+            origin=Origin(
+                repository,
+                self.feed,
+                clock,
+                self._desk.observe,
+                archive,
+            ),
+            archive=archive,
         )
         self._replier = Replier(settings.api.listen, self._register())
 
--- a/crocusshunt/configuration/__init__.py
+++ b/crocusshunt/configuration/__init__.py
@@ -36,6 +36,13 @@
     prepare_change,
 )
 from crocusshunt.configuration._rows import decode_row, encode_row
+from crocusshunt.configuration._snapshots import (
+    DamagedSnapshotError,
+    decode_snapshot,
+    digest_tables,
+    encode_snapshot,
+    list_rows,
+)
 
 __all__ = (
     'Announcer',
@@ -45,6 +52,7 @@
     'ChangeRequest',
     'Configuration',
     'ConfigurationError',
+    'DamagedSnapshotError',
     'DivergedHistoryError',
     'Edit',
     'EditRequest',
@@ -64,8 +72,12 @@
     'UnreachableStoreError',
     'apply_change',
     'decode_row',
+    'decode_snapshot',
     'describe_change',
+    'digest_tables',
     'encode_row',
+    'encode_snapshot',
+    'list_rows',
     'prepare_change',
     'seal_change',
 )
--- a/crocusshunt/configuration/_repository.py
+++ b/crocusshunt/configuration/_repository.py
@@ -86,12 +86,14 @@
             return pointer
         if pointer.ok_value is None:
             return Ok(None)
-        row = await self._store.read(CHANGES, pointer.ok_value.body)
-        if isinstance(row, Err):
-            return row
-        found = () if row.ok_value is None else (row.ok_value,)
-        changes = decode_changes(found)
-        return changes.map(lambda read: read[0] if read else None)
+        return await self._read_change(pointer.ok_value.body)
+
+    async def read_change(
+        self,
+        revision: int,
+    ) -> Result[Change | None, StoreError]:
+        """Return the change of a revision, None where there is none."""
+        return await self._read_change(format_revision(revision))
 
     async def fence(self) -> Result[Head, StoreError]:
         """Rewrite the head row unchanged and return its new version.
@@ -135,6 +137,17 @@
                 return ended
         return Err(BusyHeadError(request.change_id))
 
+    async def _read_change(
+        self,
+        key: str,
+    ) -> Result[Change | None, StoreError]:
+        row = await self._store.read(CHANGES, key)
+        if isinstance(row, Err):
+            return row
+        found = () if row.ok_value is None else (row.ok_value,)
+        changes = decode_changes(found)
+        return changes.map(lambda read: read[0] if read else None)
+
     async def _find_end(
         self,
         request: ChangeRequest,
--- a/crocusshunt/configuration/_requests.py
+++ b/crocusshunt/configuration/_requests.py
@@ -61,7 +61,8 @@
         change_id=request.change_id,
         author=request.author,
         reason=request.reason,
-        time=time,
+        # An integer would read back as a float of another digest.
+        time=float(time),
         edits=edits,
         previous=held.digest,
     )
--- a/crocusshunt/configuration/_rows.py
+++ b/crocusshunt/configuration/_rows.py
@@ -40,7 +40,7 @@
         return Err((Fault(place, 'unknown table', allowed),))
     try:
         fields = msgspec.json.decode(text, type=dict[str, Any])
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeError) as error:
         return Err((Fault(place, str(error)),))
     if fields.get('name') != name:
         problem = f"carries the name '{fields.get('name')}'"
--- a/crocusshunt/keys/_digests.py
+++ b/crocusshunt/keys/_digests.py
@@ -20,12 +20,13 @@
 def digest_key(key: str) -> str:
     """Return the digest that the key table holds in place of the key.
 
-    The secret has 256 random bits, so a plain hash resists guessing.
+    The secret has 256 random bits, so a plain hash resists guessing. Bytes of
+    a header that are no text arrive as surrogates and are hashed as such.
 
     >>> digest_key('ck_court-1_00')[:16]
     'fcca94480198d07b'
     """
-    return sha256(key.encode()).hexdigest()
+    return sha256(key.encode(errors='surrogatepass')).hexdigest()
 
 
 def split_key(key: str) -> str:
--- /dev/null
+++ b/crocusshunt/keys/tests/test_keyring.py
@@ -0,0 +1,45 @@
+"""Keys that are duplicated, damaged, granted and withdrawn."""
+
+from dataclasses import replace
+
+import pytest
+
+from crocusshunt.keys import (
+    Key,
+    Keyring,
+    KeyState,
+    UnknownKeyError,
+    WithdrawnKeyError,
+    digest_key,
+)
+from crocusshunt.routing import Customer, Tables, find_faults
+from crocusshunt.schema import is_table
+
+_SECRET = 'ck_court-1_00'
+_ROW = Key('court-1', 'court', digest_key(_SECRET))
+
+
+def test_duplicate_digest_is_a_fault() -> None:
+    assert is_table('operator')
+    copy = replace(_ROW, name='court-2')
+    tables = Tables().put(Customer('court', 1, 1), _ROW, copy)
+    faults = [str(fault) for fault in find_faults(tables)]
+    assert faults == [
+        'key court-2: has the same key as key court-1 (allowed: its own key)',
+    ]
+
+
+@pytest.mark.parametrize(
+    'presented',
+    ['ck_court-1_\udcff', 'ck_court-1_\ud800', 'ck__', '_', 'ck_court-1_'],
+)
+def test_damaged_keys_are_unknown(presented: str) -> None:
+    refused = Keyring((_ROW,)).authenticate(presented)
+    assert isinstance(refused.unwrap_err(), UnknownKeyError)
+
+
+def test_withdrawn_key_is_refused_and_granted_again() -> None:
+    withdrawn = replace(_ROW, state=KeyState.withdrawn)
+    refused = Keyring((withdrawn,)).authenticate(_SECRET)
+    assert refused.unwrap_err() == WithdrawnKeyError('court-1')
+    assert Keyring((_ROW,)).authenticate(_SECRET).is_ok()
--- a/crocusshunt/replication/__init__.py
+++ b/crocusshunt/replication/__init__.py
@@ -1,5 +1,6 @@
 """Spread of the configuration from the store to every process."""
 
+from crocusshunt.replication._archive import SNAPSHOT_NAME, Archive
 from crocusshunt.replication._feed import Feed
 from crocusshunt.replication._follower import Follower, FollowerSettings
 from crocusshunt.replication._origin import POLL_S, Origin
@@ -11,6 +12,8 @@
 
 __all__ = (
     'POLL_S',
+    'SNAPSHOT_NAME',
+    'Archive',
     'Feed',
     'Follower',
     'FollowerSettings',
--- a/crocusshunt/replication/_feed.py
+++ b/crocusshunt/replication/_feed.py
@@ -8,12 +8,11 @@
 from crocusshunt.configuration import (
     Change,
     Configuration,
-    Edit,
     Evidence,
     EvidenceLog,
     History,
     decode_row,
-    encode_row,
+    list_rows,
 )
 from crocusshunt.core import Clock
 from crocusshunt.logs import log_event
@@ -88,7 +87,6 @@
 
         :return: whether the snapshot was readable.
         """
-        before = self.configuration.revision
         rows = [
             decode_row(edit.table, edit.name, edit.after or '')
             for edit in snapshot.rows
@@ -97,13 +95,18 @@
             log_event('snapshot refused', revision=snapshot.revision)
             return False
         tables = Tables().put(*(row.unwrap() for row in rows))
-        self._history.install(
+        self.install(
             Configuration(snapshot.revision, snapshot.digest, tables),
         )
         self.evidence.note(snapshot.evidence, asked_at)
-        self._announce(before)
         return True
 
+    def install(self, snapshot: Configuration) -> None:
+        """Replace what is held by a newer configuration."""
+        before = self.configuration.revision
+        self._history.install(snapshot)
+        self._announce(before)
+
     def accept_testimonies(
         self,
         testimonies: tuple[Testimony, ...],
@@ -158,15 +161,10 @@
     evidence: Evidence,
     testimonies: tuple[Testimony, ...],
 ) -> SnapshotFeed:
-    rows = tuple(
-        Edit(table, name, None, encode_row(row))
-        for table, named in held.tables.rows.items()
-        for name, row in named.items()
-    )
     return SnapshotFeed(
         held.revision,
         held.digest,
-        rows,
+        list_rows(held.tables),
         evidence,
         testimonies,
     )
--- a/crocusshunt/replication/_origin.py
+++ b/crocusshunt/replication/_origin.py
@@ -8,6 +8,8 @@
 
 from crocusshunt.configuration import Evidence, Head, Repository
 from crocusshunt.core import Clock
+from crocusshunt.logs import log_event
+from crocusshunt.replication._archive import Archive
 from crocusshunt.replication._feed import Feed
 
 POLL_S = 0.5
@@ -26,15 +28,18 @@
         feed: Feed,
         clock: Clock,
         observe: Callable[[Head], None] = _ignore,
+        archive: Archive | None = None,
     ) -> None:
         """Prepare to poll.
 
+        :param archive: snapshots that spare a start the whole log.
         :param observe: called with each head that was read.
         """
         self._repository = repository
         self._feed = feed
         self._clock = clock
         self._observe = observe
+        self._archive = archive
 
     async def run(self) -> None:
         """Poll for ever, with jitter."""
@@ -61,7 +66,11 @@
                 return False
 
     async def _catch_up(self, revision: int) -> bool:
+        if not self._feed.configuration.revision:
+            await self._load_snapshot()
         held = self._feed.configuration.revision
+        if held >= revision:
+            return True
         changes = await self._repository.read_changes(held)
         if isinstance(changes, Err) or not changes.ok_value:
             return False
@@ -69,3 +78,13 @@
         stale = Evidence(revision, float('inf'))
         self._feed.accept_changes(changes.ok_value, stale, asked_at)
         return self._feed.configuration.revision > held
+
+    async def _load_snapshot(self) -> None:
+        if self._archive is None:
+            return
+        loaded = await self._archive.load()
+        if isinstance(loaded, Err):
+            error = loaded.err_value.describe()
+            log_event('no snapshot used', error=error)
+            return
+        self._feed.install(loaded.ok_value)
