Test the gateway's refusals of keys without evidence

Cause: no test asked a gatekeeper with stale evidence or pending changes. Change: tests of a cut-off host, of a majority of witnesses, and of a pending change of a key and a server. Before: 0 tests of this part.

--- /dev/null
+++ b/crocusshunt/gateway/tests/test_evidence.py
@@ -0,0 +1,120 @@
+"""Keys and servers while the store or a change is uncertain."""
+
+import pytest
+from result import Err
+
+from crocusshunt.configuration import (
+    Change,
+    Configuration,
+    Edit,
+    Evidence,
+    encode_row,
+    seal_change,
+)
+from crocusshunt.core import ManualClock, parse_address
+from crocusshunt.gateway._admission import Ask, Gatekeeper
+from crocusshunt.keys import Key, digest_key
+from crocusshunt.replication import Feed
+from crocusshunt.routing import (
+    Access,
+    Customer,
+    FailureDomain,
+    Pool,
+    Route,
+    Row,
+    Server,
+    name_table,
+)
+from crocusshunt.witnesses import Announcement, Testimony as Given, Witness
+
+_SECRETS = {'court': 'ck_court_00', 'bar': 'ck_bar_00'}
+_SEATS = tuple(f'tcp://127.0.0.1:{port}' for port in (1, 2, 3))
+_EVIDENCE_S = 4
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def feed(clock: ManualClock) -> Feed:
+    rows: tuple[Row, ...] = (
+        FailureDomain('a', 'addis'),
+        Pool('verify'),
+        Server('s1', 'verify', '127.0.0.1:1', 'addis', 'a', slots=1),
+        Server('s2', 'verify', '127.0.0.1:2', 'addis', 'a', slots=1),
+        Route('verify', 'verify', path_prefix='/verify'),
+        Route('open', 'verify', path_prefix='/open', access=Access.open),
+        Customer('court', 1, 1),
+        *(
+            Key(name, 'court', digest_key(secret))
+            for name, secret in _SECRETS.items()
+        ),
+        *(Witness(f'w{seat[-1]}', seat, 'addis', 'a') for seat in _SEATS),
+    )
+    edits = tuple(
+        Edit(name_table(row), row.name, None, encode_row(row)) for row in rows
+    )
+    genesis = Configuration().digest
+    change = seal_change(Change(1, 'c1', 'mina', 'first', 0, edits, genesis))
+    created = Feed(clock)
+    created.accept_changes((change,), Evidence(1, 0), clock.monotonic())
+    return created
+
+
+def _ask(gatekeeper: Gatekeeper, name: str, path: str = '/verify') -> str:
+    presented = frozenset((_SECRETS[name],)) if name else frozenset[str]()
+    client = parse_address('127.0.0.1').unwrap()
+    admitted = gatekeeper.admit(Ask('', path, 'GET', client, presented))
+    if isinstance(admitted, Err):
+        return admitted.err_value.code
+    return admitted.ok_value.customer
+
+
+def _create(feed: Feed) -> Gatekeeper:
+    gatekeeper = Gatekeeper(feed, _EVIDENCE_S)
+    gatekeeper._rebuild(feed.configuration)
+    return gatekeeper
+
+
+def _testify(feed: Feed, clock: ManualClock, *pending: Announcement) -> None:
+    for seat in _SEATS[1:]:
+        feed.accept_testimonies(
+            (Given(seat, 1, 2, pending),),
+            clock.monotonic(),
+        )
+
+
+def test_cut_off_host_refuses_keys_and_serves_open_routes(
+    feed: Feed,
+    clock: ManualClock,
+) -> None:
+    gatekeeper = _create(feed)
+    assert _ask(gatekeeper, 'court') == 'court'
+    clock.advance(_EVIDENCE_S + 1)
+    assert _ask(gatekeeper, 'court') == 'key-evidence-stale'
+    assert _ask(gatekeeper, '', '/open') == ''
+
+
+def test_witnesses_keep_keys_honoured(feed: Feed, clock: ManualClock) -> None:
+    gatekeeper = _create(feed)
+    clock.advance(_EVIDENCE_S + 1)
+    _testify(feed, clock)
+    assert _ask(gatekeeper, 'court') == 'court'
+
+
+def test_pending_change_suspends_what_it_names(
+    feed: Feed,
+    clock: ManualClock,
+) -> None:
+    gatekeeper = _create(feed)
+    pending = Announcement('c2', 2, 2, keys=('court',), servers=('s1',))
+    _testify(feed, clock, pending)
+    assert _ask(gatekeeper, 'court') == 'key-suspended'
+    assert _ask(gatekeeper, 'bar') == 'court'
+    servers = gatekeeper.servers['verify']
+    assert [server.name for server in servers] == ['s2']
+    clock.advance(1)
+    _testify(feed, clock)
+    assert _ask(gatekeeper, 'court') == 'court'
