Let administrators replace a lost majority of witnesses

Cause: with a majority of seats gone for good no change could be written, the one that replaces them included; and any operator could edit operators, because the roles that edits need were not asked for. Change: a change may name destroyed witnesses; so many of the others must note it that every possible majority has one of them. The operator and witness tables and destroyed witnesses need the role administer. Before: an operator could make itself administrator. Conclusion: the list of witnesses can always be mended by an administrator.

--- a/crocusshunt/api/_changes.py
+++ b/crocusshunt/api/_changes.py
@@ -14,7 +14,7 @@
     ErrorDocument,
     HistoryDocument,
 )
-from crocusshunt.api._endpoints import Call, register_endpoint
+from crocusshunt.api._endpoints import Call, refuse_role, register_endpoint
 from crocusshunt.configuration import (
     ChangeRequest,
     InvalidChangeError,
@@ -22,20 +22,22 @@
     ReusedChangeIdError,
     RevisionConflictError,
 )
-from crocusshunt.operators import Role
+from crocusshunt.operators import Role, find_needed_role
 from crocusshunt.services import json_response
 
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
 _STATUS_UNAVAILABLE = 503
+_WITNESS_TABLE = 'witness'
+_MAX_DIGITS = 12
 
 
 @register_endpoint('GET', '/v1/changes', Role.read)
 async def show_changes(call: Call) -> web.Response:
     """Return some changes after a revision, oldest first."""
     after = call.request.query.get('after', '0')
-    if not after.isdecimal():
+    if not after.isdecimal() or len(after) > _MAX_DIGITS:
         return respond_bad_request('after: a whole number')
     changes = await call.parts.repository.read_changes(int(after))
     if isinstance(changes, Err):
@@ -64,12 +66,16 @@
         document = msgspec.json.decode(body, type=ChangeDocument)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return respond_bad_request(str(error))
+    refusal = refuse_role(call, _find_needed_role(document))
+    if refusal is not None:
+        return refusal
     proposal = ChangeRequest(
         change_id=document.change_id,
         expected=document.expected,
         author=call.operator.name,
         reason=document.reason,
         edits=document.edits,
+        destroyed=frozenset(document.destroyed),
     )
     parts = call.parts
     await parts.origin.poll()
@@ -84,6 +90,15 @@
     return respond_error(written.err_value, _find_status(written.err_value))
 
 
+def _find_needed_role(document: ChangeDocument) -> Role:
+    is_about_witnesses = bool(document.destroyed) or any(
+        edit.table == _WITNESS_TABLE for edit in document.edits
+    )
+    if is_about_witnesses:
+        return Role.administer
+    return find_needed_role(document.edits)
+
+
 def _find_status(error: ProposalError) -> int:
     if isinstance(error, InvalidChangeError):
         return _STATUS_BAD_REQUEST
--- a/crocusshunt/api/_documents.py
+++ b/crocusshunt/api/_documents.py
@@ -34,12 +34,15 @@
     """A proposed change.
 
     :param expected: revision that the operator had seen.
+    :param destroyed: witnesses whose processes an administrator states to
+        have ended for good; they count neither for nor against the change.
     """
 
     change_id: str
     expected: int
     reason: str
     edits: tuple[EditRequest, ...]
+    destroyed: tuple[str, ...] = ()
 
 
 class AcceptedDocument(msgspec.Struct, frozen=True):
--- a/crocusshunt/api/_endpoints.py
+++ b/crocusshunt/api/_endpoints.py
@@ -97,6 +97,23 @@
         )
 
 
+def refuse_role(call: Call, needed: Role) -> web.Response | None:
+    """Return the refusal of a call that needs more than its endpoint does.
+
+    :param needed: least role that may make this call.
+    """
+    operator = _authorize(call.request, needed, call.parts)
+    if isinstance(operator, Err):
+        return _respond_refusal(operator.err_value)
+    return None
+
+
+def _respond_refusal(error: OperatorError) -> web.Response:
+    is_unknown = isinstance(error, UnknownOperatorError)
+    status = _STATUS_UNAUTHORIZED if is_unknown else _STATUS_FORBIDDEN
+    return respond_error(error, status)
+
+
 def _guard(
     endpoint: Endpoint,
     parts: ApiParts,
@@ -104,10 +121,7 @@
     async def authorize(request: web.Request) -> web.Response:
         operator = _authorize(request, endpoint.needed, parts)
         if isinstance(operator, Err):
-            error = operator.err_value
-            is_unknown = isinstance(error, UnknownOperatorError)
-            status = _STATUS_UNAUTHORIZED if is_unknown else _STATUS_FORBIDDEN
-            return respond_error(error, status)
+            return _respond_refusal(operator.err_value)
         call = Call(request, operator.ok_value, parts)
         return await endpoint.handler(call)
 
--- a/crocusshunt/api/tests/test_endpoints.py
+++ b/crocusshunt/api/tests/test_endpoints.py
@@ -1,18 +1,30 @@
 """Registry of endpoints and who may call them."""
 
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import aiohttp
+import msgspec
 import pytest
 
-from crocusshunt.api import ApiSection, ApiService, ApiSettings
+from crocusshunt.api import (
+    ApiSection,
+    ApiService,
+    ApiSettings,
+    ChangeDocument,
+)
 from crocusshunt.api._endpoints import list_endpoints
+from crocusshunt.configuration import EditRequest, encode_row
 from crocusshunt.core import HostIdentity, ManualClock
 from crocusshunt.keys import digest_key
+from crocusshunt.operators import Operator, Role
+from crocusshunt.routing import Pool, Row, name_table
 from crocusshunt.standin import PlatformService
 from crocusshunt.store import PlatformSettings
+from crocusshunt.witnesses import Witness
 
 _KEY = 'ck_bootstrap_00'
+_OPERATE = 'ck_mina_00'
 
 
 @pytest.fixture
@@ -63,3 +75,48 @@
 def test_endpoints_are_unique() -> None:
     found = [(one.method, one.path) for one in list_endpoints()]
     assert len(found) == len(set(found))
+
+
+async def test_role_of_a_change_depends_on_its_tables(
+    service: ApiService,
+) -> None:
+    rows = (
+        Operator('mina', Role.operate, digest_key(_OPERATE)),
+        Operator('root', Role.administer, digest_key(_KEY)),
+    )
+    first = await _propose(service, _KEY, *rows)
+    assert first == 200
+    pool = Pool('verify')
+    witness = Witness('w', 'tcp://127.0.0.1:1', 'addis', 'addis-a')
+    operator = replace(rows[0], role=Role.administer)
+    assert await _propose(service, _OPERATE, operator) == 403
+    assert await _propose(service, _OPERATE, witness) == 403
+    assert await _propose(service, _OPERATE, pool, destroyed=('w',)) == 403
+    assert await _propose(service, _OPERATE, pool) == 200
+
+
+async def _propose(
+    service: ApiService,
+    key: str,
+    *rows: Row,
+    destroyed: tuple[str, ...] = (),
+) -> int:
+    revision = service.feed.configuration.revision
+    document = ChangeDocument(
+        f'c{revision}',
+        revision,
+        'test',
+        tuple(
+            EditRequest(name_table(row), row.name, encode_row(row))
+            for row in rows
+        ),
+        destroyed,
+    )
+    headers = {'Authorization': f'Bearer {key}'}
+    url = f'{service.url}/v1/changes'
+    body = msgspec.json.encode(document)
+    async with (
+        aiohttp.ClientSession(headers=headers) as session,
+        session.post(url, data=body) as answer,
+    ):
+        return answer.status
--- a/crocusshunt/configuration/_announcing.py
+++ b/crocusshunt/configuration/_announcing.py
@@ -3,10 +3,8 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from result import Result
-
 from crocusshunt.configuration._changes import Change
-from crocusshunt.configuration._errors import Edit, MissingQuorumError
+from crocusshunt.configuration._errors import Edit
 from crocusshunt.configuration._rows import decode_row
 from crocusshunt.routing import Server, ServerState
 from crocusshunt.witnesses import Announcement, Witness
@@ -23,8 +21,40 @@
         self,
         announcement: Announcement,
         witnesses: tuple[Witness, ...],
-    ) -> Result[None, MissingQuorumError]:
-        """Return once a majority of the witnesses has noted a change."""
+    ) -> frozenset[str]:
+        """Return the names of the witnesses that noted a change."""
+
+
+def count_quorum(
+    witnesses: tuple[Witness, ...],
+    noted: frozenset[str],
+    destroyed: frozenset[str],
+) -> int:
+    """Return how many witnesses must note a change.
+
+    A destroyed witness testifies no more, so every majority that vouches
+    consists of the others; it must share one with those that noted.
+
+    :param noted: names of witnesses that noted it, and so are alive.
+    :param destroyed: names of witnesses that are stated to be destroyed.
+
+    >>> seats = tuple(
+    ...     Witness(name, f'tcp://10.0.0.1:{port}', 'addis', 'addis-a')
+    ...     for port, name in enumerate('abcde', start=1)
+    ... )
+    >>> count_quorum(seats, frozenset('a'), frozenset())
+    3
+    >>> count_quorum(seats, frozenset('a'), frozenset('cde'))
+    0
+    >>> count_quorum(seats, frozenset('c'), frozenset('cde'))
+    1
+    """
+    majority = len(witnesses) // 2 + 1
+    gone = destroyed - noted
+    left = sum(one.name not in gone for one in witnesses)
+    if left == len(witnesses):
+        return majority
+    return max(0, left - majority + 1)
 
 
 def describe_change(change: Change, base: int) -> Announcement:
--- a/crocusshunt/configuration/_repository.py
+++ b/crocusshunt/configuration/_repository.py
@@ -2,7 +2,11 @@
 
 from result import Err, Ok, Result
 
-from crocusshunt.configuration._announcing import Announcer, describe_change
+from crocusshunt.configuration._announcing import (
+    Announcer,
+    count_quorum,
+    describe_change,
+)
 from crocusshunt.configuration._changes import Change, Configuration
 from crocusshunt.configuration._errors import (
     BusyHeadError,
@@ -196,7 +200,7 @@
         if isinstance(prepared, Err):
             return prepared
         change = prepared.ok_value
-        announced = await self._announce(change, held, head)
+        announced = await self._announce(request, change, held, head)
         if isinstance(announced, Err):
             return announced
         written = await self._store.transact(plan_writes(change, head))
@@ -206,18 +210,21 @@
 
     async def _announce(
         self,
+        request: ChangeRequest,
         change: Change,
         held: Configuration,
         head: Head,
     ) -> Result[None, MissingQuorumError]:
         witnesses = held.tables.select(Witness)
-        if not witnesses:
-            return Ok(None)
-        if self._announcer is None:
-            needed = len(witnesses) // 2 + 1
-            return Err(MissingQuorumError(change.change_id, 0, needed))
-        announcement = describe_change(change, head.version)
-        return await self._announcer.announce(announcement, witnesses)
+        noted: frozenset[str] = frozenset()
+        if witnesses and self._announcer is not None:
+            announcement = describe_change(change, head.version)
+            noted = await self._announcer.announce(announcement, witnesses)
+        needed = count_quorum(witnesses, noted, request.destroyed)
+        if witnesses and len(noted) < needed:
+            change_id = request.change_id
+            return Err(MissingQuorumError(change_id, len(noted), needed))
+        return Ok(None)
 
     async def _resolve(
         self,
--- a/crocusshunt/configuration/_requests.py
+++ b/crocusshunt/configuration/_requests.py
@@ -31,6 +31,7 @@
     :param change_id: chosen by the operator's program; the same id asks
         again about the same change.
     :param expected: revision that the operator had seen.
+    :param destroyed: names of witnesses whose processes ended for good.
     """
 
     change_id: str
@@ -38,6 +39,7 @@
     author: str
     reason: str
     edits: tuple[EditRequest, ...]
+    destroyed: frozenset[str] = frozenset()
 
 
 def prepare_change(
--- a/crocusshunt/configuration/tests/test_repository.py
+++ b/crocusshunt/configuration/tests/test_repository.py
@@ -1,8 +1,9 @@
 """Changes against faults of the store, of writers and of operators."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from crocusshunt.configuration import (
     BusyHeadError,
@@ -75,15 +76,11 @@
         self,
         announcement: Announcement,
         witnesses: tuple[Witness, ...],
-    ) -> Result[None, MissingQuorumError]:
+    ) -> frozenset[str]:
         self.heard.append(announcement)
         if self.meanwhile is not None:
             await self.meanwhile()
-        needed = len(witnesses) // 2 + 1
-        if self.noted < needed:
-            change_id = announcement.change_id
-            return Err(MissingQuorumError(change_id, self.noted, needed))
-        return Ok(None)
+        return frozenset(one.name for one in witnesses[: self.noted])
 
 
 async def _name_witnesses(store: MemoryPlatform) -> Configuration:
@@ -178,6 +175,19 @@
     assert (await repository.read_head()).unwrap().revision == 1
 
 
+async def test_destroyed_majority_does_not_block_changes() -> None:
+    store = MemoryPlatform()
+    held = await _name_witnesses(store)
+    repository = Repository(store, ManualClock(), _Announcer(noted=1))
+    for destroyed, is_accepted in (({'a'}, False), ({'b', 'c'}, True)):
+        request = replace(
+            _request('c1', 1),
+            destroyed=frozenset(destroyed),
+        )
+        outcome = await repository.propose(request, held)
+        assert outcome.is_ok() == is_accepted, destroyed
+
+
 async def test_fence_meanwhile_is_announced_again() -> None:
     store = MemoryPlatform()
     held = await _name_witnesses(store)
--- a/crocusshunt/replication/_witnessing.py
+++ b/crocusshunt/replication/_witnessing.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from crocusshunt.configuration import Head, MissingQuorumError, Repository
+from crocusshunt.configuration import Head, Repository
 from crocusshunt.core import Clock
 from crocusshunt.messages import (
     AnnounceChange,
@@ -39,16 +39,13 @@
         self,
         announcement: Announcement,
         witnesses: tuple[Witness, ...],
-    ) -> Result[None, MissingQuorumError]:
-        """Return once every witness has answered or failed to."""
+    ) -> frozenset[str]:
+        """Return the names of the witnesses that noted a change."""
         noted = await asyncio.gather(
             *(self._tell(announcement, one.address) for one in witnesses),
         )
-        needed = len(witnesses) // 2 + 1
-        if sum(noted) >= needed:
-            return Ok(None)
-        change_id = announcement.change_id
-        return Err(MissingQuorumError(change_id, sum(noted), needed))
+        answered = zip(witnesses, noted, strict=True)
+        return frozenset(one.name for one, is_noted in answered if is_noted)
 
     async def _tell(self, announcement: Announcement, address: str) -> bool:
         answer = await self._requesters.get(address).ask(
