--- /dev/null
+++ b/crocusshunt/bench/configuration.py
@@ -0,0 +1,183 @@
+"""Spread of changes, withdrawals, and an outage of the store."""
+
+import asyncio
+import random
+import tracemalloc
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+
+from crocusshunt.bench import Measurement, register_bench
+from crocusshunt.bench._simulation import simulate
+from crocusshunt.bench._spread import SpreadFleet, SpreadSettings
+from crocusshunt.configuration import Configuration, Evidence, digest_tables
+from crocusshunt.keys import Key, KeyState, digest_key
+from crocusshunt.messages import ChangeFeed, Codec
+from crocusshunt.replication import POLL_S, Feed
+from crocusshunt.routing import Customer, FailureDomain, Row, Tables
+from crocusshunt.witnesses import Testimony, Witness
+
+_SEED = 41
+_APIS = 6
+_EVIDENCE_S = 4
+_SETTLED_S = 15
+_STEADY_S = 30
+_OUTAGE_S = 3600
+_OUTAGE_HOSTS = 6
+_STEP_S = 0.01
+_GIVE_UP_S = 60
+_ROWS = 20_000
+_APIS_OF_LARGE_FLEET = 70
+_HOSTS_OF_LARGE_FLEET = 1800
+_KEY = Key('court', 'court', digest_key('ck_court_00'))
+
+
+@dataclass(frozen=True, slots=True)
+class _Spread:
+    propagation_s: float
+    withdrawal_s: float
+    messages: int
+    octets: float
+    reads: float
+
+
+def _first_rows(fleet: SpreadFleet, witnesses: int) -> tuple[Row, ...]:
+    seats = (
+        Witness(f'w{place}', address, 'addis', 'addis-a')
+        for place, address in enumerate(fleet.apis[:witnesses])
+    )
+    domain = FailureDomain('addis-a', 'addis')
+    return (domain, Customer('court', 10, 10), _KEY, *seats)
+
+
+async def _start(hosts: int, witnesses: int) -> SpreadFleet:
+    random.seed(_SEED)
+    fleet = SpreadFleet(SpreadSettings(hosts, _APIS))
+    fleet.start()
+    await asyncio.sleep(1)
+    await fleet.accept('c1', *_first_rows(fleet, witnesses))
+    await asyncio.sleep(_SETTLED_S)
+    return fleet
+
+
+def _is_honoured(feed: Feed) -> bool:
+    key = feed.configuration.tables.find(Key, _KEY.name)
+    if key is None or key.state is KeyState.withdrawn:
+        return False
+    if _KEY.name in feed.find_suspension().keys:
+        return False
+    return feed.measure_age() <= _EVIDENCE_S
+
+
+async def _measure_spread(hosts: int) -> _Spread:
+    fleet = await _start(hosts, _APIS - 1)
+    octets = fleet.wire.octets.copy()
+    calls = fleet.store.calls
+    await asyncio.sleep(_STEADY_S)
+    sent = fleet.wire.octets - octets
+    busiest = max(
+        sent[one] + sent[f'gateway-{one}'] for one in fleet.controllers
+    )
+    reads = (fleet.store.calls - calls) / _STEADY_S
+    await fleet.accept('c2', replace(_KEY, state=KeyState.withdrawn))
+    before = fleet.wire.messages
+    withdrawal = await _wait(
+        lambda: not any(_is_honoured(feed) for feed in fleet.gateways),
+    )
+    spread = await _wait(
+        lambda: all(
+            feed.configuration.revision == 2 for feed in fleet.gateways
+        ),
+    )
+    await fleet.stop()
+    return _Spread(
+        propagation_s=withdrawal + spread,
+        withdrawal_s=withdrawal,
+        messages=fleet.wire.messages - before,
+        octets=busiest / _STEADY_S,
+        reads=reads,
+    )
+
+
+async def _wait(predicate: Callable[[], bool]) -> float:
+    steps = 0
+    while not predicate() and steps * _STEP_S < _GIVE_UP_S:
+        await asyncio.sleep(_STEP_S)
+        steps += 1
+    return steps * _STEP_S
+
+
+async def _count_refusals(witnesses: int) -> int:
+    fleet = await _start(_OUTAGE_HOSTS, witnesses)
+    fleet.store.switches.is_down = True
+    refused = 0
+    for _ in range(_OUTAGE_S):
+        await asyncio.sleep(1)
+        refused += sum(not _is_honoured(feed) for feed in fleet.gateways)
+    await fleet.stop()
+    return refused
+
+
+def _measure_row() -> float:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    keys = [
+        Key(f'k{place}', 'court', digest_key(f'ck_k{place}_00'))
+        for place in range(_ROWS)
+    ]
+    held = Configuration(1, '', Tables().put(*keys))
+    keys.clear()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert digest_tables(held.tables)  # noqa: S101
+    return used / _ROWS
+
+
+def _measure_testimony() -> int:
+    codec = Codec()
+    testimony = Testimony('tcp://10.0.0.1:7000', 2600, 5200, age=0.25)
+    evidence = Evidence(2600, 0.25)
+    sizes = [
+        len(codec.encode(ChangeFeed((), evidence, (testimony,) * count)))
+        for count in range(2)
+    ]
+    return sizes[1] - sizes[0]
+
+
+@register_bench('config')
+def measure_configuration() -> Iterator[Measurement]:
+    """Measure the spread at two sizes, an outage and the cost of rows."""
+    for hosts in (10, 100):
+        spread = simulate(_measure_spread(hosts))
+        name = f'config.{hosts}_hosts'
+        figures = (
+            ('propagation', spread.propagation_s, 's', 15),
+            ('withdrawal', spread.withdrawal_s, 's', 5),
+            ('messages', spread.messages, 'messages', None),
+            ('bytes_per_host', spread.octets, 'bytes/s', 15_000),
+            ('store_calls', spread.reads, 'calls/s', 2000),
+        )
+        for suffix, value, unit, target in figures:
+            yield Measurement(
+                f'{name}.{suffix}',
+                round(value, 3),
+                unit,
+                target,
+                seed=_SEED,
+            )
+    yield Measurement(
+        'config.1800_hosts.store_reads_computed',
+        _APIS_OF_LARGE_FLEET / POLL_S,
+        'reads/s',
+        2000,
+        baseline=_HOSTS_OF_LARGE_FLEET / POLL_S,
+    )
+    yield Measurement(
+        'config.outage_refusals',
+        simulate(_count_refusals(_APIS - 1)),
+        f'requests of {_OUTAGE_S * _OUTAGE_HOSTS}',
+        0,
+        baseline=simulate(_count_refusals(0)),
+        seed=_SEED,
+    )
+    yield Measurement('config.testimony', _measure_testimony(), 'bytes')
+    yield Measurement('config.row_memory', round(_measure_row()), 'bytes/row')
