--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -2,10 +2,7 @@
 
 from crocusshunt.messages._bodies import (
     Body,
-    ChangeFeed,
-    FetchChanges,
     Refusal,
-    SnapshotFeed,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -16,6 +13,15 @@
     UnknownKindError,
     UnknownVersionError,
 )
+from crocusshunt.messages._configuration import (
+    AnnounceChange,
+    ChangeFeed,
+    ChangeNoted,
+    FetchChanges,
+    FetchTestimony,
+    GivenTestimony,
+    SnapshotFeed,
+)
 from crocusshunt.messages._errors import (
     PeerRefusalError,
     PeerTimeoutError,
@@ -58,9 +64,11 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'AnnounceChange',
     'Body',
     'BorrowTokens',
     'ChangeFeed',
+    'ChangeNoted',
     'Codec',
     'DamagedMessageError',
     'FencedLease',
@@ -68,6 +76,8 @@
     'FetchHosts',
     'FetchMembers',
     'GatewayHeartbeat',
+    'FetchTestimony',
+    'GivenTestimony',
     'Handlers',
     'HeartbeatNoted',
     'HostList',
--- a/crocusshunt/replication/__init__.py
+++ b/crocusshunt/replication/__init__.py
@@ -1,7 +1,24 @@
 """Spread of the configuration from the store to every process."""
 
+from crocusshunt.replication._archive import SNAPSHOT_NAME, Archive
 from crocusshunt.replication._feed import Feed
 from crocusshunt.replication._follower import Follower, FollowerSettings
-from crocusshunt.replication._origin import Origin
+from crocusshunt.replication._origin import POLL_S, Origin
+from crocusshunt.replication._witnessing import (
+    TestimonyCollector,
+    WitnessAnnouncer,
+    WitnessDesk,
+)
 
-__all__ = ('Feed', 'Follower', 'FollowerSettings', 'Origin')
+__all__ = (
+    'POLL_S',
+    'SNAPSHOT_NAME',
+    'Archive',
+    'Feed',
+    'Follower',
+    'FollowerSettings',
+    'Origin',
+    'TestimonyCollector',
+    'WitnessAnnouncer',
+    'WitnessDesk',
+)
