Measure delivery and requeue requests that no server had room for

Cause: a request shed by several servers was refused although slots came free soon after.

Change: it goes back to the queue at its place; a budget bounds the sheds.

--- /dev/null
+++ b/crocusshunt/bench/_room.py
@@ -0,0 +1,301 @@
+"""Seeded simulation of gateways that compete for slots of servers."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from crocusshunt.delivery import ServerLoads, choose_server, find_choice
+from crocusshunt.routing import Server
+
+SLOT_SHARES = 'slot-shares'
+
+_HISTOGRAM = (1, 60_000_000, 3)
+_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
+_P99 = 99
+_RETRY_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class RoomWorkload:
+    """What is offered to whom.
+
+    :param load: part of all slots that the offered work fills.
+    :param service_s: mean time of one request at a server, in seconds.
+    :param link_s: one-way time between gateway and server, in seconds.
+    :param sheds: attempts at servers without room before a request waits.
+    :param is_adaptive: whether a server that sheds lowers its limit.
+    """
+
+    seed: int
+    requests: int = 20_000
+    gateways: int = 10
+    slots: tuple[int, ...] = (4, 5, 6, 4, 5, 6, 4, 5, 6, 4, 5, 6)
+    load: float = 0.85
+    service_s: float = 0.05
+    link_s: float = 0.001
+    deadline_s: float = 3
+    sheds: int = 4
+    is_adaptive: bool = False
+
+    @property
+    def per_second(self) -> float:
+        """Return the offered rate."""
+        return self.load * sum(self.slots) / self.service_s
+
+
+@dataclass(slots=True)
+class RoomReport:
+    """What the requests saw."""
+
+    waits: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(*_HISTOGRAM),
+    )
+    refused: int = 0
+    sent: int = 0
+    offered: int = 0
+
+    @property
+    def p99_wait_ms(self) -> float:
+        """Return the 99th percentile of the wait for a slot."""
+        wait_us: float = self.waits.get_value_at_percentile(_P99)
+        return wait_us / _MILLISECONDS
+
+    @property
+    def refused_share(self) -> float:
+        """Return the part of the requests that was refused."""
+        return self.refused / self.offered
+
+    @property
+    def sent_per_request(self) -> float:
+        """Return how many attempts one request took."""
+        return self.sent / self.offered
+
+    def note_wait(self, seconds: float) -> None:
+        """Count the wait of a request that got a slot."""
+        self.waits.record_value(max(1, int(seconds * _MICROSECONDS)))
+
+
+class _Events:
+    """Future actions, in the order of their time."""
+
+    def __init__(self) -> None:
+        self.now = float(0)
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+
+    def add(self, delay: float, action: Callable[[], None]) -> None:
+        self._number += 1
+        entry = (self.now + delay, self._number, action)
+        heapq.heappush(self._heap, entry)
+
+    def run(self) -> None:
+        while self._heap:
+            event = heapq.heappop(self._heap)
+            self.now = event[0]
+            event[2]()
+
+
+@dataclass(slots=True)
+class _Request:
+    arrived_at: float
+    tried: set[str] = field(default_factory=set)
+
+
+class _Gateway:
+    """Chooses servers with the product's own code."""
+
+    def __init__(self, fleet: '_Fleet', pool: tuple[Server, ...]) -> None:
+        self.fleet = fleet
+        self.pool = pool
+        self.loads = ServerLoads()
+        self.waiting: deque[_Request] = deque()
+        self._is_scheduled = False
+
+    def arrive(self) -> None:
+        request = _Request(self.fleet.events.now)
+        self.fleet.report.offered += 1
+        if self.waiting or not self.send(request):
+            self.waiting.append(request)
+            self._schedule()
+
+    def send(self, request: _Request) -> bool:
+        untried = [one for one in self.pool if one.name not in request.tried]
+        server = choose_server(
+            untried,
+            self.loads,
+            self.fleet.source,
+            choose=self.fleet.choose,
+        )
+        if server is None:
+            return False
+        self.loads.acquire(server)
+        self.fleet.report.sent += 1
+        link_s = self.fleet.workload.link_s
+        self.fleet.events.add(
+            link_s,
+            lambda: self.fleet.reach(self, server, request),
+        )
+        return True
+
+    def end(self, server: Server, request: _Request | None) -> None:
+        self.loads.release(server)
+        if request is None:
+            self.loads.note_answer(server)
+        else:
+            self._shed(server, request)
+        self.pump()
+
+    def pump(self) -> None:
+        while self.waiting:
+            if self._is_late(self.waiting[0]):
+                self.waiting.popleft()
+                self.fleet.report.refused += 1
+            elif self.send(self.waiting[0]):
+                self.waiting.popleft()
+            else:
+                self._schedule()
+                return
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self.fleet.events.add(_RETRY_S, self._pump_again)
+
+    def _pump_again(self) -> None:
+        self._is_scheduled = False
+        self.pump()
+
+    def _shed(self, server: Server, request: _Request) -> None:
+        if self.fleet.workload.is_adaptive:
+            self.loads.note_shed(server)
+        request.tried.add(server.name)
+        is_over = len(request.tried) >= self.fleet.workload.sheds
+        if is_over or not self.send(request):
+            request.tried.clear()
+            self.waiting.appendleft(request)
+            self._schedule()
+
+    def _is_late(self, request: _Request) -> bool:
+        waited = self.fleet.events.now - request.arrived_at
+        return waited > self.fleet.workload.deadline_s
+
+
+class _Servers:
+    """Slots in use, as the servers themselves know it."""
+
+    def __init__(self, pool: tuple[Server, ...]) -> None:
+        self._free = {server.name: server.slots for server in pool}
+
+    def start(self, server: Server) -> bool:
+        if not self._free[server.name]:
+            return False
+        self._free[server.name] -= 1
+        return True
+
+    def end(self, server: Server) -> None:
+        self._free[server.name] += 1
+
+
+class _Fleet:
+    """Gateways and servers of one simulation."""
+
+    def __init__(self, workload: RoomWorkload, name: str) -> None:
+        self.workload = workload
+        self.events = _Events()
+        self.source = random.Random(workload.seed)
+        self.report = RoomReport()
+        is_shared = name == SLOT_SHARES
+        self.choose = find_choice('least-in-flight' if is_shared else name)
+        pool = tuple(
+            Server(f's{number}', 'p', '127.0.0.1:1', 'r', 'd', slots=slots)
+            for number, slots in enumerate(workload.slots)
+        )
+        self._servers = _Servers(pool)
+        shares = _share_slots(pool, workload.gateways) if is_shared else ()
+        self._gateways = tuple(
+            _Gateway(self, shares[number] if is_shared else pool)
+            for number in range(workload.gateways)
+        )
+
+    def offer(self) -> None:
+        arrivals = random.Random(self.workload.seed + 1)
+        arrival = float(0)
+        for _ in range(self.workload.requests):
+            arrival += arrivals.expovariate(self.workload.per_second)
+            self.events.add(arrival, arrivals.choice(self._gateways).arrive)
+        self.events.run()
+
+    def reach(
+        self,
+        gateway: _Gateway,
+        server: Server,
+        request: _Request,
+    ) -> None:
+        link_s = self.workload.link_s
+        if not self._servers.start(server):
+            self.events.add(link_s, lambda: gateway.end(server, request))
+            return
+        waited = self.events.now - request.arrived_at - link_s
+        self.report.note_wait(waited)
+        service_s = self.source.expovariate(1 / self.workload.service_s)
+        self.events.add(service_s, lambda: self._finish(gateway, server))
+
+    def _finish(self, gateway: _Gateway, server: Server) -> None:
+        self._servers.end(server)
+        self.events.add(
+            self.workload.link_s,
+            lambda: gateway.end(server, None),
+        )
+
+
+def simulate_room(workload: RoomWorkload, name: str) -> RoomReport:
+    """Return what requests see when servers are chosen in one way.
+
+    :param name: a registered choice, or slot shares.
+    """
+    fleet = _Fleet(workload, name)
+    fleet.offer()
+    return fleet.report
+
+
+def simulate_ideal(workload: RoomWorkload) -> RoomReport:
+    """Return what requests see with one queue that knows every slot."""
+    arrivals = random.Random(workload.seed + 1)
+    services = random.Random(workload.seed)
+    report = RoomReport()
+    free_at = [float(0) for _ in range(sum(workload.slots))]
+    arrival = float(0)
+    for _ in range(workload.requests):
+        arrival += arrivals.expovariate(workload.per_second)
+        report.offered += 1
+        starts_at = max(arrival, heapq.heappop(free_at))
+        service_s = services.expovariate(1 / workload.service_s)
+        heapq.heappush(free_at, starts_at + service_s)
+        report.note_wait(starts_at - arrival)
+    return report
+
+
+def _share_slots(
+    pool: tuple[Server, ...],
+    gateways: int,
+) -> list[tuple[Server, ...]]:
+    slots = [server for server in pool for _ in range(server.slots)]
+    return [
+        tuple(
+            Server(
+                server.name,
+                server.pool,
+                server.address,
+                server.region,
+                server.failure_domain,
+                slots=1,
+            )
+            for server in slots[number::gateways]
+        )
+        for number in range(gateways)
+    ]
--- a/crocusshunt/delivery/_queue.py
+++ b/crocusshunt/delivery/_queue.py
@@ -112,8 +112,15 @@
             if displaced is None:
                 return Err(QueueFullError(waiting.customer))
             self.remove(displaced)
-        line = self._lines[waiting.priority]
-        line.setdefault(waiting.customer, deque()).append(waiting)
+        held = self._lines[waiting.priority].setdefault(
+            waiting.customer,
+            deque(),
+        )
+        # A request that comes back from a server without room keeps its turn.
+        if held and waiting.number < held[0].number:
+            held.appendleft(waiting)
+        else:
+            held.append(waiting)
         self._by_number[waiting.number] = waiting
         return Ok(displaced)
 
@@ -121,10 +128,10 @@
         """Remove and return the request whose turn it is."""
         self._takes += 1
         if self._takes % self._settings.aged_turn == 0:
-            oldest = next(iter(self._by_number.values()), None)
-            if oldest and now - oldest.arrived_at >= self._settings.aging_s:
-                self.remove(oldest)
-                return oldest
+            aged = self._find_aged(now)
+            if aged is not None:
+                self.remove(aged)
+                return aged
         for line in self._lines.values():
             if line:
                 return self._take_in_turn(line)
@@ -141,6 +148,13 @@
             line.pop(waiting.customer)
         return True
 
+    def _find_aged(self, now: float) -> Waiting | None:
+        if not self._by_number:
+            return None
+        oldest = self._by_number[min(self._by_number)]
+        is_aged = now - oldest.arrived_at >= self._settings.aging_s
+        return oldest if is_aged else None
+
     def _take_in_turn(self, line: _Line) -> Waiting:
         customer, held = next(iter(line.items()))
         taken = held.popleft()
--- a/crocusshunt/gateway/_dispatch.py
+++ b/crocusshunt/gateway/_dispatch.py
@@ -1,8 +1,8 @@
 """Attempts of one admitted request, within its deadline and budget."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
-from result import Err
+from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
 from crocusshunt.delivery import (
@@ -33,12 +33,15 @@
 
 _MILLISECONDS = 1000
 _MAX_ATTEMPTS = 2
-_MAX_SHED = 4
+_MAX_TRIED = 8
 _STATUS_GATEWAY_TIMEOUT = 504
 _OVERLOADED = 'server-overloaded'
 _DISCONNECTED = 'server-disconnected'
 
 
+_Grant = Result[Server, Outcome]
+
+
 @dataclass(frozen=True, slots=True)
 class Job:
     """An admitted request.
@@ -101,25 +104,40 @@
 
     async def run(self, job: Job) -> Ending:
         """Wait for room, then try until an answer or a final failure."""
-        admission = job.admission
-        account = (admission.customer, admission.route.pool)
-        self._parts.retries.earn(*account)
-        self._parts.sheds.earn(*account)
-        tried: tuple[Server, ...] = ()
-        suspicion: Suspicion | None = None
-        grant = await self._parts.rooms.acquire(_ask_room(job, tried))
-        if isinstance(grant, Err):
-            return Ending(grant.err_value)
-        server: Server | None = grant.ok_value
-        outcome: Outcome = _refuse_late()
-        while server is not None:
+        self._parts.retries.earn(*_name_account(job))
+        self._parts.sheds.earn(*_name_account(job))
+        room = self._ask_room(job)
+        grant: _Grant = await self._parts.rooms.acquire(room)
+        progress = _Progress(room)
+        while isinstance(grant, Ok):
+            server = grant.ok_value
             outcome = await self._attempt(job, server)
-            tried = (*tried, server)
-            suspicion = self._note(job, server, outcome) or suspicion
-            if not self._may_retry(job, outcome, tried):
-                break
-            server = self._parts.rooms.acquire_now(_ask_room(job, tried))
-        return Ending(outcome, suspicion)
+            progress.note(server, outcome)
+            lost = self._note(job, server, outcome)
+            progress.suspicion = lost or progress.suspicion
+            if not self._may_retry(job, progress):
+                return Ending(outcome, progress.suspicion)
+            grant = await self._find_next(progress)
+        return Ending(grant.err_value, progress.suspicion)
+
+    async def _find_next(
+        self, progress: '_Progress'
+    ) -> Result[Server, Outcome]:
+        """Return another server with room.
+
+        A request that no server had room for goes back to the queue, at the
+        place it had; one whose server failed ends.
+        """
+        rooms = self._parts.rooms
+        is_first = len(progress.tried) < _MAX_TRIED
+        room = replace(progress.room, tried=progress.tried)
+        server = rooms.acquire_now(room) if is_first else None
+        if server is not None:
+            return Ok(server)
+        if not _is_overloaded(progress.outcome):
+            return Err(progress.outcome)
+        progress.tried = ()
+        return await rooms.acquire(progress.room)
 
     async def _attempt(self, job: Job, server: Server) -> Outcome:
         try:
@@ -149,7 +167,7 @@
         if isinstance(outcome, Answered):
             state.loads.note_answer(server)
             state.outliers.note_success(server, now)
-        elif getattr(outcome, 'code', '') == _OVERLOADED:
+        elif _is_overloaded(outcome):
             state.loads.note_shed(server)
         elif outcome != _refuse_late():
             state.outliers.note_failure(server, now)
@@ -162,35 +180,67 @@
             server.name,
         )
 
-    def _may_retry(
-        self,
-        job: Job,
-        outcome: Outcome,
-        tried: tuple[Server, ...],
-    ) -> bool:
+    def _may_retry(self, job: Job, progress: '_Progress') -> bool:
+        outcome = progress.outcome
         if not _is_retryable(outcome, job) or not job.body.is_resendable:
             return False
         if self._clock.monotonic() >= job.deadline:
             return False
-        account = (job.admission.customer, job.admission.route.pool)
-        if getattr(outcome, 'code', '') == _OVERLOADED:
-            is_allowed = len(tried) < _MAX_SHED
-            return is_allowed and self._parts.sheds.spend(*account)
-        is_allowed = len(tried) < _MAX_ATTEMPTS
-        return is_allowed and self._parts.retries.spend(*account)
+        if _is_overloaded(outcome):
+            return self._parts.sheds.spend(*_name_account(job))
+        is_allowed = progress.failures < _MAX_ATTEMPTS
+        return is_allowed and self._parts.retries.spend(*_name_account(job))
+
+    def _ask_room(self, job: Job) -> RoomRequest:
+        route = job.admission.route
+        return RoomRequest(
+            self._parts.rooms.create_number(),
+            self._clock.monotonic(),
+            route.pool,
+            job.admission.customer,
+            route.priority,
+            job.deadline,
+        )
 
 
-def _ask_room(job: Job, tried: tuple[Server, ...]) -> RoomRequest:
-    route = job.admission.route
-    return RoomRequest(
-        route.pool,
-        job.admission.customer,
-        route.priority,
-        job.deadline,
-        tried,
+def _refuse_late() -> NotRun:
+    return NotRun(
+        'deadline-exceeded',
+        _STATUS_GATEWAY_TIMEOUT,
+        'the deadline passed before the request was sent',
     )
 
 
+@dataclass(slots=True)
+class _Progress:
+    """What was tried so far.
+
+    :param tried: servers not to be asked again at once.
+    :param failures: attempts that failed, other than for want of room.
+    """
+
+    room: RoomRequest
+    tried: tuple[Server, ...] = ()
+    failures: int = 0
+    outcome: Outcome = field(default_factory=_refuse_late)
+    suspicion: Suspicion | None = None
+
+    def note(self, server: Server, outcome: Outcome) -> None:
+        """Count an attempt."""
+        self.outcome = outcome
+        self.tried = (*self.tried, server)
+        if not _is_overloaded(outcome):
+            self.failures += 1
+
+
+def _name_account(job: Job) -> tuple[str, str]:
+    return job.admission.customer, job.admission.route.pool
+
+
+def _is_overloaded(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.code == _OVERLOADED
+
+
 def _prepare(job: Job, remaining: float) -> ForwardRequest:
     request = job.body.request
     added = (
@@ -225,11 +275,3 @@
     if isinstance(outcome, UnknownOutcome):
         return outcome.code == _DISCONNECTED
     return isinstance(outcome, BrokenOff)
-
-
-def _refuse_late() -> NotRun:
-    return NotRun(
-        'deadline-exceeded',
-        _STATUS_GATEWAY_TIMEOUT,
-        'the deadline passed before the request was sent',
-    )
--- a/crocusshunt/gateway/_rooms.py
+++ b/crocusshunt/gateway/_rooms.py
@@ -35,9 +35,13 @@
     """Who asks for room.
 
     :param deadline: monotonic time by which the request ends.
+    :param number: order of arrival, see :meth:`Rooms.create_number`.
+    :param arrived_at: monotonic time of arrival.
     :param tried: servers that the request was sent to before.
     """
 
+    number: int
+    arrived_at: float
     pool: str
     customer: str
     priority: Priority
@@ -87,6 +91,10 @@
         """Return how many requests wait in all pools."""
         return sum(len(line.queue) for line in self._lines.values())
 
+    def create_number(self) -> int:
+        """Return the number of a request that arrives now."""
+        return next(self._numbers)
+
     async def acquire(self, request: RoomRequest) -> Grant:
         """Return a server with room, in turn, or why there is none."""
         line = self._lines[request.pool]
@@ -132,12 +140,11 @@
         return server
 
     async def _wait(self, line: _Line, request: RoomRequest) -> Grant:
-        now = self._clock.monotonic()
         waiting = Waiting(
-            next(self._numbers),
+            request.number,
             request.customer,
             request.priority,
-            now,
+            request.arrived_at,
             request.deadline,
         )
         offered = line.queue.offer(waiting, line.turn_s)
@@ -163,7 +170,7 @@
         waiting: Waiting,
         line: _Line,
     ) -> Grant:
-        remaining = waiting.deadline - waiting.arrived_at
+        remaining = max(0, waiting.deadline - self._clock.monotonic())
         try:
             await asyncio.wait((future,), timeout=remaining)
         except asyncio.CancelledError:
@@ -197,7 +204,7 @@
     def _pump(self, pool: str) -> None:
         line = self._lines[pool]
         while line.queue:
-            request = RoomRequest(pool, '', Priority.normal, 0)
+            request = RoomRequest(0, 0, pool, '', Priority.normal, 0)
             server = self.acquire_now(request)
             if server is None:
                 return
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -31,8 +31,8 @@
 from crocusshunt.services import HttpService, TaskGroup
 from crocusshunt.store import HttpPlatform
 
-_SHED_RATIO = 0.5
-_SHED_RESERVE = 20
+_SHED_RATIO = 3
+_SHED_RESERVE = 100
 
 
 class GatewayService(HttpService):
--- a/crocusshunt/standin/_backends.py
+++ b/crocusshunt/standin/_backends.py
@@ -14,6 +14,7 @@
 
 _MAX_BODY_BYTES = 67_108_864
 _REQUEST_ID_HEADER = 'X-Request-Id'
+_IDEMPOTENCY_HEADER = 'Idempotency-Key'
 _MILLISECONDS = 1000
 _NEVER_S = 3600
 _STATUS_UNAVAILABLE = 503
@@ -53,11 +54,15 @@
 
 
 class RunCounter:
-    """Counts, over all backend servers, the runs of each request id."""
+    """Counts, over all backend servers, runs by request id and by key.
+
+    The key is the idempotency key.
+    """
 
     def __init__(self) -> None:
         """Start without runs."""
         self.runs: Counter[str] = Counter()
+        self.keys: Counter[str] = Counter()
 
 
 class ReceivedRequest(msgspec.Struct, frozen=True):
@@ -108,6 +113,7 @@
         request_id = request.headers.get(_REQUEST_ID_HEADER, '')
         body = await request.read()
         self.counter.runs[request_id] += 1
+        self.counter.keys[request.headers.get(_IDEMPOTENCY_HEADER, '')] += 1
         if self.switches.poison and self.switches.poison.encode() in body:
             self.crashes += 1
             _abort(request)
