--- /dev/null
+++ b/crocusshunt/bench/_delivery_cost.py
@@ -0,0 +1,174 @@
+"""What delivery costs: added latency, processor time, memory."""
+
+import asyncio
+import resource
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from aiohttp import ClientSession, TCPConnector, web
+from hdrh.histogram import HdrHistogram
+
+from crocusshunt.bench._registry import Measurement
+from crocusshunt.gateway.tests.site import COURT_KEY, Site, run_site
+from crocusshunt.services import HttpService
+from crocusshunt.standin import Fault
+
+_REQUESTS = 3000
+_WARM_UP = 300
+_WAITING = 800
+_SLOTS = 4
+_HISTOGRAM = (1, 60_000_000, 3)
+_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1000
+
+_Call = Callable[[], Awaitable[int]]
+
+
+class _BareForwarder(HttpService):
+    """The simplest forwarding loop, without any promise."""
+
+    def __init__(self, target: str) -> None:
+        super().__init__('127.0.0.1', 0)
+        self._target = target
+        self._session: ClientSession | None = None
+
+    def create_application(self) -> web.Application:
+        """Return an application that takes every path."""
+        application = web.Application()
+        application.router.add_route('*', '/{path:.*}', self._forward)
+        return application
+
+    async def start(self) -> None:
+        """Open the session and listen."""
+        connector = TCPConnector(limit=0)
+        self._session = ClientSession(connector=connector)
+        await super().start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close both sides."""
+        await super().stop(exception)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _forward(self, request: web.Request) -> web.StreamResponse:
+        assert self._session is not None  # noqa: S101
+        url = f'{self._target}{request.path_qs}'
+        async with self._session.get(url) as answer:
+            response = web.StreamResponse(status=answer.status)
+            await response.prepare(request)
+            async for chunk in answer.content.iter_any():
+                await response.write(chunk)
+            return response
+
+
+async def measure_latency() -> list[Measurement]:
+    """Measure the latency and processor time over a bare loop."""
+    async with run_site(servers=3) as site:
+        bare = _BareForwarder(site.backends[0].url)
+        await bare.start()
+        calls = {
+            'direct': _create_call(site, site.backends[0].url),
+            'bare': _create_call(site, bare.url),
+            'gateway': _create_call(site, site.url),
+        }
+        latencies = {name: HdrHistogram(*_HISTOGRAM) for name in calls}
+        seconds = dict.fromkeys(calls, float(0))
+        for number in range(_WARM_UP + _REQUESTS):
+            for name, call in calls.items():
+                spent = time.process_time()
+                started = time.perf_counter()
+                await call()
+                if number >= _WARM_UP:
+                    elapsed = time.perf_counter() - started
+                    latencies[name].record_value(int(elapsed * _MICROSECONDS))
+                    seconds[name] += time.process_time() - spent
+        await bare.stop()
+    return _report_latency(latencies, seconds)
+
+
+async def measure_waiting() -> list[Measurement]:
+    """Measure the memory of a waiting request and its connection.
+
+    Both ends of the connection are in this process, so the figure is more
+    than the gateway's part.
+    """
+    async with run_site(servers=1) as site:
+        site.backends[0].switches.fault = Fault.hang
+        writers = [await _ask(site) for _ in range(_SLOTS)]
+        await asyncio.sleep(0.2)
+        before = _read_memory()
+        for _ in range(_WAITING):
+            writers.append(await _ask(site))
+        await asyncio.sleep(0.2)
+        held = site.gateways[0].in_flight
+        grown = (_read_memory() - before) / _WAITING
+        for writer in writers:
+            writer.close()
+        await asyncio.sleep(0.2)
+    return [
+        Measurement('delivery.memory_per_waiting', round(grown), 'bytes'),
+        Measurement('delivery.memory_per_waiting.held', held, 'requests'),
+    ]
+
+
+def _report_latency(
+    latencies: dict[str, HdrHistogram],
+    seconds: dict[str, float],
+) -> list[Measurement]:
+    measured = []
+    for percentile in (50, 99):
+        at = {
+            name: one.get_value_at_percentile(percentile) / _MILLISECONDS
+            for name, one in latencies.items()
+        }
+        measured.append(
+            Measurement(
+                f'delivery.latency.p{percentile}_added',
+                round(at['gateway'] - at['bare'], 3),
+                'ms',
+                target=1 if percentile == 50 else None,
+                baseline=round(at['bare'], 3),
+            ),
+        )
+    # What the caller and the backend server cost in the same process is
+    # taken off both.
+    rate = {
+        name: _REQUESTS / max(seconds[name] - seconds['direct'], 0.001)
+        for name in ('bare', 'gateway')
+    }
+    measured.append(
+        Measurement(
+            'delivery.requests_per_core',
+            round(rate['gateway']),
+            'requests/s',
+            baseline=round(rate['bare']),
+        ),
+    )
+    return measured
+
+
+def _create_call(site: Site, url: str) -> _Call:
+    async def call() -> int:
+        async with site.session.get(
+            f'{url}/verify/1',
+            headers={'X-Api-Key': COURT_KEY},
+        ) as answer:
+            await answer.read()
+            return answer.status
+
+    return call
+
+
+async def _ask(site: Site) -> asyncio.StreamWriter:
+    port = site.gateways[0].port
+    _reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(
+        b'GET /open/1 HTTP/1.1\r\nHost: a\r\n\r\n',
+    )
+    return writer
+
+
+def _read_memory() -> int:
+    pages = Path('/proc/self/statm').read_text(encoding='ascii').split()[1]
+    return int(pages) * resource.getpagesize()
--- a/crocusshunt/bench/_room.py
+++ b/crocusshunt/bench/_room.py
@@ -3,8 +3,9 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 
@@ -17,7 +18,6 @@
 _MICROSECONDS = 1_000_000
 _MILLISECONDS = 1000
 _P99 = 99
-_RETRY_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +28,7 @@
     :param service_s: mean time of one request at a server, in seconds.
     :param link_s: one-way time between gateway and server, in seconds.
     :param sheds: attempts at servers without room before a request waits.
+    :param retry_s: pause before a waiting request tries again, in seconds.
     :param is_adaptive: whether a server that sheds lowers its limit.
     """
 
@@ -41,6 +42,7 @@
     deadline_s: float = 3
     sheds: int = 4
     is_adaptive: bool = False
+    retry_s: float = 0.01
 
     @property
     def per_second(self) -> float:
@@ -103,6 +105,7 @@
 @dataclass(slots=True)
 class _Request:
     arrived_at: float
+    service_s: float
     tried: set[str] = field(default_factory=set)
 
 
@@ -116,8 +119,8 @@
         self.waiting: deque[_Request] = deque()
         self._is_scheduled = False
 
-    def arrive(self) -> None:
-        request = _Request(self.fleet.events.now)
+    def arrive(self, service_s: float) -> None:
+        request = _Request(self.fleet.events.now, service_s)
         self.fleet.report.offered += 1
         if self.waiting or not self.send(request):
             self.waiting.append(request)
@@ -164,7 +167,7 @@
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
-            self.fleet.events.add(_RETRY_S, self._pump_again)
+            self.fleet.events.add(self.fleet.workload.retry_s, self._pump_again)
 
     def _pump_again(self) -> None:
         self._is_scheduled = False
@@ -223,11 +226,9 @@
         )
 
     def offer(self) -> None:
-        arrivals = random.Random(self.workload.seed + 1)
-        arrival = float(0)
-        for _ in range(self.workload.requests):
-            arrival += arrivals.expovariate(self.workload.per_second)
-            self.events.add(arrival, arrivals.choice(self._gateways).arrive)
+        for arrival, service_s in draw_arrivals(self.workload):
+            gateway = self.source.choice(self._gateways)
+            self.events.add(arrival, partial(gateway.arrive, service_s))
         self.events.run()
 
     def reach(
@@ -242,8 +243,10 @@
             return
         waited = self.events.now - request.arrived_at - link_s
         self.report.note_wait(waited)
-        service_s = self.source.expovariate(1 / self.workload.service_s)
-        self.events.add(service_s, lambda: self._finish(gateway, server))
+        self.events.add(
+            request.service_s,
+            lambda: self._finish(gateway, server),
+        )
 
     def _finish(self, gateway: _Gateway, server: Server) -> None:
         self._servers.end(server)
@@ -253,6 +256,18 @@
         )
 
 
+def draw_arrivals(workload: RoomWorkload) -> Iterator[tuple[float, float]]:
+    """Yield the time of each arrival and its time at a server.
+
+    Every way to choose sees the same work.
+    """
+    source = random.Random(workload.seed)
+    arrival = float(0)
+    for _ in range(workload.requests):
+        arrival += source.expovariate(workload.per_second)
+        yield arrival, source.expovariate(1 / workload.service_s)
+
+
 def simulate_room(workload: RoomWorkload, name: str) -> RoomReport:
     """Return what requests see when servers are chosen in one way.
 
@@ -265,16 +280,11 @@
 
 def simulate_ideal(workload: RoomWorkload) -> RoomReport:
     """Return what requests see with one queue that knows every slot."""
-    arrivals = random.Random(workload.seed + 1)
-    services = random.Random(workload.seed)
     report = RoomReport()
     free_at = [float(0) for _ in range(sum(workload.slots))]
-    arrival = float(0)
-    for _ in range(workload.requests):
-        arrival += arrivals.expovariate(workload.per_second)
+    for arrival, service_s in draw_arrivals(workload):
         report.offered += 1
         starts_at = max(arrival, heapq.heappop(free_at))
-        service_s = services.expovariate(1 / workload.service_s)
         heapq.heappush(free_at, starts_at + service_s)
         report.note_wait(starts_at - arrival)
     return report
--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -1,6 +1,15 @@
 """The process that passes callers' requests to backend servers."""
 
 from crocusshunt.gateway._service import GatewayService
-from crocusshunt.gateway._settings import GatewaySection, GatewaySettings
+from crocusshunt.gateway._settings import (
+    DeliveryPolicy,
+    GatewaySection,
+    GatewaySettings,
+)
 
-__all__ = ('GatewaySection', 'GatewayService', 'GatewaySettings')
+__all__ = (
+    'DeliveryPolicy',
+    'GatewaySection',
+    'GatewayService',
+    'GatewaySettings',
+)
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -8,12 +8,9 @@
 
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.delivery import (
-    BudgetSettings,
     Claimant,
-    EjectionSettings,
     Forwarder,
     OutlierDetector,
-    QueueSettings,
     RetryBudget,
     ServerLoads,
 )
@@ -24,16 +21,13 @@
 from crocusshunt.gateway._handling import Desk, RequestHandler
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._rooms import Rooms, ServerState
-from crocusshunt.gateway._settings import GatewaySettings
+from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.messages import RequesterPool
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import HttpService, TaskGroup
 from crocusshunt.store import HttpPlatform
 
-_SHED_RATIO = 3
-_SHED_RESERVE = 100
-
 
 class GatewayService(HttpService):
     """Admits requests and forwards them."""
@@ -43,8 +37,10 @@
         settings: GatewaySettings,
         clock: Clock,
         source: random.Random,
+        policy: DeliveryPolicy | None = None,
     ) -> None:
         """Assemble the parts; nothing runs yet."""
+        self._policy = policy or DeliveryPolicy()
         section = settings.gateway
         super().__init__(section.address, section.port)
         self._tasks = TaskGroup()
@@ -153,16 +149,18 @@
     ) -> Dispatcher:
         state = ServerState(
             ServerLoads(),
-            OutlierDetector(EjectionSettings()),
+            OutlierDetector(self._policy.ejection),
+        )
+        rooms = Rooms(
+            gatekeeper, state, self._clock, source, self._policy.queue
         )
-        rooms = Rooms(gatekeeper, state, self._clock, source, QueueSettings())
         parts = DispatchParts(
             rooms,
             state,
             self._forwarder,
             self._board,
-            retries=RetryBudget(BudgetSettings()),
-            sheds=RetryBudget(BudgetSettings(_SHED_RATIO, _SHED_RESERVE)),
+            retries=RetryBudget(self._policy.retries),
+            sheds=RetryBudget(self._policy.sheds),
         )
         return Dispatcher(parts, self._clock)
 
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -1,8 +1,13 @@
 """Settings of the gateway."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusshunt.core import HostIdentity
+from crocusshunt.delivery import (
+    BudgetSettings,
+    EjectionSettings,
+    QueueSettings,
+)
 from crocusshunt.store import PlatformSettings
 
 
@@ -33,3 +38,19 @@
     host: HostIdentity
     gateway: GatewaySection
     platform: PlatformSettings
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryPolicy:
+    """How requests wait, are retried, and servers are left out.
+
+    :param retries: budget for attempts after a failure.
+    :param sheds: budget for attempts after a server had no room.
+    """
+
+    queue: QueueSettings = field(default_factory=QueueSettings)
+    ejection: EjectionSettings = field(default_factory=EjectionSettings)
+    retries: BudgetSettings = field(default_factory=BudgetSettings)
+    sheds: BudgetSettings = field(
+        default_factory=lambda: BudgetSettings(ratio=3, reserve=100),
+    )
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -11,7 +11,12 @@
 from crocusshunt.configuration import Edit, Evidence, encode_row
 from crocusshunt.core import Clock, HostIdentity, Identifiers, SystemClock
 from crocusshunt.delivery import NotRun
-from crocusshunt.gateway import GatewaySection, GatewayService, GatewaySettings
+from crocusshunt.gateway import (
+    DeliveryPolicy,
+    GatewaySection,
+    GatewayService,
+    GatewaySettings,
+)
 from crocusshunt.gateway._handling import RequestHandler
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.keys import Key, digest_key
@@ -105,6 +110,7 @@
     platform: PlatformService,
     name: str = 'h1',
     clock: Clock | None = None,
+    policy: DeliveryPolicy | None = None,
 ) -> GatewayService:
     clock = clock or SystemClock()
     section = GatewaySection(
@@ -123,6 +129,7 @@
         ),
         clock,
         random.Random(name),
+        policy,
     )
     handler = service._handler
     identifiers = Identifiers(random.Random(f'{name}-requests'))
@@ -175,6 +182,7 @@
     servers: int = 3,
     gateways: int = 1,
     clock: Clock | None = None,
+    policy: DeliveryPolicy | None = None,
 ) -> AsyncIterator[Site]:
     platform = PlatformService(_LOOPBACK, 0)
     await platform.start()
@@ -187,7 +195,7 @@
         backends.append(backend)
     started = []
     for number in range(gateways):
-        gateway = create_gateway(platform, f'h{number}', clock)
+        gateway = create_gateway(platform, f'h{number}', clock, policy)
         await gateway.start()
         configure(gateway, list_rows(backends))
         started.append(gateway)
