--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -98,14 +98,14 @@
         admission = await self._admit(inspected.ok_value)
         if isinstance(admission, Err):
             return respond_failure(admission.err_value, request_id)
-        route = admission.ok_value.route
+        granted_ms = _grant_time(inspected.ok_value, admission.ok_value)
         job = Job(
             request_id=request_id,
             inspected=inspected.ok_value,
             admission=admission.ok_value,
             body=Body(request),
             reply=Reply(request, request_id, self._desk.in_flight),
-            deadline=started_at + route.deadline_ms / _MILLISECONDS,
+            deadline=started_at + granted_ms / _MILLISECONDS,
         )
         return await self._deliver(job)
 
@@ -217,6 +217,11 @@
             await self._desk.ledger.record(held, known, answer)
 
 
+def _grant_time(inspected: Inspected, admission: Admission) -> int:
+    longest_ms = admission.route.deadline_ms
+    return min(longest_ms, inspected.deadline_ms or longest_ms)
+
+
 def _needs_claim(job: Job) -> bool:
     admission = job.admission
     is_owned = bool(admission.customer and job.inspected.idempotency_key)
--- a/crocusshunt/gateway/_inspection.py
+++ b/crocusshunt/gateway/_inspection.py
@@ -7,6 +7,7 @@
 
 from crocusshunt.core import IPAddress, parse_address
 from crocusshunt.delivery import (
+    DEADLINE_HEADER,
     IDEMPOTENCY_HEADER,
     NormalPath,
     NotRun,
@@ -20,6 +21,7 @@
 _STATUS_EXPECTATION_FAILED = 417
 _MAX_IDEMPOTENCY_CHARACTERS = 255
 _CONTINUE = '100-continue'
+_MAX_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,11 +30,14 @@
 
     :param target: path and query for the backend server, without keys.
     :param idempotency_key: empty where the request has none.
+    :param deadline_ms: time that the caller grants, in milliseconds, None
+        where it says none.
     """
 
     ask: Ask
     target: str
     idempotency_key: str
+    deadline_ms: int | None
 
 
 def inspect_request(request: web.Request) -> Result[Inspected, NotRun]:
@@ -73,9 +78,16 @@
         ),
         target=f'{path.raw}?{kept}' if kept else path.raw,
         idempotency_key=request.headers.get(IDEMPOTENCY_HEADER, ''),
+        deadline_ms=_read_deadline(request),
     )
 
 
+def _read_deadline(request: web.Request) -> int | None:
+    granted = request.headers.get(DEADLINE_HEADER, '')
+    is_number = granted.isascii() and granted.isdecimal()
+    return int(granted) if is_number and len(granted) <= _MAX_DIGITS else None
+
+
 def _check_headers(request: web.Request) -> NotRun | None:
     headers = request.headers
     if len(headers.getall('Host', ())) != 1:
--- a/crocusshunt/gateway/_rooms.py
+++ b/crocusshunt/gateway/_rooms.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from collections import defaultdict
 from dataclasses import dataclass, field
 from itertools import count
@@ -66,6 +66,17 @@
     outliers: OutlierDetector
 
 
+@dataclass(frozen=True, slots=True)
+class RoomSettings:
+    """Where room is looked for and how requests wait for it.
+
+    :param region: region of this host; its servers come first.
+    """
+
+    region: str
+    queue: QueueSettings
+
+
 class Rooms:
     """Grants room, at once or in turn."""
 
@@ -75,16 +86,17 @@
         state: ServerState,
         clock: Clock,
         source: random.Random,
-        settings: QueueSettings,
+        settings: RoomSettings,
     ) -> None:
         """Start with nobody waiting."""
+        self._region = settings.region
         self._gatekeeper = gatekeeper
         self._state = state
         self._clock = clock
         self._source = source
         self._numbers = count(1)
         self._lines: defaultdict[str, _Line] = defaultdict(
-            lambda: _Line(WaitingQueue(settings)),
+            lambda: _Line(WaitingQueue(settings.queue)),
         )
 
     def count_waiting(self) -> int:
@@ -127,17 +139,27 @@
         if server.pool in self._lines:
             self._pump(server.pool)
 
-    def _choose(self, servers: Iterable[Server], now: float) -> Server | None:
+    def _choose(self, servers: Sequence[Server], now: float) -> Server | None:
+        near = [one for one in servers if one.region == self._region]
+        chosen = self._choose_among(near, now)
+        if chosen is None and len(near) < len(servers):
+            chosen = self._choose_among(servers, now)
+        if chosen is not None:
+            self._state.loads.acquire(chosen)
+        return chosen
+
+    def _choose_among(
+        self,
+        servers: Iterable[Server],
+        now: float,
+    ) -> Server | None:
         state = self._state
-        server = choose_server(
+        return choose_server(
             servers,
             state.loads,
             self._source,
             lambda one: state.outliers.scale(one, now),
         )
-        if server is not None:
-            state.loads.acquire(server)
-        return server
 
     async def _wait(self, line: _Line, request: RoomRequest) -> Grant:
         waiting = Waiting(
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -16,11 +16,12 @@
 )
 from crocusshunt.gateway._admission import Gatekeeper
 from crocusshunt.gateway._claiming import ClaimLedger
+from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
 from crocusshunt.gateway._limits import Limiter
-from crocusshunt.gateway._rooms import Rooms, ServerState
+from crocusshunt.gateway._rooms import Rooms, RoomSettings, ServerState
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.messages import RequesterPool
@@ -56,6 +57,7 @@
         self._clock = clock
         self._platform = HttpPlatform(settings.platform)
         self._board = SuspectBoard(self._platform, clock)
+        self._sweeper = ClaimSweeper(self._platform, clock)
         self._in_flight = InFlight()
         self._drain_hooks: list[DrainHook] = []
         self._forwarder = Forwarder()
@@ -95,6 +97,7 @@
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
         self._tasks.start(self._board.run())
+        self._tasks.start(self._sweeper.run())
         await super().start()
 
     async def begin_drain(self) -> None:
@@ -151,9 +154,8 @@
             ServerLoads(),
             OutlierDetector(self._policy.ejection),
         )
-        rooms = Rooms(
-            gatekeeper, state, self._clock, source, self._policy.queue
-        )
+        settings = RoomSettings(self._settings.host.region, self._policy.queue)
+        rooms = Rooms(gatekeeper, state, self._clock, source, settings)
         parts = DispatchParts(
             rooms,
             state,
--- a/crocusshunt/gateway/tests/test_claims.py
+++ b/crocusshunt/gateway/tests/test_claims.py
@@ -19,8 +19,10 @@
     ClaimLedger,
     ClaimRequest,
 )
+from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway.tests.site import BAR_KEY, run_site
 from crocusshunt.standin import Fault, MemoryPlatform
+from crocusshunt.store import Query
 
 
 @pytest.fixture
@@ -97,6 +99,19 @@
     assert isinstance(await other.claim(_request('r2')), Ok)
 
 
+async def test_sweeper_removes_only_what_expired_long_ago(
+    store: MemoryPlatform, clock: ManualClock
+) -> None:
+    await _ledger(store, clock, 'h1').claim(_request('r1'))
+    sweeper = ClaimSweeper(store, clock)
+    clock.epoch += CLAIM_LIFETIME_S * 2
+    await sweeper.sweep()
+    assert (await store.query(Query('claim'))).unwrap()
+    clock.epoch += 1
+    await sweeper.sweep()
+    assert not (await store.query(Query('claim'))).unwrap()
+
+
 async def test_claim_after_the_deadline_is_not_inserted(
     store: MemoryPlatform, clock: ManualClock
 ) -> None:
--- a/crocusshunt/gateway/tests/test_faults.py
+++ b/crocusshunt/gateway/tests/test_faults.py
@@ -181,6 +181,41 @@
         await asyncio.gather(*slow)
 
 
+async def test_servers_of_the_own_region_come_first() -> None:
+    async with run_site() as site:
+        rows = [
+            replace(row, region='dire')
+            if isinstance(row, Server) and row.name != 's1'
+            else row
+            for row in list_rows(site.backends)
+        ]
+        configure(site.gateways[0], rows)
+        slow = [
+            asyncio.create_task(_get_json(site, '/verify/1?sleep_ms=200'))
+            for _ in range(6)
+        ]
+        received = [answer[1]['server'] for answer in await _gather(slow)]
+        assert received.count('s1') == 4
+
+
+async def _gather(
+    calls: list[asyncio.Task[tuple[int, dict[str, object]]]],
+) -> list[tuple[int, dict[str, object]]]:
+    return list(await asyncio.gather(*calls))
+
+
+async def test_caller_may_shorten_the_deadline() -> None:
+    async with run_site(servers=1) as site:
+        async with site.session.get(
+            f'{site.url}/verify/1?fault=hang',
+            headers={'X-Api-Key': COURT_KEY, 'X-Request-Deadline-Ms': '100'},
+        ) as answer:
+            assert answer.status == 504
+        _status, received = await _get_json(site, '/verify/1')
+        headers = dict(received['headers'])  # type: ignore[call-overload]
+        assert 1000 < int(headers['X-Request-Deadline-Ms']) <= 2000
+
+
 async def test_leaving_server_gets_no_new_work() -> None:
     async with run_site() as site:
         rows = [
