--- a/crocusshunt/bench/_delivery_load.py
+++ b/crocusshunt/bench/_delivery_load.py
@@ -22,7 +22,7 @@
     """Measure requests sent for each offered, half a pool down."""
     sent, answered = await _offer_to_half_a_pool(DeliveryPolicy())
     naive = DeliveryPolicy(
-        ejection=EjectionSettings(greatest_share=0),
+        ejection=EjectionSettings(failures=1_000_000),
         retries=BudgetSettings(ratio=1, reserve=1000),
     )
     naive_sent, naive_answered = await _offer_to_half_a_pool(naive)
--- a/crocusshunt/bench/delivery.py
+++ b/crocusshunt/bench/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Iterable, Iterator
+from dataclasses import replace
 
 from crocusshunt.bench._delivery_cost import measure_latency, measure_waiting
 from crocusshunt.bench._delivery_load import (
@@ -13,7 +14,12 @@
     measure_stops,
 )
 from crocusshunt.bench._registry import Measurement, register_bench
-from crocusshunt.bench._room import RoomWorkload, simulate_ideal, simulate_room
+from crocusshunt.bench._room import (
+    SLOT_SHARES,
+    RoomWorkload,
+    simulate_ideal,
+    simulate_room,
+)
 from crocusshunt.delivery import list_choices
 from crocusshunt.services import create_loop
 
@@ -51,8 +57,13 @@
         'ms',
         seed=_SEED,
     )
-    for name in (*list_choices(), 'slot-shares'):
-        seen = simulate_room(workload, name)
+    adaptive = replace(workload, is_adaptive=True)
+    ways = [
+        *((name, name, workload) for name in (*list_choices(), SLOT_SHARES)),
+        *((f'{name}-adaptive', name, adaptive) for name in list_choices()),
+    ]
+    for name, choice, offered in ways:
+        seen = simulate_room(offered, choice)
         yield Measurement(
             f'delivery.room.{name}.p99_wait',
             round(seen.p99_wait_ms, 1),
--- a/crocusshunt/gateway/_dispatch.py
+++ b/crocusshunt/gateway/_dispatch.py
@@ -1,72 +1,40 @@
 """Attempts of one admitted request, within its deadline and budget."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
 from crocusshunt.delivery import (
-    CUSTOMER_HEADER,
-    DEADLINE_HEADER,
-    REQUEST_ID_HEADER,
     Answered,
     Attempt,
-    BrokenOff,
     Forwarder,
-    ForwardRequest,
-    NotRun,
     Outcome,
     RetryBudget,
     Suspicion,
-    UnknownOutcome,
-    fingerprint_request,
-    prepare_request_headers,
 )
-from crocusshunt.gateway._admission import Admission
-from crocusshunt.gateway._bodies import Body
-from crocusshunt.gateway._claiming import HeldClaim
-from crocusshunt.gateway._inspection import Inspected
-from crocusshunt.gateway._relay import Reply
-from crocusshunt.gateway._rooms import RoomRequest, Rooms, ServerState
+from crocusshunt.gateway._jobs import (
+    Ending,
+    Job,
+    Progress,
+    is_loss,
+    is_overloaded,
+    is_retryable,
+    name_account,
+    prepare_forward,
+    refuse_late,
+)
+from crocusshunt.gateway._picking import RoomRequest, ServerState
+from crocusshunt.gateway._rooms import Rooms
 from crocusshunt.gateway._suspects import SuspectBoard
-from crocusshunt.routing import RetryClass, Server
+from crocusshunt.routing import Server
 
-_MILLISECONDS = 1000
 _MAX_ATTEMPTS = 2
 _MAX_TRIED = 8
-_STATUS_GATEWAY_TIMEOUT = 504
-_OVERLOADED = 'server-overloaded'
-_DISCONNECTED = 'server-disconnected'
-
 
 _Grant = Result[Server, Outcome]
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
-    """An admitted request.
-
-    :param deadline: monotonic time by which it ends.
-    :param held: its claim, if it has one.
-    """
-
-    request_id: str
-    inspected: Inspected
-    admission: Admission
-    body: Body
-    reply: Reply
-    deadline: float
-    held: HeldClaim | None = None
-
-    def fingerprint(self) -> str:
-        """Return the digest of the request, without its keys."""
-        return fingerprint_request(
-            self.inspected.ask.method,
-            self.inspected.target,
-            self.body.digest(),
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class DispatchParts:
     """What attempts need.
@@ -83,17 +51,6 @@
     sheds: RetryBudget
 
 
-@dataclass(frozen=True, slots=True)
-class Ending:
-    """How a request ended.
-
-    :param suspicion: set where it seems to have crashed a server.
-    """
-
-    outcome: Outcome
-    suspicion: Suspicion | None = None
-
-
 class Dispatcher:
     """Runs jobs at backend servers."""
 
@@ -104,11 +61,11 @@
 
     async def run(self, job: Job) -> Ending:
         """Wait for room, then try until an answer or a final failure."""
-        self._parts.retries.earn(*_name_account(job))
-        self._parts.sheds.earn(*_name_account(job))
+        self._parts.retries.earn(*name_account(job))
+        self._parts.sheds.earn(*name_account(job))
         room = self._ask_room(job)
         grant: _Grant = await self._parts.rooms.acquire(room)
-        progress = _Progress(room)
+        progress = Progress(room)
         while isinstance(grant, Ok):
             server = grant.ok_value
             outcome = await self._attempt(job, server)
@@ -120,9 +77,7 @@
             grant = await self._find_next(progress)
         return Ending(grant.err_value, progress.suspicion)
 
-    async def _find_next(
-        self, progress: '_Progress'
-    ) -> Result[Server, Outcome]:
+    async def _find_next(self, progress: Progress) -> Result[Server, Outcome]:
         """Return another server with room.
 
         A request that no server had room for goes back to the queue, at the
@@ -134,7 +89,7 @@
         server = rooms.acquire_now(room) if is_first else None
         if server is not None:
             return Ok(server)
-        if not _is_overloaded(progress.outcome):
+        if not is_overloaded(progress.outcome):
             return Err(progress.outcome)
         progress.tried = ()
         return await rooms.acquire(progress.room)
@@ -148,8 +103,8 @@
     async def _send(self, job: Job, server: Server) -> Outcome:
         remaining = job.deadline - self._clock.monotonic()
         if remaining <= 0 or self._is_claim_over(job):
-            return _refuse_late()
-        request = _prepare(job, remaining)
+            return refuse_late()
+        request = prepare_forward(job, remaining)
         attempt = Attempt(server, request, job.reply.relay)
         return await self._parts.forwarder.send(attempt)
 
@@ -167,11 +122,11 @@
         if isinstance(outcome, Answered):
             state.loads.note_answer(server)
             state.outliers.note_success(server, now)
-        elif _is_overloaded(outcome):
+        elif is_overloaded(outcome):
             state.loads.note_shed(server)
-        elif outcome != _refuse_late():
+        elif outcome != refuse_late():
             state.outliers.note_failure(server, now)
-        if not _is_loss(outcome):
+        if not is_loss(outcome):
             return None
         customer = job.admission.customer
         return self._parts.board.note_loss(
@@ -180,16 +135,16 @@
             server.name,
         )
 
-    def _may_retry(self, job: Job, progress: '_Progress') -> bool:
+    def _may_retry(self, job: Job, progress: Progress) -> bool:
         outcome = progress.outcome
-        if not _is_retryable(outcome, job) or not job.body.is_resendable:
+        if not is_retryable(outcome, job) or not job.body.is_resendable:
             return False
         if self._clock.monotonic() >= job.deadline:
             return False
-        if _is_overloaded(outcome):
-            return self._parts.sheds.spend(*_name_account(job))
+        if is_overloaded(outcome):
+            return self._parts.sheds.spend(*name_account(job))
         is_allowed = progress.failures < _MAX_ATTEMPTS
-        return is_allowed and self._parts.retries.spend(*_name_account(job))
+        return is_allowed and self._parts.retries.spend(*name_account(job))
 
     def _ask_room(self, job: Job) -> RoomRequest:
         route = job.admission.route
@@ -201,77 +156,3 @@
             route.priority,
             job.deadline,
         )
-
-
-def _refuse_late() -> NotRun:
-    return NotRun(
-        'deadline-exceeded',
-        _STATUS_GATEWAY_TIMEOUT,
-        'the deadline passed before the request was sent',
-    )
-
-
-@dataclass(slots=True)
-class _Progress:
-    """What was tried so far.
-
-    :param tried: servers not to be asked again at once.
-    :param failures: attempts that failed, other than for want of room.
-    """
-
-    room: RoomRequest
-    tried: tuple[Server, ...] = ()
-    failures: int = 0
-    outcome: Outcome = field(default_factory=_refuse_late)
-    suspicion: Suspicion | None = None
-
-    def note(self, server: Server, outcome: Outcome) -> None:
-        """Count an attempt."""
-        self.outcome = outcome
-        self.tried = (*self.tried, server)
-        if not _is_overloaded(outcome):
-            self.failures += 1
-
-
-def _name_account(job: Job) -> tuple[str, str]:
-    return job.admission.customer, job.admission.route.pool
-
-
-def _is_overloaded(outcome: Outcome) -> bool:
-    return isinstance(outcome, NotRun) and outcome.code == _OVERLOADED
-
-
-def _prepare(job: Job, remaining: float) -> ForwardRequest:
-    request = job.body.request
-    added = (
-        (REQUEST_ID_HEADER, job.request_id),
-        (CUSTOMER_HEADER, job.admission.customer),
-        (DEADLINE_HEADER, str(int(remaining * _MILLISECONDS))),
-    )
-    ask = job.inspected.ask
-    return ForwardRequest(
-        request_id=job.request_id,
-        method=ask.method,
-        target=job.inspected.target,
-        headers=prepare_request_headers(request.headers, added, ask.keys),
-        body=job.body.open(),
-        timeout_s=remaining,
-        is_repeatable=_is_repeatable(job),
-    )
-
-
-def _is_retryable(outcome: Outcome, job: Job) -> bool:
-    if isinstance(outcome, NotRun):
-        return job.admission.route.retry is not RetryClass.never
-    return isinstance(outcome, UnknownOutcome) and _is_repeatable(job)
-
-
-def _is_repeatable(job: Job) -> bool:
-    route = job.admission.route
-    return route.idempotent and route.retry is RetryClass.idempotent
-
-
-def _is_loss(outcome: Outcome) -> bool:
-    if isinstance(outcome, UnknownOutcome):
-        return outcome.code == _DISCONNECTED
-    return isinstance(outcome, BrokenOff)
--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -8,9 +8,6 @@
 
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.delivery import (
-    Answered,
-    BrokenOff,
-    ClaimState,
     NotRun,
     Outcome,
     RecordedAnswer,
@@ -18,24 +15,20 @@
 )
 from crocusshunt.gateway._admission import Admission, Gatekeeper
 from crocusshunt.gateway._bodies import Body, take_body
-from crocusshunt.gateway._claiming import (
-    ClaimLedger,
-    ClaimRequest,
-    HeldClaim,
-    Refusal,
-)
-from crocusshunt.gateway._dispatch import Dispatcher, Ending, Job
+from crocusshunt.gateway._claiming import Refusal
+from crocusshunt.gateway._dispatch import Dispatcher
 from crocusshunt.gateway._draining import DrainPhase, InFlight
 from crocusshunt.gateway._inspection import Inspected, inspect_request
+from crocusshunt.gateway._jobs import Job
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._relay import (
     Reply,
     respond_failure,
     respond_recorded,
 )
+from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.logs import log_event
-from crocusshunt.services import TaskGroup
 
 _MILLISECONDS = 1000
 _STATUS_REQUEST_TIMEOUT = 408
@@ -49,11 +42,10 @@
 
     gatekeeper: Gatekeeper
     limiter: Limiter
-    ledger: ClaimLedger
+    settlement: Settlement
     board: SuspectBoard
     dispatcher: Dispatcher
     in_flight: InFlight
-    tasks: TaskGroup
 
 
 class RequestHandler:
@@ -129,7 +121,7 @@
             return respond_failure(quarantined, job.request_id)
         if not _needs_claim(job):
             return await self._finish(job)
-        claimed = await self._claim(job)
+        claimed = await self._desk.settlement.claim(job)
         if isinstance(claimed, Err):
             return _respond_refusal(claimed.err_value, job.request_id)
         return await self._finish(replace(job, held=claimed.ok_value))
@@ -157,65 +149,21 @@
             return None
         return self._desk.board.check(customer, job.fingerprint())
 
-    async def _claim(self, job: Job) -> Result[HeldClaim, Refusal]:
-        request = ClaimRequest(
-            job.admission.customer,
-            job.inspected.idempotency_key,
-            job.fingerprint(),
-            job.request_id,
-            job.deadline,
-        )
-        claimed = await self._desk.ledger.claim(request)
-        if isinstance(claimed, Err) and _is_undecided(claimed.err_value):
-            self._desk.tasks.start(self._desk.ledger.withdraw(request))
-        return claimed
-
     async def _finish(self, job: Job) -> web.StreamResponse:
         try:
             ending = await self._desk.dispatcher.run(job)
         except asyncio.CancelledError:
-            self._record_later(job, ClaimState.unknown)
+            self._desk.settlement.record_unknown(job)
             _log_end(job, 'Cancelled')
             raise
         except Exception:
             job.reply.break_off()
-            self._record_later(job, ClaimState.unknown)
+            self._desk.settlement.record_unknown(job)
             raise
-        await self._settle(job, ending)
+        await self._desk.settlement.settle(job, ending)
         _log_end(job, type(ending.outcome).__name__)
         return _respond(job, ending.outcome)
 
-    async def _settle(self, job: Job, ending: Ending) -> None:
-        outcome, board = ending.outcome, self._desk.board
-        if isinstance(outcome, NotRun) and job.held is not None:
-            # Before the answer, so that the caller may repeat at once.
-            await self._desk.ledger.record(job.held, ClaimState.released)
-        elif isinstance(outcome, Answered | BrokenOff):
-            self._record_later(job, ClaimState.answered)
-        else:
-            self._record_later(job, ClaimState.unknown)
-        if isinstance(outcome, Answered):
-            if board.has_suspects(job.admission.customer):
-                customer = job.admission.customer
-                await board.forget(customer, job.fingerprint())
-        elif ending.suspicion is not None:
-            await board.share(ending.suspicion)
-
-    def _record_later(self, job: Job, state: ClaimState) -> None:
-        if job.held is not None:
-            self._desk.tasks.start(self._record(job.held, job, state))
-
-    async def _record(
-        self,
-        held: HeldClaim,
-        job: Job,
-        state: ClaimState,
-    ) -> None:
-        answer = job.reply.record()
-        known = state if answer is None else ClaimState.answered
-        with self._desk.in_flight.track(f'{job.request_id}-record'):
-            await self._desk.ledger.record(held, known, answer)
-
 
 def _grant_time(inspected: Inspected, admission: Admission) -> int:
     longest_ms = admission.route.deadline_ms
@@ -228,10 +176,6 @@
     return is_owned and not admission.route.idempotent
 
 
-def _is_undecided(refusal: Refusal) -> bool:
-    return isinstance(refusal, NotRun) and refusal.code == 'claim-unavailable'
-
-
 def _log_end(job: Job, outcome: str) -> None:
     log_event(
         'request ended',
--- a/crocusshunt/gateway/_rooms.py
+++ b/crocusshunt/gateway/_rooms.py
@@ -1,8 +1,6 @@
 """Room at the backend servers of each pool, and the wait for it."""
 
 import asyncio
-import random
-from collections.abc import Iterable, Sequence
 from collections import defaultdict
 from dataclasses import dataclass, field
 from itertools import count
@@ -12,14 +10,11 @@
 from crocusshunt.core import Clock
 from crocusshunt.delivery import (
     NotRun,
-    OutlierDetector,
     QueueSettings,
-    ServerLoads,
     Waiting,
     WaitingQueue,
-    choose_server,
 )
-from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._picking import RoomRequest, ServerPicker
 from crocusshunt.routing import Priority, Server
 
 _STATUS_UNAVAILABLE = 503
@@ -30,25 +25,6 @@
 Grant = Result[Server, NotRun]
 
 
-@dataclass(frozen=True, slots=True)
-class RoomRequest:
-    """Who asks for room.
-
-    :param deadline: monotonic time by which the request ends.
-    :param number: order of arrival, see :meth:`Rooms.create_number`.
-    :param arrived_at: monotonic time of arrival.
-    :param tried: servers that the request was sent to before.
-    """
-
-    number: int
-    arrived_at: float
-    pool: str
-    customer: str
-    priority: Priority
-    deadline: float
-    tried: tuple[Server, ...] = ()
-
-
 @dataclass(slots=True)
 class _Line:
     queue: WaitingQueue
@@ -58,45 +34,21 @@
     is_scheduled: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ServerState:
-    """What this gateway saw of the servers."""
-
-    loads: ServerLoads
-    outliers: OutlierDetector
-
-
-@dataclass(frozen=True, slots=True)
-class RoomSettings:
-    """Where room is looked for and how requests wait for it.
-
-    :param region: region of this host; its servers come first.
-    """
-
-    region: str
-    queue: QueueSettings
-
-
 class Rooms:
     """Grants room, at once or in turn."""
 
     def __init__(
         self,
-        gatekeeper: Gatekeeper,
-        state: ServerState,
+        picker: ServerPicker,
         clock: Clock,
-        source: random.Random,
-        settings: RoomSettings,
+        settings: QueueSettings,
     ) -> None:
         """Start with nobody waiting."""
-        self._region = settings.region
-        self._gatekeeper = gatekeeper
-        self._state = state
+        self._picker = picker
         self._clock = clock
-        self._source = source
         self._numbers = count(1)
         self._lines: defaultdict[str, _Line] = defaultdict(
-            lambda: _Line(WaitingQueue(settings.queue)),
+            lambda: _Line(WaitingQueue(settings)),
         )
 
     def count_waiting(self) -> int:
@@ -111,56 +63,21 @@
         """Return a server with room, in turn, or why there is none."""
         line = self._lines[request.pool]
         if not line.queue:
-            server = self.acquire_now(request)
+            server = self._picker.acquire(request)
             if server is not None:
                 return Ok(server)
         return await self._wait(line, request)
 
     def acquire_now(self, request: RoomRequest) -> Server | None:
-        """Return a server with room, if there is one at once.
-
-        Servers tried before are left out; other failure domains than
-        theirs come first.
-        """
-        servers = self._gatekeeper.servers.get(request.pool, ())
-        now = self._clock.monotonic()
-        is_open = self._state.outliers.select_open(servers, now)
-        if not request.tried:
-            return self._choose(is_open, now)
-        names = {server.name for server in request.tried}
-        domains = {server.failure_domain for server in request.tried}
-        untried = [one for one in is_open if one.name not in names]
-        apart = [one for one in untried if one.failure_domain not in domains]
-        return self._choose(apart, now) or self._choose(untried, now)
+        """Return a server with room, if there is one at once."""
+        return self._picker.acquire(request)
 
     def release(self, server: Server) -> None:
         """Give back room, and grant it to the next in turn."""
-        self._state.loads.release(server)
+        self._picker.release(server)
         if server.pool in self._lines:
             self._pump(server.pool)
 
-    def _choose(self, servers: Sequence[Server], now: float) -> Server | None:
-        near = [one for one in servers if one.region == self._region]
-        chosen = self._choose_among(near, now)
-        if chosen is None and len(near) < len(servers):
-            chosen = self._choose_among(servers, now)
-        if chosen is not None:
-            self._state.loads.acquire(chosen)
-        return chosen
-
-    def _choose_among(
-        self,
-        servers: Iterable[Server],
-        now: float,
-    ) -> Server | None:
-        state = self._state
-        return choose_server(
-            servers,
-            state.loads,
-            self._source,
-            lambda one: state.outliers.scale(one, now),
-        )
-
     async def _wait(self, line: _Line, request: RoomRequest) -> Grant:
         waiting = Waiting(
             request.number,
@@ -227,7 +144,7 @@
         line = self._lines[pool]
         while line.queue:
             request = RoomRequest(0, 0, pool, '', Priority.normal, 0)
-            server = self.acquire_now(request)
+            server = self._picker.acquire(request)
             if server is None:
                 return
             self._grant(line, server)
@@ -237,7 +154,7 @@
         waiting = line.queue.take(now)
         future = line.granted.get(waiting.number) if waiting else None
         if future is None or future.done():
-            self._state.loads.release(server)
+            self._picker.release(server)
             return
         future.set_result(Ok(server))
         gap = min(now - line.taken_at, _LEAST_RETRY_S)
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -21,7 +21,9 @@
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
 from crocusshunt.gateway._limits import Limiter
-from crocusshunt.gateway._rooms import Rooms, RoomSettings, ServerState
+from crocusshunt.gateway._picking import ServerPicker, ServerState
+from crocusshunt.gateway._rooms import Rooms
+from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.messages import RequesterPool
@@ -138,11 +140,15 @@
         return Desk(
             gatekeeper,
             limiter,
-            ClaimLedger(self._platform, self._clock, owner),
+            Settlement(
+                ClaimLedger(self._platform, self._clock, owner),
+                self._board,
+                self._in_flight,
+                self._tasks,
+            ),
             self._board,
             self._create_dispatcher(gatekeeper, identifiers.source),
             self._in_flight,
-            self._tasks,
         )
 
     def _create_dispatcher(
@@ -154,8 +160,14 @@
             ServerLoads(),
             OutlierDetector(self._policy.ejection),
         )
-        settings = RoomSettings(self._settings.host.region, self._policy.queue)
-        rooms = Rooms(gatekeeper, state, self._clock, source, settings)
+        picker = ServerPicker(
+            gatekeeper,
+            state,
+            self._clock,
+            source,
+            self._settings.host.region,
+        )
+        rooms = Rooms(picker, self._clock, self._policy.queue)
         parts = DispatchParts(
             rooms,
             state,
--- a/crocusshunt/gateway/tests/test_faults.py
+++ b/crocusshunt/gateway/tests/test_faults.py
@@ -194,16 +194,11 @@
             asyncio.create_task(_get_json(site, '/verify/1?sleep_ms=200'))
             for _ in range(6)
         ]
-        received = [answer[1]['server'] for answer in await _gather(slow)]
+        answers = await asyncio.gather(*slow)
+        received = [answer[1]['server'] for answer in answers]
         assert received.count('s1') == 4
 
 
-async def _gather(
-    calls: list[asyncio.Task[tuple[int, dict[str, object]]]],
-) -> list[tuple[int, dict[str, object]]]:
-    return list(await asyncio.gather(*calls))
-
-
 async def test_caller_may_shorten_the_deadline() -> None:
     async with run_site(servers=1) as site:
         async with site.session.get(
