Answer look-ups by compact tables kept up by difference

Cause: the table of blocks was a dictionary rebuilt with each change, and each look-up hashed every host. Change: for each prefix length a sorted array of networks and one of site numbers, in chunks; a change moves one chunk. Hosts stand on a ring for each failure domain, so a look-up hashes the caller once. Look-ups take the route (its pool's regions count in the order) and the customer, and carry an entity tag; a wrong name or address is refused with a type. Only a trusted forwarder names another client. Suspect hosts are listed last, lost ones never. Ruled out: flattened ranges (a gap after each block costs 6 more bytes, nested blocks cannot be removed by difference).

--- a/crocusshunt/locator/_service.py
+++ b/crocusshunt/locator/_service.py
@@ -2,54 +2,26 @@
 
 from typing import Any
 
-import msgspec
 from aiohttp import web
-from result import Err, Result
-
-from crocusshunt.configuration import Configuration
-from crocusshunt.membership import HostTable
-from crocusshunt.core import (
-    Clock,
-    InvalidAddressError,
-    IPAddress,
-    parse_address,
+from result import Err
+
+from crocusshunt.core import Clock, CrocusError
+from crocusshunt.locator._clients import Origin, find_client
+from crocusshunt.locator._lookups import (
+    LookupAnswer,
+    LookupQuestion,
+    Lookups,
+    NoHostsError,
 )
 from crocusshunt.locator._settings import LocatorSettings
+from crocusshunt.membership import HostTable
 from crocusshunt.messages import RequesterPool
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.routing import Block, Link
 from crocusshunt.services import HttpService, TaskGroup, json_response
-from crocusshunt.steering import (
-    BlockTable,
-    Caller,
-    Directory,
-    measure_delays,
-    rank_hosts,
-)
 
+_STATUS_NOT_MODIFIED = 304
 _STATUS_BAD_REQUEST = 400
 _STATUS_UNAVAILABLE = 503
-_LISTED_HOSTS = 4
-
-
-class ListedHost(msgspec.Struct, frozen=True):
-    """An entry host in an answer."""
-
-    name: str
-    region: str
-    failure_domain: str
-    url: str
-
-
-class LookupAnswer(msgspec.Struct, frozen=True):
-    """Entry hosts in the order in which a caller should try them.
-
-    :param lifetime_s: how long the answer may be kept, in seconds.
-    """
-
-    hosts: tuple[ListedHost, ...]
-    lifetime_s: int
-    revision: int
 
 
 class LocatorService(HttpService):
@@ -70,9 +42,8 @@
             self._requesters,
             clock,
         )
-        self._blocks = BlockTable(())
-        self._delays = measure_delays(())
-        self.feed.listen(self._rebuild)
+        self.lookups = Lookups(self.hosts, settings.locator.lifetime_s)
+        self.feed.listen(self.lookups.accept)
 
     def create_application(self) -> web.Application:
         """Return the look-up application."""
@@ -92,51 +63,42 @@
         await self._tasks.stop()
         self._requesters.close()
 
-    def _rebuild(self, configuration: Configuration) -> None:
-        tables = configuration.tables
-        self._blocks = BlockTable(tables.select(Block))
-        self._delays = measure_delays(tables.select(Link))
-
     async def _answer(self, request: web.Request) -> web.Response:
-        client = self._find_client(request)
-        if isinstance(client, Err):
-            error = client.err_value
-            return json_response(
-                {'code': error.code, 'detail': error.describe()},
-                _STATUS_BAD_REQUEST,
-            )
-        address = client.ok_value
-        caller = Caller(str(address), self._blocks.find_region(address))
-        directory = Directory(self.hosts.hosts, self._delays)
-        hosts = rank_hosts(directory, caller)[:_LISTED_HOSTS]
-        if not hosts:
-            return json_response(
-                {'code': 'no-hosts', 'detail': 'no entry host is known'},
-                _STATUS_UNAVAILABLE,
-                {'Retry-After': '1'},
-            )
-        listed = tuple(
-            ListedHost(
-                host.name,
-                host.region,
-                host.failure_domain,
-                host.gateway,
-            )
-            for host in hosts
+        origin = Origin(
+            request.remote or '',
+            request.headers.get('X-Forwarded-For', ''),
+            request.query.get('client', ''),
         )
-        lifetime = self._settings.lifetime_s
-        revision = self.feed.configuration.revision
-        return json_response(
-            LookupAnswer(listed, lifetime, revision),
-            headers={'Cache-Control': f'private, max-age={lifetime}'},
+        client = find_client(origin, self._settings.trusted_forwarders)
+        if isinstance(client, Err):
+            return _refuse(client.err_value)
+        answer = self.lookups.answer(
+            LookupQuestion(
+                client.ok_value,
+                request.query.get('route', ''),
+                request.query.get('customer', ''),
+            ),
         )
-
-    def _find_client(
-        self,
-        request: web.Request,
-    ) -> Result[IPAddress, InvalidAddressError]:
-        peer = request.remote or ''
-        forwarded = request.headers.get('X-Forwarded-For', '')
-        if forwarded and peer in self._settings.trusted_forwarders:
-            return parse_address(forwarded.split(',')[-1].strip())
-        return parse_address(peer)
+        if isinstance(answer, Err):
+            return _refuse(answer.err_value)
+        return _respond(answer.ok_value, request)
+
+
+def _respond(answer: LookupAnswer, request: web.Request) -> web.Response:
+    tag = answer.compute_tag()
+    headers = {
+        'Cache-Control': f'private, max-age={answer.lifetime_s}',
+        'ETag': tag,
+    }
+    if request.headers.get('If-None-Match') == tag:
+        return web.Response(status=_STATUS_NOT_MODIFIED, headers=headers)
+    return json_response(answer, headers=headers)
+
+
+def _refuse(error: CrocusError) -> web.Response:
+    document = {'code': error.code, 'detail': error.describe()}
+    if isinstance(error, NoHostsError):
+        headers = {'Retry-After': '1', 'Cache-Control': 'no-store'}
+        return json_response(document, _STATUS_UNAVAILABLE, headers)
+    headers = {'Cache-Control': 'no-store'}
+    return json_response(document, _STATUS_BAD_REQUEST, headers)
--- a/crocusshunt/membership/_hosts.py
+++ b/crocusshunt/membership/_hosts.py
@@ -20,7 +20,10 @@
 
 
 class HostTable:
-    """Keeps the newest list of hosts from the first source that answers."""
+    """Keeps the newest list of hosts from the first source that answers.
+
+    :ivar version: grows with each list that differs from the one before.
+    """
 
     def __init__(
         self,
@@ -30,6 +33,7 @@
         """Start without hosts."""
         self.hosts: tuple[HostEntry, ...] = ()
         self.suspects: frozenset[str] = frozenset()
+        self.version = 0
         self._sources = sources
         self._requesters = requesters
 
@@ -56,8 +60,11 @@
 
         :param listing: the hosts, and which of them may have failed.
         """
-        self.hosts = listing.hosts
-        self.suspects = frozenset(listing.suspects)
+        suspects = frozenset(listing.suspects)
+        if (listing.hosts, suspects) != (self.hosts, self.suspects):
+            self.hosts = listing.hosts
+            self.suspects = suspects
+            self.version += 1
 
     def find_live(self) -> tuple[HostEntry, ...]:
         """Return the hosts that are not known to be leaving."""
--- a/crocusshunt/steering/_blocks.py
+++ b/crocusshunt/steering/_blocks.py
@@ -1,9 +1,38 @@
 """Blocks of client addresses."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
-from crocusshunt.core import IPAddress, parse_network
+from crocusshunt.core import IPAddress, IPNetwork, parse_network
 from crocusshunt.routing import Block
+from crocusshunt.steering._prefixes import PrefixMap
+
+_IPV4 = 4
+_IPV6 = 6
+_KEY_BITS = 64
+_KEY_TYPES: Mapping[int, str] = {_IPV4: 'I', _IPV6: 'Q'}
+
+
+class _LongPrefixes:
+    """Networks of more than 64 bits, rare and kept in a dictionary."""
+
+    def __init__(self) -> None:
+        self._numbers: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._numbers)
+
+    def get(self, key: int) -> int | None:
+        return self._numbers.get(key)
+
+    def put(self, key: int, number: int) -> None:
+        self._numbers[key] = number
+
+    def remove(self, key: int) -> None:
+        self._numbers.pop(key, None)
+
+    def measure_bytes(self) -> int:
+        entry_bytes = 144
+        return len(self._numbers) * entry_bytes
 
 
 class BlockTable:
@@ -15,28 +44,95 @@
     'addis'
     """
 
-    def __init__(self, blocks: Iterable[Block]) -> None:
+    def __init__(self, blocks: Iterable[Block] = ()) -> None:
         """Index checked blocks."""
-        self._regions: dict[tuple[int, int, int], str] = {}
+        self._sites: list[str] = []
+        self._numbers: dict[str, int] = {}
+        self._maps: dict[tuple[int, int], PrefixMap | _LongPrefixes] = {}
+        self._lengths: dict[int, tuple[int, ...]] = {_IPV4: (), _IPV6: ()}
         for block in blocks:
-            network = parse_network(block.prefix).unwrap()
+            self.put(block)
+
+    def put(self, block: Block) -> None:
+        """Add a block, or change its region."""
+        network = parse_network(block.prefix).unwrap()
+        self.put_network(network, block.region)
+
+    def put_network(self, network: IPNetwork, site: str) -> None:
+        """Add a network, or change its site."""
+        place = (network.version, network.prefixlen)
+        self.put_address(place, int(network.network_address), site)
+
+    def put_address(
+        self,
+        place: tuple[int, int],
+        first: int,
+        site: str,
+    ) -> None:
+        """Add a network given by its first address.
+
+        :param place: IP version and length of the prefix in bits.
+        :param first: first address of the network, as a number.
+        """
+        number = self._numbers.setdefault(site, len(self._sites))
+        if number == len(self._sites):
+            self._sites.append(site)
+        version, length = place
+        if place not in self._maps:
+            self._maps[place] = _create_map(version, length)
+            self._lengths[version] = self._list_lengths(version)
+        self._maps[place].put(_shorten(version, length, first), number)
+
+    def remove(self, block: Block) -> None:
+        """Remove a block; an absent one is passed over."""
+        network = parse_network(block.prefix).unwrap()
+        prefixes = self._maps.get((network.version, network.prefixlen))
+        if prefixes is not None:
             first = int(network.network_address)
-            place = (network.version, network.prefixlen, first)
-            self._regions[place] = block.region
-        self._lengths = tuple(
-            sorted({place[:2] for place in self._regions}, reverse=True),
-        )
+            key = _shorten(network.version, network.prefixlen, first)
+            prefixes.remove(key)
 
     def find_region(self, client: IPAddress) -> str:
         """Return the region of a client, empty if no block holds it."""
+        version = client.version
         number = int(client)
-        bits = client.max_prefixlen
-        for version, length in self._lengths:
-            if version != client.version:
-                continue
-            host_bits = bits - length
+        for length in self._lengths[version]:
+            host_bits = client.max_prefixlen - length
             first = (number >> host_bits) << host_bits
-            region = self._regions.get((version, length, first))
-            if region is not None:
-                return region
+            key = _shorten(version, length, first)
+            site = self._maps[version, length].get(key)
+            if site is not None:
+                return self._sites[site]
         return ''
+
+    def update(self, before: Iterable[Block], after: Iterable[Block]) -> None:
+        """Replace some blocks by others, leaving all the rest as it is."""
+        for gone in before:
+            self.remove(gone)
+        for block in after:
+            self.put(block)
+
+    def measure_bytes(self) -> int:
+        """Return the memory held by the networks, in bytes."""
+        return sum(one.measure_bytes() for one in self._maps.values())
+
+    def count(self) -> int:
+        """Return the number of networks."""
+        return sum(len(one) for one in self._maps.values())
+
+    def _list_lengths(self, version: int) -> tuple[int, ...]:
+        lengths = (place[1] for place in self._maps if place[0] == version)
+        return tuple(sorted(lengths, reverse=True))
+
+
+def _create_map(version: int, length: int) -> PrefixMap | _LongPrefixes:
+    if length > _KEY_BITS:
+        return _LongPrefixes()
+    return PrefixMap(_KEY_TYPES[version])
+
+
+def _shorten(version: int, length: int, first: int) -> int:
+    """Return the part of a network's address that distinguishes it."""
+    if version == _IPV6 and length <= _KEY_BITS:
+        return first >> _KEY_BITS
+    return first
--- a/crocusshunt/steering/_lookup.py
+++ b/crocusshunt/steering/_lookup.py
@@ -1,34 +1,136 @@
 """Order of the entry hosts for a caller."""
 
-from collections.abc import Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
+from hashlib import blake2b
+from itertools import chain, islice, zip_longest
 
-from crocusshunt.core import rank_by_rendezvous
 from crocusshunt.routing import Link
 from crocusshunt.store import HostEntry, HostState
 
+_POINTS = 64
+_MOST_HOSTS = 4096
+_DIGEST_BYTES = 8
+_UNKNOWN_DELAY_MS = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Caller:
     """Who asks for entry hosts.
 
-    :param identity: stable text of the caller, such as its address.
+    :param identity: stable text of the caller, such as its address and
+        customer.
     :param region: region nearest to it, empty if unknown.
+    :param targets: regions with backend servers for its route, empty if it
+        named none.
     """
 
     identity: str
     region: str
+    targets: frozenset[str] = frozenset()
+
+
+class _Ring:
+    """Hosts of one failure domain on a consistent-hashing ring.
+
+    Reference: D. Karger et al., "Consistent hashing and random trees",
+    STOC 1997.
+    """
+
+    def __init__(self, hosts: Iterable[HostEntry]) -> None:
+        points = sorted(
+            (point, host) for host in hosts for point in _list_points(host.name)
+        )
+        self._points = [point for point, _ in points]
+        self._hosts = [host for _, host in points]
+
+    def walk(self, key: int) -> Iterator[HostEntry]:
+        """Yield each host once, in the ring's order from a key."""
+        start = bisect_left(self._points, key)
+        seen = set()
+        for host in chain(
+            islice(self._hosts, start, None), islice(self._hosts, start)
+        ):
+            if host.name not in seen:
+                seen.add(host.name)
+                yield host
 
 
-@dataclass(frozen=True, slots=True)
 class Directory:
-    """Hosts and distances that answers are made from.
+    """Orders the usable hosts for callers.
 
-    :param delays_ms: one-way delay by source and target region.
+    >>> host = HostEntry('h1', 'addis', 'addis-a', 'http://h1', '')
+    >>> directory = Directory((host,), {})
+    >>> [host.name for host in directory.rank(Caller('10.0.0.1', 'addis'), 4)]
+    ['h1']
     """
 
-    hosts: tuple[HostEntry, ...]
-    delays_ms: Mapping[tuple[str, str], float]
+    def __init__(
+        self,
+        hosts: Iterable[HostEntry],
+        delays_ms: Mapping[tuple[str, str], float],
+        suspects: Collection[str] = (),
+    ) -> None:
+        """Index the hosts.
+
+        :param hosts: known hosts; the leaving ones are never ranked.
+        :param delays_ms: one-way delay by source and target region.
+        :param suspects: names of hosts that are ranked after all others.
+        """
+        self._delays_ms = delays_ms
+        live = [host for host in hosts if host.state is HostState.live]
+        trusted = [host for host in live if host.name not in suspects]
+        self._rings = _create_rings(trusted)
+        self._fallback = _create_rings(
+            host for host in live if host.name in suspects
+        )
+        self._orders: dict[tuple[str, frozenset[str]], tuple[str, ...]] = {}
+
+    def rank(self, caller: Caller, count: int) -> tuple[HostEntry, ...]:
+        """Return the hosts for a caller, the one to try first leading.
+
+        Near regions come first; within a region the failure domains take
+        turns. The order is stable for the caller, and a host that comes or
+        goes moves only the callers that it serves.
+
+        :param count: greatest number of hosts.
+        """
+        key = _hash(caller.identity)
+        regions = self._order_regions(caller)
+        hosts = chain.from_iterable(
+            _spread(rings[region], key)
+            for rings in (self._rings, self._fallback)
+            for region in regions
+            if region in rings
+        )
+        return tuple(islice(hosts, count))
+
+    def _order_regions(self, caller: Caller) -> tuple[str, ...]:
+        place = (caller.region, caller.targets)
+        order = self._orders.get(place)
+        if order is None:
+            regions = {*self._rings, *self._fallback}
+            order = tuple(
+                sorted(regions, key=lambda name: self._weigh(caller, name)),
+            )
+            self._orders[place] = order
+        return order
+
+    def _weigh(self, caller: Caller, region: str) -> tuple[float, float, str]:
+        """Return the delay to the servers, to the region, and its name."""
+        first_ms = self._measure(caller.region, region)
+        onward_ms = min(
+            (self._measure(region, target) for target in caller.targets),
+            default=0,
+        )
+        return first_ms + onward_ms, first_ms, region
+
+    def _measure(self, source: str, target: str) -> float:
+        if source == target:
+            return 0
+        return self._delays_ms.get((source, target), _UNKNOWN_DELAY_MS)
 
 
 def measure_delays(links: Iterable[Link]) -> dict[tuple[str, str], float]:
@@ -36,42 +138,33 @@
     return {(link.source, link.target): link.delay_ms for link in links}
 
 
-def rank_hosts(directory: Directory, caller: Caller) -> tuple[HostEntry, ...]:
-    """Return the live hosts for a caller, the one to try first leading.
+def _create_rings(
+    hosts: Iterable[HostEntry],
+) -> dict[str, tuple[_Ring, ...]]:
+    grouped: dict[str, dict[str, list[HostEntry]]] = {}
+    for host in hosts:
+        domains = grouped.setdefault(host.region, {})
+        domains.setdefault(host.failure_domain, []).append(host)
+    return {
+        region: tuple(_Ring(domains[name]) for name in sorted(domains))
+        for region, domains in grouped.items()
+    }
 
-    Near regions come first. Within a region the order is a rendezvous
-    ranking, stable for the caller, rearranged so that neighbours in the
-    list lie in different failure domains where possible.
-    """
-    live = [host for host in directory.hosts if host.state is HostState.live]
-    by_name = {host.name: host for host in live}
-    ranked = [
-        by_name[name] for name in rank_by_rendezvous(caller.identity, by_name)
-    ]
-    regions = sorted(
-        {host.region for host in live},
-        key=lambda region: (_measure(directory, caller, region), region),
-    )
-    return tuple(
-        host
-        for region in regions
-        for host in _spread([one for one in ranked if one.region == region])
-    )
-
-
-def _measure(directory: Directory, caller: Caller, region: str) -> float:
-    if region == caller.region:
-        return 0
-    pair = (caller.region, region)
-    return directory.delays_ms.get(pair, float('inf'))
-
-
-def _spread(hosts: list[HostEntry]) -> list[HostEntry]:
+
+def _spread(rings: tuple[_Ring, ...], key: int) -> Iterator[HostEntry]:
     """Take one host of each failure domain in turn."""
-    rounds: dict[str, int] = {}
-    placed: list[tuple[int, int, HostEntry]] = []
-    for position, host in enumerate(hosts):
-        turn = rounds.get(host.failure_domain, 0)
-        rounds[host.failure_domain] = turn + 1
-        placed.append((turn, position, host))
-    return [place[-1] for place in sorted(placed)]
+    start = key % len(rings)
+    turned = rings[start:] + rings[:start]
+    walks = [ring.walk(key) for ring in turned]
+    for turn in zip_longest(*walks):
+        yield from (host for host in turn if host is not None)
+
+
+@lru_cache(maxsize=_MOST_HOSTS)
+def _list_points(name: str) -> tuple[int, ...]:
+    return tuple(_hash(f'{name}\0{point}') for point in range(_POINTS))
+
+
+def _hash(text: str) -> int:
+    digest = blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, 'big')
