Move load between regions by shifts, and empty parts by drains

Cause: operators could only set a server's state; nothing moved load in steps. Change: a shift is a row; each step is a change of it, conditional on the revision that it was decided from, with an id that is the same on every host. So the host that takes over continues, and one that wakes late either finds the step done or meets a conflict. The pace counts from when a host first saw the last step, so clocks need not agree. Measurements that are missing, older than the last step or contradictory hold a step. A drain is a row for a server, pool, host, failure domain or region. Look-ups leave drained hosts out; a preview names the receivers and refuses without room unless the row overrides it. The end is called safe only after a count taken past the last possible start, or after the longest deadline. Conclusion: shifts stay frozen until gateways report their load.

--- a/crocusshunt/controller/__init__.py
+++ b/crocusshunt/controller/__init__.py
@@ -5,5 +5,12 @@
     ControllerSection,
     ControllerSettings,
 )
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 
-__all__ = ('ControllerSection', 'ControllerService', 'ControllerSettings')
+__all__ = (
+    'ControllerSection',
+    'ControllerService',
+    'ControllerSettings',
+    'ShiftRunner',
+    'ShiftSources',
+)
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -5,8 +5,10 @@
 
 from aiomisc import Service
 
+from crocusshunt.configuration import Repository
 from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
 from crocusshunt.core import Clock
 from crocusshunt.messages import (
@@ -16,8 +18,10 @@
     Replier,
     RequesterPool,
 )
+from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
+from crocusshunt.steering import Readings
 
 
 class ControllerService(Service):
@@ -37,6 +41,7 @@
             random.SystemRandom(),
         )
         self.hosts = self.membership.hosts
+        self.readings = Readings()
         self._follower = Follower(
             FollowerSettings(settings.controller.sources),
             self.feed,
@@ -50,6 +55,7 @@
             self._requesters,
             clock,
         )
+        self._shifts = self._create_shift_runner(clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -58,6 +64,7 @@
         self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
+        self._tasks.start(self._shifts.run())
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Announce the stop, stop all tasks and close all sockets."""
@@ -67,6 +74,20 @@
         self.membership.close()
         self._requesters.close()
 
+    def _create_shift_runner(self, clock: Clock) -> ShiftRunner:
+        relay = RelaySettings(self._settings.controller.sources)
+        sources = ShiftSources(
+            lambda: self.feed.configuration,
+            lambda: tuple(host.name for host in self.hosts.find_live()),
+            lambda: self.readings,
+        )
+        return ShiftRunner(
+            self._settings.host.name,
+            sources,
+            Repository(RelayedTables(relay, self._requesters), clock),
+            clock,
+        )
+
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
--- /dev/null
+++ b/crocusshunt/drains/__init__.py
@@ -0,0 +1,37 @@
+"""Drains of servers, pools, hosts, failure domains and regions."""
+
+from crocusshunt.drains import _checks  # noqa: F401
+from crocusshunt.drains._places import DrainedPlaces
+from crocusshunt.drains._preview import (
+    NoRoomError,
+    PoolMove,
+    check_room,
+    preview_drain,
+)
+from crocusshunt.drains._progress import (
+    DrainBounds,
+    DrainFacts,
+    DrainProgress,
+    DrainStage,
+    find_bounds,
+    has_hosts,
+    measure_progress,
+)
+from crocusshunt.drains._rows import Drain, DrainKind
+
+__all__ = (
+    'Drain',
+    'DrainBounds',
+    'DrainFacts',
+    'DrainKind',
+    'DrainProgress',
+    'DrainStage',
+    'DrainedPlaces',
+    'NoRoomError',
+    'PoolMove',
+    'check_room',
+    'find_bounds',
+    'has_hosts',
+    'measure_progress',
+    'preview_drain',
+)
--- /dev/null
+++ b/crocusshunt/drains/_places.py
@@ -0,0 +1,49 @@
+"""What the drains of a configuration empty."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from crocusshunt.drains._rows import Drain, DrainKind
+from crocusshunt.routing import Server, ServerState
+from crocusshunt.store import HostEntry
+
+
+class DrainedPlaces:
+    """Tells whether servers and hosts are to be emptied.
+
+    >>> places = DrainedPlaces((Drain('d', DrainKind.region, 'dire'),))
+    >>> host = HostEntry('h1', 'dire', 'dire-a', 'http://h1', '')
+    >>> places.has_host(host)
+    True
+    """
+
+    def __init__(self, drains: Iterable[Drain]) -> None:
+        """Index the drains."""
+        targets: dict[DrainKind, set[str]] = {kind: set() for kind in DrainKind}
+        for drain in drains:
+            targets[drain.kind].add(drain.target)
+        self._targets: Mapping[DrainKind, Collection[str]] = targets
+
+    def has_server(self, server: Server) -> bool:
+        """Tell whether a backend server gets no new work."""
+        if server.state is ServerState.draining:
+            return True
+        return any(
+            name in self._targets[kind]
+            for kind, name in (
+                (DrainKind.server, server.name),
+                (DrainKind.pool, server.pool),
+                (DrainKind.failure_domain, server.failure_domain),
+                (DrainKind.region, server.region),
+            )
+        )
+
+    def has_host(self, host: HostEntry) -> bool:
+        """Tell whether look-ups leave a host out."""
+        return any(
+            name in self._targets[kind]
+            for kind, name in (
+                (DrainKind.host, host.name),
+                (DrainKind.failure_domain, host.failure_domain),
+                (DrainKind.region, host.region),
+            )
+        )
--- a/crocusshunt/locator/_lookups.py
+++ b/crocusshunt/locator/_lookups.py
@@ -9,6 +9,7 @@
 
 from crocusshunt.configuration import Configuration
 from crocusshunt.core import CrocusError, IPAddress
+from crocusshunt.drains import Drain, DrainedPlaces
 from crocusshunt.membership import HostTable
 from crocusshunt.routing import (
     Block,
@@ -16,7 +17,6 @@
     Link,
     Route,
     Server,
-    ServerState,
     Tables,
 )
 from crocusshunt.steering import (
@@ -168,16 +168,21 @@
         self._hosts_version = self._hosts.version
         delays_ms = measure_delays(self._tables.select(Link))
         suspects = self._hosts.suspects
-        self._directory = Directory(self._hosts.hosts, delays_ms, suspects)
+        places = DrainedPlaces(self._tables.select(Drain))
+        hosts = [
+            host for host in self._hosts.hosts if not places.has_host(host)
+        ]
+        self._directory = Directory(hosts, delays_ms, suspects)
         self._pool_regions = _find_regions(self._tables)
 
 
 def _find_regions(tables: Tables) -> dict[str, frozenset[str]]:
     """Return the regions in which each pool has servers that take work."""
+    places = DrainedPlaces(tables.select(Drain))
     pairs = Counter(
         (server.pool, server.region)
         for server in tables.select(Server)
-        if server.state is ServerState.active and server.weight
+        if server.weight and not places.has_server(server)
     )
     return {
         pool: frozenset(region for other, region in pairs if other == pool)
--- a/crocusshunt/schema/__init__.py
+++ b/crocusshunt/schema/__init__.py
@@ -5,6 +5,7 @@
 added to the imports below; it must not import the configuration package.
 """
 
+from crocusshunt.drains import Drain
 from crocusshunt.keys import Key
 from crocusshunt.operators import Operator
 from crocusshunt.routing import (
@@ -19,10 +20,12 @@
     row_type,
     table_names,
 )
+from crocusshunt.shifts import Shift
 
 __all__ = (
     'Block',
     'Customer',
+    'Drain',
     'FailureDomain',
     'Key',
     'Link',
@@ -30,6 +33,7 @@
     'Pool',
     'Route',
     'Server',
+    'Shift',
     'is_table',
     'row_type',
     'table_names',
--- /dev/null
+++ b/crocusshunt/shifts/__init__.py
@@ -0,0 +1,47 @@
+"""Planned shifts of load from one region to another."""
+
+from crocusshunt.shifts import _checks  # noqa: F401
+from crocusshunt.shifts._commands import (
+    ShiftCommand,
+    ShiftStateError,
+    finish_shift,
+    list_commands,
+    pause_shift,
+    resume_shift,
+    reverse_shift,
+    start_shift,
+)
+from crocusshunt.shifts._preview import (
+    RegionShare,
+    ShiftPreview,
+    find_shares,
+    preview_shift,
+)
+from crocusshunt.shifts._rows import Shift, ShiftState
+from crocusshunt.shifts._steps import (
+    HeldStepError,
+    ShiftFacts,
+    StepSettings,
+    plan_step,
+)
+
+__all__ = (
+    'HeldStepError',
+    'RegionShare',
+    'Shift',
+    'ShiftCommand',
+    'ShiftFacts',
+    'ShiftPreview',
+    'ShiftState',
+    'ShiftStateError',
+    'StepSettings',
+    'find_shares',
+    'finish_shift',
+    'list_commands',
+    'pause_shift',
+    'plan_step',
+    'preview_shift',
+    'resume_shift',
+    'reverse_shift',
+    'start_shift',
+)
