--- a/crocusshunt/controller/__init__.py
+++ b/crocusshunt/controller/__init__.py
@@ -1,5 +1,6 @@
 """The control process of a host."""
 
+from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._service import ControllerService
 from crocusshunt.controller._settings import (
     ControllerSection,
@@ -11,6 +12,8 @@
     'ControllerSection',
     'ControllerService',
     'ControllerSettings',
+    'Lending',
+    'LendingContext',
     'ShiftRunner',
     'ShiftSources',
 )
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -6,13 +6,13 @@
 from aiomisc import Service
 
 from crocusshunt.configuration import Repository
-from crocusshunt.membership import HostTable, MembershipService
-from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._lending import Lending, LendingContext
+from crocusshunt.controller._peers import HostPeers
 from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
-from crocusshunt.core import Clock
+from crocusshunt.core import Clock, Identifiers
+from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
-    BorrowTokens,
     FetchChanges,
     Handlers,
     Replier,
@@ -48,14 +48,8 @@
             self._requesters,
             clock,
         )
-        self._loans = LoanDesk(
-            settings.host,
-            self.feed,
-            self.hosts,
-            self._requesters,
-            clock,
-        )
         self._shifts = self._create_shift_runner(clock)
+        self._lending = self._create_lending(clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -65,11 +59,14 @@
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
         self._tasks.start(self._shifts.run())
+        self._tasks.start(self._lending.loans.run())
+        self._tasks.start(self._lending.run_supports())
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Announce the stop, stop all tasks and close all sockets."""
         await self.membership.leave()
         await self._tasks.stop()
+        await self._lending.loans.leave()
         await self.replier.stop()
         self.membership.close()
         self._requesters.close()
@@ -88,9 +85,22 @@
             clock,
         )
 
+    def _create_lending(self, clock: Clock) -> Lending:
+        sources = self._settings.controller.sources
+        return Lending(
+            LendingContext(
+                self._settings.host,
+                Identifiers().create('controller'),
+                lambda: self.feed.configuration.tables,
+                HostPeers(self.hosts, self._requesters),
+                RelayedTables(RelaySettings(sources), self._requesters),
+                clock,
+            ),
+        )
+
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
-        handlers.register(BorrowTokens)(self._loans.answer)
+        self._lending.register(handlers)
         self.membership.register(handlers)
         return handlers
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -1,13 +1,11 @@
 """Typed, versioned messages between the system's processes."""
 
 from crocusshunt.messages._bodies import (
-    BorrowTokens,
     Body,
     ChangeFeed,
     FetchChanges,
     Refusal,
     SnapshotFeed,
-    TokenLoan,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -23,6 +21,14 @@
     PeerTimeoutError,
     TransportError,
 )
+from crocusshunt.messages._loans import (
+    BorrowTokens,
+    FencedLease,
+    LeaseEpoch,
+    LeasesRenewed,
+    RenewLeases,
+    TokenLoan,
+)
 from crocusshunt.messages._membership import (
     FetchHosts,
     FetchMembers,
@@ -56,6 +62,7 @@
     'ChangeFeed',
     'Codec',
     'DamagedMessageError',
+    'FencedLease',
     'FetchChanges',
     'FetchHosts',
     'FetchMembers',
@@ -64,6 +71,8 @@
     'Member',
     'MemberList',
     'MemberStatus',
+    'LeaseEpoch',
+    'LeasesRenewed',
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
@@ -73,6 +82,7 @@
     'ReadRow',
     'Refusal',
     'RelayProbe',
+    'RenewLeases',
     'Replier',
     'Requester',
     'RequesterPool',
