--- a/crocusshunt/steering/_readings.py
+++ b/crocusshunt/steering/_readings.py
@@ -26,6 +26,8 @@
     :param busy: slots in use, on average.
     :param offered: slots that the region's own callers need, wherever they
         are served.
+    :param urgent: the part of it on urgent routes.
+    :param deferrable: the part of it on deferrable routes.
     :param mbits: traffic of these callers, in Mbit/s.
     :param errors: share of the answers that are failures.
     :param slowdown: service time relative to the usual.
@@ -39,10 +41,15 @@
     errors: float = 0
     slowdown: float = 1
     age_s: float = 0
+    urgent: float = 0
+    deferrable: float = 0
 
     def is_plausible(self) -> bool:
         """Tell whether the figures can be true together."""
-        figures = (self.slots, self.busy, self.offered, self.mbits)
+        parts = (self.urgent, self.deferrable)
+        if sum(parts) > self.offered:
+            return False
+        figures = (self.slots, self.busy, self.offered, self.mbits, *parts)
         are_amounts = all(
             isfinite(figure) and figure >= 0
             for figure in (*figures, self.slowdown, self.age_s)
