--- a/crocusshunt/controller/__init__.py
+++ b/crocusshunt/controller/__init__.py
@@ -6,6 +6,7 @@
     ControllerSection,
     ControllerSettings,
 )
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 
 __all__ = (
     'ControllerSection',
@@ -13,4 +14,6 @@
     'ControllerSettings',
     'Lending',
     'LendingContext',
+    'ShiftRunner',
+    'ShiftSources',
 )
--- a/crocusshunt/schema/__init__.py
+++ b/crocusshunt/schema/__init__.py
@@ -5,6 +5,7 @@
 added to the imports below; it must not import the configuration package.
 """
 
+from crocusshunt.drains import Drain
 from crocusshunt.keys import Key
 from crocusshunt.operators import Operator
 from crocusshunt.routing import (
@@ -20,10 +21,12 @@
     table_names,
 )
 from crocusshunt.witnesses import Witness
+from crocusshunt.shifts import Shift
 
 __all__ = (
     'Block',
     'Customer',
+    'Drain',
     'FailureDomain',
     'Key',
     'Link',
@@ -32,6 +35,7 @@
     'Route',
     'Server',
     'Witness',
+    'Shift',
     'is_table',
     'row_type',
     'table_names',
