Complete the operators' commands and show whole sessions as golden files

Cause: a repeated grant printed a secret that was never stored; a repeated apply after another change reverted that change; nothing was asked before dangerous changes; no export, edit, audit or key list. Change: one way of proposing (plan, confirm, propose with change id and the revision it was made from); secrets in a file before they are proposed; export of the tables in force; audit export and verify; sessions in-process. Ruled out: printing the secret first; it ends up in terminal logs. Conclusion: a repeated command reads its id first and is applied once.

--- a/crocusshunt/client/__init__.py
+++ b/crocusshunt/client/__init__.py
@@ -1,13 +1,12 @@
 """Client of the operators' interface."""
 
-from crocusshunt.client._operators import (
+from crocusshunt.client._errors import (
     ApiError,
-    Snapshot,
-    OperatorClient,
-    Proposal,
     RefusedCallError,
     UnreachableApiError,
 )
+from crocusshunt.client._operators import OperatorClient
+from crocusshunt.client._values import Proposal, Snapshot
 
 __all__ = (
     'ApiError',
--- a/crocusshunt/client/_operators.py
+++ b/crocusshunt/client/_operators.py
@@ -1,6 +1,6 @@
 """HTTP client of the operators' interface."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
 from typing import TypeVar
 
 import aiohttp
@@ -15,8 +15,13 @@
     HistoryDocument,
     StatusDocument,
 )
-from crocusshunt.configuration import Change, EditRequest, decode_row
-from crocusshunt.core import CrocusError
+from crocusshunt.client._errors import (
+    ApiError,
+    RefusedCallError,
+    UnreachableApiError,
+)
+from crocusshunt.client._values import Proposal, Snapshot
+from crocusshunt.configuration import Change, decode_row
 from crocusshunt.routing import Tables
 
 _STATUS_OK = 200
@@ -25,61 +30,8 @@
 _Document = TypeVar('_Document')
 
 
-@dataclass(unsafe_hash=True)
-class ApiError(CrocusError):
-    """A call to the operators' interface that failed."""
-
-    code = 'api'
-
-
-@dataclass(unsafe_hash=True)
-class UnreachableApiError(ApiError):
-    """No answer came; a change may or may not have been accepted.
-
-    :param detail: what was seen.
-    """
-
-    code = 'api-unreachable'
-
-    detail: str
-
-
-@dataclass(unsafe_hash=True)
-class RefusedCallError(ApiError):
-    """The interface answered with an error.
-
-    :param document: the error as the interface describes it.
-    """
-
-    code = 'api-refused'
-
-    status: int
-    document: ErrorDocument
-
-    def describe(self) -> str:
-        """Return the interface's own words."""
-        return f'{self.document.code}: {self.document.detail}'
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """The tables in force."""
-
-    revision: int
-    tables: Tables
-
-
-@dataclass(frozen=True, slots=True)
-class Proposal:
-    """A change to propose.
-
-    :param expected: revision that the edits were made from.
-    """
-
-    change_id: str
-    expected: int
-    reason: str
-    edits: tuple[EditRequest, ...]
+def _ignore(_progress: str) -> None:
+    """Take no notice of progress."""
 
 
 class OperatorClient:
@@ -125,6 +77,25 @@
         )
         return document.map(lambda history: history.changes)
 
+    async def list_all_changes(
+        self,
+        progress: Callable[[str], None] = _ignore,
+    ) -> Result[tuple[Change, ...], ApiError]:
+        """Return every change, oldest first, page by page.
+
+        :param progress: told after each page how much has arrived.
+        """
+        changes: list[Change] = []
+        while True:
+            after = changes[-1].revision if changes else 0
+            page = await self.list_changes(after)
+            if isinstance(page, Err):
+                return page
+            if not page.ok_value:
+                return Ok(tuple(changes))
+            changes.extend(page.ok_value)
+            progress(f'{len(changes)} changes read')
+
     async def find_change(
         self,
         change_id: str,
--- a/crocusshunt/ctl/__init__.py
+++ b/crocusshunt/ctl/__init__.py
@@ -1,7 +1,23 @@
 """Commands of the operators' program."""
 
-from crocusshunt.ctl import _changes as changes
-from crocusshunt.ctl import _queries as queries
-from crocusshunt.ctl._commands import Arguments, run_command
+from crocusshunt.ctl._commands import (
+    Arguments,
+    ExitStatus,
+    Surroundings,
+    run_command,
+)
+from crocusshunt.ctl._console import Console
+from crocusshunt.ctl import (  # noqa: F401
+    _audits,
+    _changes,
+    _keys,
+    _queries,
+)
 
-__all__ = ('Arguments', 'changes', 'queries', 'run_command')
+__all__ = (
+    'Arguments',
+    'Console',
+    'ExitStatus',
+    'Surroundings',
+    'run_command',
+)
--- a/crocusshunt/ctl/_changes.py
+++ b/crocusshunt/ctl/_changes.py
@@ -1,53 +1,45 @@
-"""Commands that propose changes."""
+"""Commands that change declared tables and rows."""
 
-from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
 
 from result import Err, Ok, Result
 
-from crocusshunt.client import Proposal, Snapshot
+from crocusshunt.client import Snapshot
 from crocusshunt.configuration import EditRequest, encode_row
-from crocusshunt.core import Fault, Identifiers
-from crocusshunt.ctl._commands import (
-    Context,
-    ExitStatus,
-    register_command,
-    report_failure,
+from crocusshunt.core import Fault, Source, convert_fields
+from crocusshunt.ctl._commands import Context, ExitStatus, register_command
+from crocusshunt.ctl._failures import report_failure, report_faults
+from crocusshunt.ctl._proposals import Edits, change_tables, make_plan
+from crocusshunt.declarations import (
+    DECLARED_TABLES,
+    compare_tables,
+    read_declarations,
+    write_fields,
 )
-from crocusshunt.declarations import compare_tables, read_declarations
-from crocusshunt.keys import Key, KeyState, create_key, digest_key
-from crocusshunt.routing import Server, ServerState
-
-DECLARED_TABLES = (
-    'block',
-    'customer',
-    'failure_domain',
-    'link',
-    'pool',
-    'route',
-    'server',
-)
-
-_Edits = Result[tuple[EditRequest, ...], Fault]
-_Planner = Callable[[Snapshot], _Edits]
+from crocusshunt.routing import Server, ServerState, Tables
+from crocusshunt.schema import is_table, row_type, table_names
 
 
 @register_command('plan')
 async def plan(context: Context) -> ExitStatus:
-    """Print the edits that applying a directory would make."""
+    """Show what applying a directory would do."""
     tables = read_declarations(Path(context.arguments['DIR']))
     if isinstance(tables, Err):
-        print(tables.err_value.describe())
-        return ExitStatus.wrong_input
+        return report_faults(context, tables.err_value.faults)
     snapshot = await context.client.get_snapshot()
     if isinstance(snapshot, Err):
-        return report_failure(snapshot.err_value)
-    held = snapshot.ok_value.tables
-    for edit in compare_tables(held, tables.ok_value, DECLARED_TABLES):
-        sign = '-' if edit.row is None else '+'
-        row = edit.row or ''
-        print(sign, edit.table, edit.name, row)
+        return report_failure(context, snapshot.err_value)
+    wanted = tables.ok_value
+    planned = make_plan(
+        snapshot.ok_value,
+        lambda held: _compare(held, wanted),
+    )
+    if isinstance(planned, Err):
+        return report_faults(context, planned.err_value)
+    document = planned.ok_value.document
+    context.console.show(document, document.describe())
     return ExitStatus.done
 
 
@@ -56,41 +48,41 @@
     """Put the declarations of a directory in force."""
     tables = read_declarations(Path(context.arguments['DIR']))
     if isinstance(tables, Err):
-        print(tables.err_value.describe())
-        return ExitStatus.wrong_input
+        return report_faults(context, tables.err_value.faults)
     wanted = tables.ok_value
-    return await _change(
+    return await change_tables(context, lambda held: _compare(held, wanted))
+
+
+@register_command('edit')
+async def edit_row(context: Context) -> ExitStatus:
+    """Change some fields of one row, or add the row."""
+    table = context.arguments['TABLE']
+    if not is_table(table):
+        allowed = ', '.join(table_names())
+        return report_faults(context, (Fault(table, 'unknown table', allowed),))
+    values = _parse_assignments(context.arguments['ASSIGNMENT'])
+    if isinstance(values, Err):
+        return report_faults(context, values.err_value)
+    fields = values.ok_value
+    name = context.arguments['NAME']
+    return await change_tables(
         context,
-        lambda held: Ok(compare_tables(held.tables, wanted, DECLARED_TABLES)),
+        lambda held: _edit(held.tables, (table, name), fields),
     )
 
 
-@register_command('key', 'grant')
-async def grant_key(context: Context) -> ExitStatus:
-    """Create a key and print it once."""
-    name = context.arguments['NAME']
-    secret = create_key(name)
-    row = Key(name, context.arguments['CUSTOMER'], digest_key(secret))
-    edit = EditRequest('key', name, encode_row(row))
-    status = await _change(context, lambda _held: Ok((edit,)))
-    if status is ExitStatus.done:
-        print(secret)
-    return status
-
-
-@register_command('key', 'withdraw')
-async def withdraw_key(context: Context) -> ExitStatus:
-    """Stop honouring a key."""
+@register_command('remove')
+async def remove_row(context: Context) -> ExitStatus:
+    """Remove one row."""
+    table = context.arguments['TABLE']
     name = context.arguments['NAME']
 
-    def edit(held: Snapshot) -> _Edits:
-        key = held.tables.find(Key, name)
-        if key is None:
-            return Err(Fault(f'key {name}', 'does not exist'))
-        withdrawn = replace(key, state=KeyState.withdrawn)
-        return Ok((EditRequest('key', name, encode_row(withdrawn)),))
+    def plan_removal(held: Snapshot) -> Edits:
+        if name not in held.tables.rows.get(table, {}):
+            return Err((Fault(f'{table} {name}', 'does not exist'),))
+        return Ok((EditRequest(table, name, None),))
 
-    return await _change(context, edit)
+    return await change_tables(context, plan_removal)
 
 
 @register_command('drain')
@@ -108,34 +100,49 @@
 async def _set_state(context: Context, state: ServerState) -> ExitStatus:
     name = context.arguments['SERVER']
 
-    def edit(held: Snapshot) -> _Edits:
+    def plan_state(held: Snapshot) -> Edits:
         server = held.tables.find(Server, name)
         if server is None:
-            return Err(Fault(f'server {name}', 'does not exist'))
+            allowed = ', '.join(row.name for row in held.tables.select(Server))
+            return Err((Fault(f'server {name}', 'does not exist', allowed),))
+        if server.state is state:
+            return Ok(())
         row = encode_row(replace(server, state=state))
         return Ok((EditRequest('server', name, row),))
 
-    return await _change(context, edit)
-
-
-async def _change(context: Context, planner: _Planner) -> ExitStatus:
-    snapshot = await context.client.get_snapshot()
-    if isinstance(snapshot, Err):
-        return report_failure(snapshot.err_value)
-    edits = planner(snapshot.ok_value)
-    if isinstance(edits, Err):
-        print(edits.err_value)
-        return ExitStatus.wrong_input
-    given = context.arguments['--change-id']
-    proposal = Proposal(
-        change_id=given or Identifiers().create('change'),
-        expected=snapshot.ok_value.revision,
-        reason=context.arguments['--reason'],
-        edits=edits.ok_value,
-    )
-    print(f'change id {proposal.change_id}')
-    accepted = await context.client.propose(proposal)
-    if isinstance(accepted, Err):
-        return report_failure(accepted.err_value)
-    print(f'accepted as revision {accepted.ok_value.revision}')
-    return ExitStatus.done
+    return await change_tables(context, plan_state)
+
+
+def _compare(held: Snapshot, wanted: Tables) -> Edits:
+    return Ok(compare_tables(held.tables, wanted, DECLARED_TABLES))
+
+
+def _parse_assignments(
+    texts: Iterable[str],
+) -> Result[dict[str, str], tuple[Fault, ...]]:
+    values: dict[str, str] = {}
+    faults: list[Fault] = []
+    for text in texts:
+        field, separator, given = text.partition('=')
+        if not separator or field == 'name':
+            faults.append(Fault(text, 'is no assignment', 'field=value'))
+        values[field] = given
+    return Err(tuple(faults)) if faults else Ok(values)
+
+
+def _edit(
+    tables: Tables,
+    target: tuple[str, str],
+    values: dict[str, str],
+) -> Edits:
+    table, name = target
+    held = tables.rows.get(table, {}).get(name)
+    known = {} if held is None else write_fields(held)
+    fields = {**known, **values, 'name': name}
+    source = Source(f'{table} {name}', is_text=True)
+    row = convert_fields(source, fields, row_type(table))
+    if isinstance(row, Err):
+        return row
+    if row.ok_value == held:
+        return Ok(())
+    return Ok((EditRequest(table, name, encode_row(row.ok_value)),))
--- a/crocusshunt/ctl/_commands.py
+++ b/crocusshunt/ctl/_commands.py
@@ -1,13 +1,15 @@
 """Registry of commands and their exit statuses."""
 
+import sys
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from enum import IntEnum
 from pathlib import Path
 from typing import Any
 
-from crocusshunt.client import ApiError, OperatorClient, UnreachableApiError
-from crocusshunt.client import RefusedCallError
+from crocusshunt.client import OperatorClient
+from crocusshunt.core import Clock, Identifiers, SystemClock
+from crocusshunt.ctl._console import Console
 
 Arguments = Mapping[str, Any]
 
@@ -19,6 +21,19 @@
     refused = 1
     wrong_input = 2
     unknown = 3
+    unconfirmed = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a command takes from outside.
+
+    :param identifiers: source of change ids.
+    """
+
+    console: Console
+    identifiers: Identifiers = field(default_factory=Identifiers)
+    clock: Clock = field(default_factory=SystemClock)
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +42,12 @@
 
     arguments: Arguments
     client: OperatorClient
+    surroundings: Surroundings
+
+    @property
+    def console(self) -> Console:
+        """Return the operator's terminal."""
+        return self.surroundings.console
 
 
 Command = Callable[[Context], Awaitable[ExitStatus]]
@@ -43,39 +64,37 @@
     return register
 
 
-async def run_command(arguments: Arguments) -> int:
+async def run_command(
+    arguments: Arguments,
+    surroundings: Surroundings | None = None,
+) -> int:
     """Run the command that the parsed command line names.
 
     :param arguments: result of docopt.
+    :param surroundings: the process's own terminal if None.
     """
     client = OperatorClient(arguments['--api'], _read_key(arguments['--key']))
-    context = Context(arguments, client)
+    given = surroundings or _create_surroundings()
+    console = replace(given.console, is_json=bool(arguments['--json']))
+    context = Context(arguments, client, replace(given, console=console))
     try:
         return await _find_command(arguments)(context)
     finally:
         await client.close()
 
 
-def report_failure(error: ApiError) -> ExitStatus:
-    """Print what failed and what to do next; return the exit status."""
-    print(error.describe())
-    if isinstance(error, UnreachableApiError):
-        print('next: check --api, then repeat with the same change id')
-        return ExitStatus.unknown
-    if isinstance(error, RefusedCallError):
-        if error.document.code in {'unknown-outcome', 'store-unreachable'}:
-            print('next: repeat with the same change id')
-            return ExitStatus.unknown
-        if error.document.code == 'revision-conflict':
-            print('next: read the other change with "crocusctl history"')
-    return ExitStatus.refused
+def _create_surroundings() -> Surroundings:
+    is_interactive = sys.stdin.isatty() and sys.stderr.isatty()
+    return Surroundings(Console(is_interactive=is_interactive))
 
 
 def _find_command(arguments: Arguments) -> Command:
-    for words, command in _COMMANDS.items():
-        if all(arguments[word] for word in words):
-            return command
-    raise LookupError
+    matching = [
+        words
+        for words in _COMMANDS
+        if all(arguments.get(word) for word in words)
+    ]
+    return _COMMANDS[max(matching, key=len)]
 
 
 def _read_key(path: str) -> str:
--- /dev/null
+++ b/crocusshunt/ctl/_failures.py
@@ -0,0 +1,99 @@
+"""What operators are told about a failure, and what to do next."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from crocusshunt.api import ErrorDocument
+from crocusshunt.client import ApiError, RefusedCallError, UnreachableApiError
+from crocusshunt.core import Fault
+from crocusshunt.ctl._commands import Context, ExitStatus
+
+_UNKNOWN_CODES = frozenset(('unknown-outcome', 'store-unreachable'))
+_NEXT_STEPS: Mapping[str, str] = {
+    'operator-unknown': (
+        'name the file that holds your operator key with --key=FILE'
+    ),
+    'operator-forbidden': 'ask an operator who has that role',
+    'revision-conflict': (
+        'read the other change with "crocusctl history", then plan again'
+    ),
+    'invalid-change': 'correct the rows named above, then repeat',
+    'store-unreachable': (
+        'wait until "crocusctl status" shows a small evidence age, '
+        'then repeat as shown'
+    ),
+    'unknown-outcome': 'repeat as shown; it is applied at most once',
+}
+_CHECK_API = 'check --api and that crocus-api runs'
+_TELL = 'read docs/operators/alarms.md'
+
+
+class FailureDocument(msgspec.Struct, frozen=True):
+    """A failed command.
+
+    :param next_step: what to do.
+    """
+
+    code: str
+    detail: str
+    next_step: str
+    faults: tuple[str, ...] = ()
+
+
+def report_failure(context: Context, error: ApiError) -> ExitStatus:
+    """Tell what failed and what to do next; return the exit status."""
+    document = _describe(error)
+    _show(context, document)
+    is_unknown = document.code in _UNKNOWN_CODES
+    if isinstance(error, UnreachableApiError) or is_unknown:
+        return ExitStatus.unknown
+    return ExitStatus.refused
+
+
+def report_faults(
+    context: Context,
+    faults: Iterable[Fault],
+    next_step: str = 'correct the input, then repeat',
+) -> ExitStatus:
+    """Tell what is wrong in the operator's input."""
+    texts = tuple(str(fault) for fault in faults)
+    document = FailureDocument('wrong-input', 'nothing done', next_step, texts)
+    _show(context, document)
+    return ExitStatus.wrong_input
+
+
+def report_refusal(
+    context: Context,
+    code: str,
+    detail: str,
+    next_step: str,
+) -> None:
+    """Tell why a command was not carried out."""
+    _show(context, FailureDocument(code, detail, next_step))
+
+
+def _describe(error: ApiError) -> FailureDocument:
+    if not isinstance(error, RefusedCallError):
+        return FailureDocument(error.code, error.describe(), _CHECK_API)
+    document = error.document
+    return FailureDocument(
+        document.code,
+        '' if document.faults else _shorten(document),
+        _NEXT_STEPS.get(document.code, _TELL),
+        document.faults,
+    )
+
+
+def _shorten(document: ErrorDocument) -> str:
+    return document.detail.removeprefix(f'{document.code}: ')
+
+
+def _show(context: Context, document: FailureDocument) -> None:
+    first = document.code
+    if document.detail:
+        first = f'{document.code}: {document.detail}'
+    context.console.show(
+        document,
+        (first, *document.faults, f'next: {document.next_step}'),
+    )
--- /dev/null
+++ b/crocusshunt/ctl/_keys.py
@@ -0,0 +1,151 @@
+"""Commands that grant and withdraw callers' and operators' keys.
+
+The secret is in a file before anything is proposed, and a repeated command
+reads it from there: what is granted is always what the file holds.
+"""
+
+import os
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from crocusshunt.client import Snapshot
+from crocusshunt.configuration import EditRequest, encode_row
+from crocusshunt.core import Fault
+from crocusshunt.ctl._commands import Context, ExitStatus, register_command
+from crocusshunt.ctl._console import format_table
+from crocusshunt.ctl._failures import report_failure, report_faults
+from crocusshunt.ctl._proposals import Edits, change_tables
+from crocusshunt.keys import (
+    Key,
+    KeyState,
+    create_key,
+    digest_key,
+    split_key,
+)
+from crocusshunt.operators import Operator, Role
+from crocusshunt.routing import Tables
+
+_OWNER_ONLY = 0o600
+
+
+@register_command('key', 'grant')
+async def grant_key(context: Context) -> ExitStatus:
+    """Grant a customer a key, whose secret a file holds."""
+    name = context.arguments['NAME']
+    secret = _provide_secret(context, name)
+    if isinstance(secret, Err):
+        return report_faults(context, (secret.err_value,))
+    row = Key(name, context.arguments['CUSTOMER'], digest_key(secret.ok_value))
+    return await change_tables(
+        context,
+        lambda held: _plan_grant(held.tables, row),
+    )
+
+
+@register_command('key', 'withdraw')
+async def withdraw_key(context: Context) -> ExitStatus:
+    """Stop honouring a key."""
+    name = context.arguments['NAME']
+
+    def plan_withdrawal(held: Snapshot) -> Edits:
+        key = held.tables.find(Key, name)
+        if key is None:
+            return Err((Fault(f'key {name}', 'does not exist'),))
+        if key.state is KeyState.withdrawn:
+            return Ok(())
+        withdrawn = replace(key, state=KeyState.withdrawn)
+        return Ok((EditRequest('key', name, encode_row(withdrawn)),))
+
+    return await change_tables(context, plan_withdrawal)
+
+
+@register_command('key', 'list')
+async def list_keys(context: Context) -> ExitStatus:
+    """Show the keys, never their secrets."""
+    snapshot = await context.client.get_snapshot()
+    if isinstance(snapshot, Err):
+        return report_failure(context, snapshot.err_value)
+    keys = snapshot.ok_value.tables.select(Key)
+    rows = [(key.name, key.customer, key.state.value) for key in keys]
+    context.console.show(
+        [
+            {'name': name, 'customer': customer, 'state': state}
+            for name, customer, state in rows
+        ],
+        format_table(('NAME', 'CUSTOMER', 'STATE'), rows),
+    )
+    return ExitStatus.done
+
+
+@register_command('operator', 'grant')
+async def grant_operator(context: Context) -> ExitStatus:
+    """Give an operator a key of their own, with a role."""
+    name = context.arguments['NAME']
+    roles: Mapping[str, Role] = {role.value: role for role in Role}
+    role = roles.get(context.arguments['ROLE'])
+    if role is None:
+        fault = Fault('ROLE', 'is no role', ', '.join(roles))
+        return report_faults(context, (fault,))
+    secret = _provide_secret(context, name)
+    if isinstance(secret, Err):
+        return report_faults(context, (secret.err_value,))
+    row = Operator(name, role, digest_key(secret.ok_value))
+    edit = EditRequest('operator', name, encode_row(row))
+    return await change_tables(
+        context,
+        lambda held: Ok(
+            () if held.tables.find(Operator, name) == row else (edit,),
+        ),
+    )
+
+
+@register_command('operator', 'withdraw')
+async def withdraw_operator(context: Context) -> ExitStatus:
+    """Stop honouring an operator's key."""
+    name = context.arguments['NAME']
+
+    def plan_withdrawal(held: Snapshot) -> Edits:
+        if held.tables.find(Operator, name) is None:
+            return Err((Fault(f'operator {name}', 'does not exist'),))
+        return Ok((EditRequest('operator', name, None),))
+
+    return await change_tables(context, plan_withdrawal)
+
+
+def _plan_grant(tables: Tables, row: Key) -> Edits:
+    held = tables.find(Key, row.name)
+    if held is None:
+        return Ok((EditRequest('key', row.name, encode_row(row)),))
+    if held == row:
+        return Ok(())
+    problem = f'exists already, of {held.customer}, {held.state.value}'
+    return Err((Fault(f'key {row.name}', problem, 'a name not used before'),))
+
+
+def _provide_secret(context: Context, name: str) -> Result[str, Fault]:
+    path = Path(context.arguments['--secret-file'] or f'{name}.key')
+    try:
+        secret = _open_secret(path, name)
+    except OSError as error:
+        return Err(Fault(str(path), str(error), 'a file that can be written'))
+    if split_key(secret) != name:
+        allowed = f'a new file, or the key of {name}'
+        return Err(Fault(str(path), 'holds another key', allowed))
+    context.console.note(f'the secret is in {path}; it works once accepted')
+    return Ok(secret)
+
+
+def _open_secret(path: Path, name: str) -> str:
+    if path.exists():
+        return path.read_text(encoding='utf-8').strip()
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    descriptor = os.open(path, flags, _OWNER_ONLY)
+    secret = create_key(name)
+    with os.fdopen(descriptor, 'w', encoding='utf-8') as stream:
+        stream.write(f'{secret}\n')
+        stream.flush()
+        os.fsync(descriptor)
+    return secret
--- a/crocusshunt/ctl/_queries.py
+++ b/crocusshunt/ctl/_queries.py
@@ -1,19 +1,30 @@
 """Commands that change nothing."""
 
+from collections import Counter
+from datetime import UTC, datetime
 from pathlib import Path
 
 import msgspec
 from result import Err
 
-from crocusshunt.configuration import encode_row
-from crocusshunt.ctl._commands import (
-    Context,
-    ExitStatus,
-    register_command,
-    report_failure,
-)
-from crocusshunt.declarations import read_declarations
+from crocusshunt.configuration import Change, encode_row
+from crocusshunt.core import Fault
+from crocusshunt.ctl._commands import Context, ExitStatus, register_command
+from crocusshunt.ctl._console import format_table
+from crocusshunt.ctl._failures import report_failure, report_faults
+from crocusshunt.declarations import read_declarations, write_declarations
 from crocusshunt.routing import find_faults
+from crocusshunt.schema import is_table, table_names
+
+_TIME_FORMAT = '%Y-%m-%d %H:%M:%S'
+
+
+class RowDocument(msgspec.Struct, frozen=True):
+    """A row in force."""
+
+    table: str
+    name: str
+    row: msgspec.Raw
 
 
 @register_command('validate')
@@ -21,48 +32,119 @@
     """Check the declarations of a directory."""
     tables = read_declarations(Path(context.arguments['DIR']))
     if isinstance(tables, Err):
-        print(tables.err_value.describe())
-        return ExitStatus.wrong_input
+        return report_faults(context, tables.err_value.faults)
     faults = find_faults(tables.ok_value)
-    for fault in faults:
-        print(fault)
     if faults:
-        return ExitStatus.wrong_input
-    print('valid')
+        return report_faults(context, faults)
+    counts = Counter(
+        {table: len(named) for table, named in tables.ok_value.rows.items()},
+    )
+    shown = ', '.join(
+        f'{count} {table}' for table, count in sorted(counts.items())
+    )
+    context.console.show({'valid': counts}, (f'valid: {shown}',))
     return ExitStatus.done
 
 
 @register_command('get')
 async def get(context: Context) -> ExitStatus:
-    """Print the rows in force."""
+    """Show the rows in force."""
     snapshot = await context.client.get_snapshot()
     if isinstance(snapshot, Err):
-        return report_failure(snapshot.err_value)
-    wanted = context.arguments['TABLE']
-    for table, named in sorted(snapshot.ok_value.tables.rows.items()):
-        if wanted not in {None, table}:
-            continue
-        for _name, row in sorted(named.items()):
-            print(f'{table}\t{encode_row(row)}')
+        return report_failure(context, snapshot.err_value)
+    arguments = context.arguments
+    wanted = (arguments['TABLE'], arguments['NAME'])
+    if wanted[0] and not is_table(wanted[0]):
+        fault = Fault(wanted[0], 'unknown table', ', '.join(table_names()))
+        return report_faults(context, (fault,))
+    rows = [
+        RowDocument(table, name, msgspec.Raw(encode_row(row).encode()))
+        for table, named in sorted(snapshot.ok_value.tables.rows.items())
+        for name, row in sorted(named.items())
+        if wanted[0] in {None, table} and wanted[1] in {None, name}
+    ]
+    context.console.show(
+        rows,
+        format_table(
+            ('TABLE', 'NAME', 'ROW'),
+            [(row.table, row.name, bytes(row.row).decode()) for row in rows],
+        ),
+    )
+    return ExitStatus.done
+
+
+@register_command('export')
+async def export_declarations(context: Context) -> ExitStatus:
+    """Write the declared tables in force to a new directory."""
+    snapshot = await context.client.get_snapshot()
+    if isinstance(snapshot, Err):
+        return report_failure(context, snapshot.err_value)
+    directory = Path(context.arguments['DIR'])
+    files = write_declarations(snapshot.ok_value.tables)
+    try:
+        directory.mkdir(parents=True)
+        for name, text in files.items():
+            (directory / name).write_text(text, encoding='utf-8')
+    except OSError as error:
+        fault = Fault(str(directory), str(error), 'a new directory')
+        return report_faults(context, (fault,))
+    revision = snapshot.ok_value.revision
+    context.console.show(
+        {'revision': revision, 'files': tuple(files)},
+        (f'revision {revision}: {", ".join(files)} in {directory}',),
+    )
     return ExitStatus.done
 
 
 @register_command('history')
 async def show_history(context: Context) -> ExitStatus:
-    """Print the accepted changes."""
-    changes = await context.client.list_changes(0)
+    """Show the accepted changes."""
+    changes = await context.client.list_all_changes()
     if isinstance(changes, Err):
-        return report_failure(changes.err_value)
-    for change in changes.ok_value:
-        print(f'{change.revision}\t{change.author}\t{change.reason}')
+        return report_failure(context, changes.err_value)
+    context.console.show(
+        changes.ok_value,
+        format_table(
+            ('REVISION', 'TIME (UTC)', 'AUTHOR', 'ROWS', 'REASON'),
+            [_list_columns(change) for change in changes.ok_value],
+        ),
+    )
     return ExitStatus.done
 
 
 @register_command('status')
 async def show_status(context: Context) -> ExitStatus:
-    """Print the state of the interface."""
+    """Show the state of the interface process that answers."""
     status = await context.client.get_status()
     if isinstance(status, Err):
-        return report_failure(status.err_value)
-    print(msgspec.json.encode(status.ok_value).decode())
+        return report_failure(context, status.err_value)
+    held = status.ok_value
+    age = 'never read'
+    if held.evidence_age_s is not None:
+        age = f'read {held.evidence_age_s:.1f} s ago'
+    context.console.show(
+        held,
+        (f'{held.host}: revision {held.revision}, store {age}',),
+    )
     return ExitStatus.done
+
+
+def format_time(seconds: float) -> str:
+    """Return a time in UTC.
+
+    :param seconds: seconds since the Unix epoch.
+
+    >>> format_time(0)
+    '1970-01-01 00:00:00'
+    """
+    return datetime.fromtimestamp(seconds, UTC).strftime(_TIME_FORMAT)
+
+
+def _list_columns(change: Change) -> tuple[object, ...]:
+    return (
+        change.revision,
+        format_time(change.time),
+        change.author,
+        len(change.edits),
+        change.reason,
+    )
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -14,7 +14,7 @@
     ControllerService,
     ControllerSettings,
 )
-from crocusshunt.core import HostIdentity, SystemClock
+from crocusshunt.core import Clock, HostIdentity, SystemClock
 from crocusshunt.declarations import compare_tables, read_declarations
 from crocusshunt.gateway import (
     GatewaySection,
@@ -64,7 +64,7 @@
     """A running deployment."""
 
     settings: FleetSettings
-    clock: SystemClock = field(default_factory=SystemClock)
+    clock: Clock = field(default_factory=SystemClock)
     platform: PlatformService = field(
         default_factory=lambda: PlatformService(_LOOPBACK, _ANY_PORT),
     )
--- /dev/null
+++ b/crocusshunt/demo/tests/test_operators.py
@@ -0,0 +1,180 @@
+"""Golden files of operators' sessions, all roles in one process."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from crocusshunt.core import Identifiers
+from crocusshunt.demo import Fleet
+from crocusshunt.demo.tests.callers import Callers
+from crocusshunt.demo.tests.terminal import Terminal, create_fleet
+from crocusshunt.routing import Server
+
+_WITHDRAWAL_S = 5
+_DRAIN_S = 5
+_RECOVERY_S = 15
+_OUTAGE_S = 5
+_ROUNDS = 8
+_BOTH = pytest.mark.parametrize(
+    'fleet',
+    ['abay', 'trosarina'],
+    indirect=True,
+)
+_ABAY = pytest.mark.parametrize('fleet', ['abay'], indirect=True)
+
+
+@pytest.fixture
+async def fleet(request: pytest.FixtureRequest) -> AsyncIterator[Fleet]:
+    started = create_fleet(request.param)
+    try:
+        await started.start()
+        yield started
+    finally:
+        await started.stop()
+
+
+@pytest.fixture
+async def callers(fleet: Fleet) -> AsyncIterator[Callers]:
+    calling = Callers(fleet)
+    await calling.call_until('answered', _RECOVERY_S)
+    yield calling
+    await calling.close()
+
+
+@pytest.fixture
+def terminal(fleet: Fleet, tmp_path: Path) -> Terminal:
+    return Terminal(fleet, tmp_path)
+
+
+@_BOTH
+async def test_ordinary_day(
+    callers: Callers,
+    terminal: Terminal,
+    tmp_path: Path,
+    snapshot: SnapshotAssertion,
+) -> None:
+    customer = callers.customer
+    await terminal.run_all('status', 'export @tables')
+    path = tmp_path / 'tables' / 'customer.ini'
+    text = path.read_text(encoding='utf-8')
+    path.write_text(text.replace('rate = 40.0', 'rate = 30'), encoding='utf-8')
+    apply = 'apply @tables --reason="lower rate"'
+    await terminal.run_all('validate @tables', 'plan @tables', apply)
+    await terminal.run(apply, 'no')
+    await terminal.run(apply, 'yes')
+    await terminal.run_all(
+        f'edit customer {customer} rate=70 --reason=raise',
+        f'edit customer {customer} rate=-1 --reason=slip',
+        f'get customer {customer}',
+        f'key grant second {customer} --reason=new --secret-file=@second',
+        'key withdraw second --reason=closed --yes',
+        'key list',
+        'history',
+        'audit export @trail',
+        'audit verify @trail',
+    )
+    terminal.say(f'callers: {await callers.call_all()}')
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+@_BOTH
+async def test_key_withdrawn_under_load(
+    callers: Callers,
+    terminal: Terminal,
+    snapshot: SnapshotAssertion,
+) -> None:
+    load = asyncio.create_task(
+        callers.call_until('401 key withdrawn, not_run', _RECOVERY_S),
+    )
+    await asyncio.sleep(0)
+    await terminal.run(f'key withdraw {callers.customer} --reason=lost --yes')
+    refused = await asyncio.wait_for(load, _WITHDRAWAL_S)
+    terminal.say(f'callers: {refused}')
+    for _ in range(_ROUNDS):
+        assert await callers.call_all() == '6 401 key withdrawn, not_run'
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+@_ABAY
+async def test_conflicting_edit(
+    callers: Callers,
+    terminal: Terminal,
+    snapshot: SnapshotAssertion,
+) -> None:
+    edit = f'edit customer {callers.customer}'
+    await terminal.run(f'{edit} rate=80 --from=1 --reason="first of two"')
+    await terminal.run(f'{edit} rate=90 --from=1 --reason="second of two"')
+    await terminal.run('history')
+    await terminal.run(f'{edit} rate=90 --from=2 --reason="second of two"')
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+@_ABAY
+async def test_lost_answer(
+    fleet: Fleet,
+    callers: Callers,
+    terminal: Terminal,
+    snapshot: SnapshotAssertion,
+) -> None:
+    command = f'edit customer {callers.customer} rate=80 --reason=raise'
+    switches = fleet.platform.platform.switches
+    switches.lost_answers = 1
+    await terminal.run(command)
+    switches.is_down = False
+    repeated = f'{command} --change-id=change-{_first_id()} --from=1'
+    await terminal.run(repeated)
+    await terminal.run(repeated.replace('=raise', '=other'))
+    await terminal.run('history')
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+@_BOTH
+async def test_drain(
+    fleet: Fleet,
+    callers: Callers,
+    terminal: Terminal,
+    snapshot: SnapshotAssertion,
+) -> None:
+    server = next(
+        row.name
+        for row in fleet.tables.select(Server)
+        if row.pool == callers.keyed.pool
+    )
+    await terminal.run(f'drain {server} --reason="new disk"', 'yes')
+    await asyncio.sleep(_DRAIN_S)
+    callers.servers.clear()
+    for _ in range(_ROUNDS):
+        assert await callers.call_all() == '6 answered'
+    terminal.say(f'new work of {server}: {callers.servers[server]}')
+    await terminal.run('drain nosuch --reason="new disk"')
+    await terminal.run(f'undrain {server} --reason="disk is in" --yes')
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+@_BOTH
+async def test_store_down(
+    fleet: Fleet,
+    callers: Callers,
+    terminal: Terminal,
+    snapshot: SnapshotAssertion,
+) -> None:
+    command = f'edit customer {callers.customer} rate=80 --reason=raise'
+    switches = fleet.platform.platform.switches
+    switches.is_down = True
+    await terminal.run(command)
+    await asyncio.sleep(_OUTAGE_S)
+    terminal.say(f'open route: {await callers.call_all(is_open=True)}')
+    terminal.say(f'keyed route: {await callers.call_all()}')
+    switches.is_down = False
+    terminal.say(await callers.call_until('answered', _RECOVERY_S))
+    await terminal.run(f'{command} --change-id=change-{_first_id()} --from=1')
+    await terminal.run('history')
+    assert '\n'.join(terminal.lines) == snapshot
+
+
+def _first_id() -> str:
+    return Identifiers(random.Random(1)).create('change').partition('-')[2]
--- a/crocusshunt/programs/ctl.py
+++ b/crocusshunt/programs/ctl.py
@@ -3,24 +3,43 @@
 Usage:
   crocusctl [options] validate DIR
   crocusctl [options] plan DIR
-  crocusctl [options] apply DIR --reason=TEXT [--change-id=ID]
-  crocusctl [options] get [TABLE]
+  crocusctl [options] apply DIR --reason=TEXT
+  crocusctl [options] export DIR
+  crocusctl [options] get [TABLE [NAME]]
+  crocusctl [options] edit TABLE NAME ASSIGNMENT... --reason=TEXT
+  crocusctl [options] remove TABLE NAME --reason=TEXT
   crocusctl [options] history
+  crocusctl [options] audit
+  crocusctl [options] audit export FILE
+  crocusctl [options] audit verify FILE
   crocusctl [options] key grant NAME CUSTOMER --reason=TEXT
   crocusctl [options] key withdraw NAME --reason=TEXT
+  crocusctl [options] key list
+  crocusctl [options] operator grant NAME ROLE --reason=TEXT
+  crocusctl [options] operator withdraw NAME --reason=TEXT
   crocusctl [options] drain SERVER --reason=TEXT
   crocusctl [options] undrain SERVER --reason=TEXT
   crocusctl [options] status
   crocusctl --help
 
 Options:
-  --api=URL   Operators' interface [default: http://127.0.0.1:8700].
-  --key=FILE  File that holds the operator's key [default: operator.key].
-  --json      Print JSON instead of tables.
-  --help      Show this text.
-
-Exit status: 0 done, 1 refused, 2 wrong input, 3 outcome unknown: repeat the
-command with the same change id.
+  --api=URL           Operators' interface [default: http://127.0.0.1:8700].
+  --key=FILE          File with the operator's key [default: operator.key].
+  --json              Write the outcome as one line of JSON.
+  --yes               Do not ask before a dangerous change.
+  --reason=TEXT       Why; kept in the audit trail.
+  --change-id=ID      Repeat the change of this id; it is applied once.
+  --from=REVISION     Refuse if another change came after this revision.
+  --secret-file=FILE  Holds the secret of a granted key; made if missing;
+                      NAME.key if not given.
+  --head=DIGEST       Digest that the trail's last record must have.
+  --help              Show this text.
+
+An ASSIGNMENT is FIELD=VALUE; a list is separated by commas. A ROLE is read,
+operate or administer.
+
+Exit status: 0 done; 1 refused; 2 wrong input; 3 outcome unknown: repeat with
+the --change-id and --from that were shown; 4 dangerous and not confirmed.
 """
 
 import asyncio
