--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -1,15 +1,11 @@
 """Typed, versioned messages between the system's processes."""
 
 from crocusshunt.messages._bodies import (
-    BorrowTokens,
     Body,
     ChangeFeed,
     FetchChanges,
-    FetchHosts,
-    HostList,
     Refusal,
     SnapshotFeed,
-    TokenLoan,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -25,6 +21,25 @@
     PeerTimeoutError,
     TransportError,
 )
+from crocusshunt.messages._loans import (
+    BorrowTokens,
+    FencedLease,
+    LeaseEpoch,
+    LeasesRenewed,
+    RenewLeases,
+    TokenLoan,
+)
+from crocusshunt.messages._membership import (
+    FetchHosts,
+    FetchMembers,
+    HostList,
+    Member,
+    MemberList,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    RelayProbe,
+)
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -47,16 +62,27 @@
     'ChangeFeed',
     'Codec',
     'DamagedMessageError',
+    'FencedLease',
     'FetchChanges',
     'FetchHosts',
+    'FetchMembers',
     'Handlers',
     'HostList',
+    'Member',
+    'MemberList',
+    'MemberStatus',
+    'LeaseEpoch',
+    'LeasesRenewed',
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
+    'Probe',
+    'ProbeAnswer',
     'QueryRows',
     'ReadRow',
     'Refusal',
+    'RelayProbe',
+    'RenewLeases',
     'Replier',
     'Requester',
     'RequesterPool',
--- a/crocusshunt/messages/_bodies.py
+++ b/crocusshunt/messages/_bodies.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from crocusshunt.configuration import Change, Edit, Evidence
-from crocusshunt.store import HostEntry
 
 
 class Body(msgspec.Struct, frozen=True):
@@ -75,44 +74,3 @@
     digest: str
     rows: tuple[Edit, ...]
     evidence: Evidence
-
-
-@register_body('fetch-hosts')
-class FetchHosts(Body, frozen=True):
-    """Asks for the hosts that the sender's controller knows."""
-
-
-@register_body('host-list')
-class HostList(Body, frozen=True):
-    """Hosts, with the states that the answering process believes."""
-
-    hosts: tuple[HostEntry, ...]
-
-
-@register_body('borrow-tokens')
-class BorrowTokens(Body, frozen=True):
-    """Asks a customer's home host for admission tokens.
-
-    :param loan_id: identifies the loan when the message is repeated.
-    :param wanted: number of tokens wanted.
-    """
-
-    loan_id: str
-    customer: str
-    wanted: int
-
-
-@register_body('token-loan')
-class TokenLoan(Body, frozen=True):
-    """Tokens lent to a gateway.
-
-    :param granted: number of tokens, possibly none.
-    :param lifetime_s: seconds from the sending of the request after which
-        unused tokens are void.
-    :param retry_after_s: seconds until more tokens may be had.
-    """
-
-    loan_id: str
-    granted: int
-    lifetime_s: float
-    retry_after_s: float
