--- /dev/null
+++ b/crocusshunt/metrics/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of metrics."""
