Write nothing but JSON lines to the logs

Cause: absl wrote a warning before the first entry of each process. Change: mark absl's flags as parsed; options are docopt's. Before: the parse of the first line failed in the new test. After: it passes.

--- a/crocusshunt/logs/_journal.py
+++ b/crocusshunt/logs/_journal.py
@@ -4,7 +4,7 @@
 import sys
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 _FIELDS = 'crocus_fields'
 
@@ -28,6 +28,10 @@
 
     :param verbosity: least level shown, of the standard library's logging.
     """
+    if not flags.FLAGS.is_parsed():
+        # Otherwise absl writes a warning, which is no JSON, before the first
+        # entry; the programs' options are docopt's.
+        flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter())
     handler.python_handler.stream = sys.stderr
