Explain requests and report on runs from log lines

Cause: nobody could say why a request was refused, or how the worst-served customer fared. Change: package reports: explanation by request id; refusals within the rate, judged by one token bucket that sees all hosts; a page with inline SVG plots. Commands explain, top and report. The commands read only the fields that the new record logs; today's gateway lines have four of them and are passed over. Ruled out: judging refusals in a gateway, which sees only its own share. Conclusion: works on files alone, also when the interface is down.

--- a/crocusshunt/ctl/__init__.py
+++ b/crocusshunt/ctl/__init__.py
@@ -12,6 +12,7 @@
     _changes,
     _keys,
     _queries,
+    _requests,
 )
 
 __all__ = (
--- a/crocusshunt/programs/ctl.py
+++ b/crocusshunt/programs/ctl.py
@@ -20,6 +20,9 @@
   crocusctl [options] drain SERVER --reason=TEXT
   crocusctl [options] undrain SERVER --reason=TEXT
   crocusctl [options] status
+  crocusctl [options] explain REQUEST_ID (--log=FILE)...
+  crocusctl [options] top (--log=FILE)...
+  crocusctl [options] report (--log=FILE)... --out=PAGE
   crocusctl --help
 
 Options:
@@ -33,6 +36,11 @@
   --secret-file=FILE  Holds the secret of a granted key; made if missing;
                       NAME.key if not given.
   --head=DIGEST       Digest that the trail's last record must have.
+  --log=FILE          Log of a gateway; several may be given.
+  --tables=DIR        Declares customers' rates, to tell which refusals were
+                      within them.
+  --count=N           How often to show, once a second [default: 1].
+  --out=PAGE          HTML file to write.
   --help              Show this text.
 
 An ASSIGNMENT is FIELD=VALUE; a list is separated by commas. A ROLE is read,
--- /dev/null
+++ b/crocusshunt/reports/_explanation.py
@@ -0,0 +1,142 @@
+"""Why a request went where it went, or was refused."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from crocusshunt.core import CrocusError
+from crocusshunt.metrics import EndedRequest, OutcomeKind, parse_request
+
+_REASONS: Mapping[str, tuple[str, str]] = {
+    'rate-exceeded': (
+        'the customer was over its rate and burst',
+        'compare with "crocusctl get customer"; raise the rate if it is right',
+    ),
+    'limit-unavailable': (
+        'this host could not get tokens for the customer',
+        'check the controllers of the named host and of its peers',
+    ),
+    'key-missing': ('the route needs a key and none came', 'ask the caller'),
+    'key-unknown': (
+        'no key of this name and secret was ever granted',
+        'compare with "crocusctl key list"',
+    ),
+    'key-withdrawn': (
+        'the key was withdrawn',
+        'see who did it and why with "crocusctl audit"',
+    ),
+    'key-ambiguous': ('different keys came in one request', 'ask the caller'),
+    'key-evidence-stale': (
+        'this host could not tell whether the key was withdrawn meanwhile',
+        'read docs/operators/store-outage.md',
+    ),
+    'configuration-missing': (
+        'this host had not read the configuration yet',
+        'check that an interface process runs and reaches the store',
+    ),
+    'no-route': (
+        'no route matches host, path, method and customer',
+        'compare with "crocusctl get route"',
+    ),
+    'no-room': (
+        'no backend server of the pool had a free slot in time',
+        'see "crocusctl top" and draining servers with "crocusctl get server"',
+    ),
+    'deadline-exceeded': (
+        'the deadline of the route passed',
+        'look for slow backend servers of the pool',
+    ),
+    'host-leaving': ('the gateway was stopping', 'nothing; callers move'),
+    'claim-unavailable': (
+        'the store could not take the claim that keeps it from running twice',
+        'read docs/operators/store-outage.md',
+    ),
+    'request-quarantined': (
+        'the same request had crashed backend servers before',
+        'give the request id to the owner of the service',
+    ),
+}
+_UNLISTED = ('the code says why', 'read docs/operators/alarms.md')
+_RAN: Mapping[OutcomeKind, str] = {
+    OutcomeKind.answered: 'it ran, and the caller got the whole answer',
+    OutcomeKind.not_run: 'no backend server ran it',
+    OutcomeKind.unknown: 'a backend server may have run it',
+    OutcomeKind.cancelled: 'the caller left; a backend server may have run it',
+}
+
+
+@dataclass(unsafe_hash=True)
+class UnknownRequestError(CrocusError):
+    """No line of the logs tells of the request."""
+
+    code = 'request-unknown'
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """One request and why it ended as it did.
+
+    :param ran: what is known about its run.
+    :param reason: why it was refused or failed, empty if answered.
+    :param next_step: what to do, empty if nothing.
+    """
+
+    request: EndedRequest
+    ran: str
+    reason: str
+    next_step: str
+
+    def describe(self) -> tuple[str, ...]:
+        """Return lines for operators."""
+        ended = self.request
+        customer = ended.customer or 'no customer'
+        lines = [
+            f'{ended.request_id}: {ended.outcome.value} with status '
+            f'{ended.status} after {ended.duration_ms:.0f} ms',
+            f'  at    {ended.host} in {ended.region}, for {customer}',
+            f'  route {ended.route or "none"}{_describe_target(ended)}',
+            f'  ran   {self.ran}',
+        ]
+        if self.reason:
+            lines.append(f'  why   {ended.code}: {self.reason}')
+        if self.next_step:
+            lines.append(f'next: {self.next_step}')
+        return tuple(lines)
+
+
+def explain_request(
+    request_id: str,
+    lines: Iterable[str],
+) -> Result[Explanation, UnknownRequestError]:
+    """Return why a request ended as it did.
+
+    :param request_id: value of the header ``X-Request-Id``.
+    :param lines: log lines of gateways, in any order.
+
+    >>> explain_request('req-1', ()).unwrap_err()
+    UnknownRequestError(request_id='req-1')
+    """
+    for line in lines:
+        if request_id not in line:
+            continue
+        ended = parse_request(line)
+        if ended is not None and ended.request_id == request_id:
+            return Ok(_explain(ended))
+    return Err(UnknownRequestError(request_id))
+
+
+def _explain(ended: EndedRequest) -> Explanation:
+    reason, next_step = '', ''
+    if ended.code:
+        reason, next_step = _REASONS.get(ended.code, _UNLISTED)
+    return Explanation(ended, _RAN[ended.outcome], reason, next_step)
+
+
+def _describe_target(ended: EndedRequest) -> str:
+    pool = f' to pool {ended.pool}' if ended.pool else ''
+    if not ended.server:
+        return pool
+    return f'{pool}, server {ended.server}, attempt {ended.attempts}'
--- /dev/null
+++ b/crocusshunt/reports/_page.py
@@ -0,0 +1,109 @@
+"""A run's figures as one HTML page without scripts or other files."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from html import escape
+
+from crocusshunt.metrics import Latencies
+from crocusshunt.reports._plots import ChartBar, draw_bars, draw_quantiles
+from crocusshunt.reports._summary import CustomerSummary, Summary
+
+_STYLE = (
+    'body{font:14px sans-serif;margin:2em;max-width:60em}'
+    'svg text{font:12px sans-serif}'
+    'td,th{padding:2px 10px;text-align:right}'
+    'td:first-child,th:first-child{text-align:left}'
+)
+_QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_CUSTOMER_TITLES = (
+    'customer',
+    'requests',
+    'answered',
+    'refused',
+    'refused within rate',
+    'unknown',
+    'median ms',
+    '99% ms',
+)
+
+
+def render_page(title: str, summary: Summary) -> str:
+    """Return the page of a run.
+
+    >>> from crocusshunt.reports import summarize
+    >>> render_page('run', summarize((), {})).startswith('<!doctype html>')
+    True
+    """
+    parts = (
+        f'<h1>{escape(title)}</h1>',
+        f'<p>{_describe(summary)}</p>',
+        '<h2>Customers: share answered</h2>',
+        draw_bars([_draw_customer(one) for one in summary.customers]),
+        _render_table(
+            _CUSTOMER_TITLES,
+            [_list_customer(one) for one in summary.customers],
+        ),
+        _render_latencies('route', summary.routes),
+        _render_latencies('region', summary.regions),
+    )
+    return (
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>{escape(title)}</title><style>{_STYLE}</style></head>'
+        f'<body>{"".join(parts)}</body></html>\n'
+    )
+
+
+def _describe(summary: Summary) -> str:
+    worst = summary.worst_served
+    if worst is None:
+        return f'{summary.requests} requests, none of a customer.'
+    known = [one.wrongful for one in summary.customers]
+    wrongful = sum(count for count in known if count is not None)
+    judged = sum(count is not None for count in known)
+    return (
+        f'{summary.requests} requests. Worst served: {escape(worst.name)}, '
+        f'{worst.answered_share:.2%} answered. Refused although within rate: '
+        f'{wrongful}, judged for {judged} of {len(known)} customers.'
+    )
+
+
+def _draw_customer(one: CustomerSummary) -> ChartBar:
+    return ChartBar(one.name, one.answered_share, f'{one.answered_share:.2%}')
+
+
+def _list_customer(one: CustomerSummary) -> Sequence[str]:
+    return [
+        one.name,
+        str(one.requests),
+        str(one.answered),
+        str(one.refused),
+        'rate not known' if one.wrongful is None else str(one.wrongful),
+        str(one.unknown),
+        f'{one.median_ms:.1f}',
+        f'{one.tail_ms:.1f}',
+    ]
+
+
+def _render_latencies(kind: str, series: Mapping[str, Latencies]) -> str:
+    titles = (kind, 'answered', *(f'{share:.1%} ms' for share in _QUANTILES))
+    rows = [
+        (
+            label,
+            str(latencies.count),
+            *(f'{latencies.find_quantile(each):.1f}' for each in _QUANTILES),
+        )
+        for label, latencies in series.items()
+    ]
+    heading = f'<h2>Latency by {kind}</h2>'
+    return heading + draw_quantiles(series) + _render_table(titles, rows)
+
+
+def _render_table(
+    titles: Iterable[str],
+    rows: Iterable[Sequence[str]],
+) -> str:
+    head = ''.join(f'<th>{escape(title)}</th>' for title in titles)
+    body = ''.join(
+        f'<tr>{"".join(f"<td>{escape(cell)}</td>" for cell in row)}</tr>'
+        for row in rows
+    )
+    return f'<table><tr>{head}</tr>{body}</table>'
