--- a/crocusshunt/ctl/_keys.py
+++ b/crocusshunt/ctl/_keys.py
@@ -80,6 +80,20 @@
     return ExitStatus.done
 
 
+@register_command('operator', 'create')
+async def create_operator(context: Context) -> ExitStatus:
+    """Make the key of the first operator and show its digest."""
+    secret = _provide_secret(context, context.arguments['NAME'])
+    if isinstance(secret, Err):
+        return report_faults(context, (secret.err_value,))
+    digest = digest_key(secret.ok_value)
+    context.console.show(
+        {'bootstrap_digest': digest},
+        (f'bootstrap_digest = {digest}',),
+    )
+    return ExitStatus.done
+
+
 @register_command('operator', 'grant')
 async def grant_operator(context: Context) -> ExitStatus:
     """Give an operator a key of their own, with a role."""
--- a/crocusshunt/programs/ctl.py
+++ b/crocusshunt/programs/ctl.py
@@ -15,6 +15,7 @@
   crocusctl [options] key grant NAME CUSTOMER --reason=TEXT
   crocusctl [options] key withdraw NAME --reason=TEXT
   crocusctl [options] key list
+  crocusctl [options] operator create NAME
   crocusctl [options] operator grant NAME ROLE --reason=TEXT
   crocusctl [options] operator withdraw NAME --reason=TEXT
   crocusctl [options] drain SERVER --reason=TEXT
