--- a/crocusshunt/demo/tests/test_operators.py
+++ b/crocusshunt/demo/tests/test_operators.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
@@ -11,7 +10,7 @@
 from crocusshunt.core import Identifiers
 from crocusshunt.demo import Fleet
 from crocusshunt.demo.tests.callers import Callers
-from crocusshunt.demo.tests.terminal import Terminal, create_fleet
+from crocusshunt.demo.tests.terminal import Terminal
 from crocusshunt.routing import Server
 
 _WITHDRAWAL_S = 5
@@ -28,29 +27,6 @@
 _ABAY = pytest.mark.parametrize('fleet', ['abay'], indirect=True)
 
 
-@pytest.fixture
-async def fleet(request: pytest.FixtureRequest) -> AsyncIterator[Fleet]:
-    started = create_fleet(request.param)
-    try:
-        await started.start()
-        yield started
-    finally:
-        await started.stop()
-
-
-@pytest.fixture
-async def callers(fleet: Fleet) -> AsyncIterator[Callers]:
-    calling = Callers(fleet)
-    await calling.call_until('answered', _RECOVERY_S)
-    yield calling
-    await calling.close()
-
-
-@pytest.fixture
-def terminal(fleet: Fleet, tmp_path: Path) -> Terminal:
-    return Terminal(fleet, tmp_path)
-
-
 @_BOTH
 async def test_ordinary_day(
     callers: Callers,
