--- a/crocusshunt/configuration/_errors.py
+++ b/crocusshunt/configuration/_errors.py
@@ -91,6 +91,15 @@
     reason: str
     edits: tuple[Edit, ...] = ()
 
+    def describe(self) -> str:
+        """Return who came first, why, and which rows changed."""
+        rows = ', '.join(f'{edit.table} {edit.name}' for edit in self.edits)
+        return (
+            f'{self.code}: revision {self.actual} is in force, not '
+            f'{self.expected}; {self.author} changed {rows or "other rows"} '
+            f'first: {self.reason}'
+        )
+
 
 @dataclass(unsafe_hash=True)
 class UnknownOutcomeError(ProposalError):
--- a/crocusshunt/demo/tests/test_operators.py
+++ b/crocusshunt/demo/tests/test_operators.py
@@ -18,6 +18,7 @@
 _RECOVERY_S = 15
 _OUTAGE_S = 5
 _ROUNDS = 8
+_POLL_S = 0.05
 _BOTH = pytest.mark.parametrize(
     'fleet',
     ['abay', 'trosarina'],
@@ -99,9 +100,11 @@
 ) -> None:
     command = f'edit customer {callers.customer} rate=80 --reason=raise'
     switches = fleet.platform.platform.switches
+    switches.lost_table = 'configuration-head'
     switches.lost_answers = 1
     await terminal.run(command)
     switches.is_down = False
+    await _wait_for_store(fleet)
     repeated = f'{command} --change-id=change-{_first_id()} --from=1'
     await terminal.run(repeated)
     await terminal.run(repeated.replace('=raise', '=other'))
@@ -155,3 +158,11 @@
 
 def _first_id() -> str:
     return Identifiers(random.Random(1)).create('change').partition('-')[2]
+
+
+async def _wait_for_store(fleet: Fleet) -> None:
+    client = fleet.create_client()
+    async with asyncio.timeout(_RECOVERY_S):
+        while (await client.list_changes(0)).is_err():
+            await asyncio.sleep(_POLL_S)
+    await client.close()
--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -156,9 +156,7 @@
 
     async def apply_tables(self) -> None:
         backend = f'127.0.0.1:{self.ports["backend"]}'
-        accepted = await self.propose(
-            'first',
-            0,
+        rows: tuple[Row, ...] = (
             FailureDomain('addis-a', 'addis'),
             Pool('verify'),
             Server('s1', 'verify', backend, 'addis', 'addis-a', slots=8),
@@ -166,6 +164,10 @@
             Customer('court', rate=1000, burst=1000),
             Key('court', 'court', digest_key(CALLER_KEY)),
         )
+        accepted = await poll(
+            lambda: self.propose('first', 0, *rows),
+            lambda outcome: outcome.is_ok(),
+        )
         assert accepted.unwrap().revision == 1
 
     async def _put_hosts(self) -> None:
--- a/crocusshunt/programs/tests/test_process_failures.py
+++ b/crocusshunt/programs/tests/test_process_failures.py
@@ -100,14 +100,19 @@
     refused = await site.propose('later', 1, Customer('bar', rate=1, burst=1))
     assert refused.is_err()
     await site.set_switches(Switches())
-    accepted = await site.propose('later', 1, Customer('bar', rate=1, burst=1))
+    accepted = await poll(
+        lambda: site.propose('later', 1, Customer('bar', rate=1, burst=1)),
+        lambda outcome: outcome.is_ok(),
+    )
     assert accepted.unwrap().revision == 2
     repeated = await site.propose('later', 1, Customer('bar', rate=1, burst=1))
     assert repeated.unwrap().revision == 2
 
 
 async def test_lost_answer_of_the_store_is_resolved(site: Site) -> None:
-    await site.set_switches(Switches(lost_answers=1))
+    await site.set_switches(
+        Switches(lost_answers=1, lost_table='configuration-head'),
+    )
     accepted = await site.propose('lost', 1, Customer('bar', rate=1, burst=1))
     assert accepted.unwrap().revision == 2
 
--- a/crocusshunt/standin/_memory.py
+++ b/crocusshunt/standin/_memory.py
@@ -25,11 +25,14 @@
     :param delay_s: wait before each call, in seconds.
     :param lost_answers: number of transactions whose answer will be lost
         after they took effect.
+    :param lost_table: only transactions on this table lose their answers;
+        empty for any.
     """
 
     is_down: bool = False
     delay_s: float = 0
     lost_answers: int = 0
+    lost_table: str = ''
 
 
 class MemoryPlatform:
@@ -88,7 +91,7 @@
             return Err(conflict)
         for write in writes:
             self._write(write)
-        if self.switches.lost_answers:
+        if self._is_answer_lost(writes):
             self.switches.lost_answers -= 1
             return Err(StoreUnknownOutcomeError('answer lost'))
         return Ok(None)
@@ -127,6 +130,11 @@
             return StoreUnavailableError('the store is down')
         return None
 
+    def _is_answer_lost(self, writes: tuple[Write, ...]) -> bool:
+        wanted = self.switches.lost_table
+        tables = {write.table for write in writes}
+        return self.switches.lost_answers > 0 and wanted in {'', *tables}
+
     def _find_conflict(
         self,
         writes: tuple[Write, ...],
