Keep operators' calls apart from the circuit of the polls

Cause: after an outage an operator's change was refused as store-unreachable for up to 1.5 s, since failed polls and single attempts had opened the circuit (test_change_during_an_outage_is_not_lost_nor_doubled failed). Change: operators' endpoints use a client of their own; a call counts as one failure after its retries, of which there are at most two. Conclusion: the circuit spares the store without refusing operators.

--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -48,29 +48,19 @@
         self._tasks = TaskGroup()
         self._requesters = RequesterPool()
         self._platform = HttpPlatform(settings.platform)
-        repository = Repository(
-            self._platform,
-            clock,
-            WitnessAnnouncer(self._requesters),
-        )
+        # Operators' few calls are not refused because polls have failed.
+        self._operators_platform = HttpPlatform(settings.platform)
         self.feed = Feed(clock)
+        repository = Repository(self._platform, clock)
         self._desk = WitnessDesk(repository, clock)
-        archive = Archive(self._platform, repository)
-        self._parts = ApiParts(
-            settings=settings,
-            clock=clock,
-            platform=self._platform,
-            repository=repository,
-            feed=self.feed,
-            origin=Origin(
-                repository,
-                self.feed,
-                clock,
-                self._desk.observe,
-                archive,
-            ),
-            archive=archive,
+        self._origin = Origin(
+            repository,
+            self.feed,
+            clock,
+            self._desk.observe,
+            Archive(self._platform, repository),
         )
+        self._parts = self._create_parts(settings, clock)
         self._replier = Replier(settings.api.listen, self._register())
 
     @property
@@ -87,7 +77,7 @@
     async def start(self) -> None:
         """Read the store, listen for controllers and operators."""
         await self._replier.start()
-        self._tasks.start(self._parts.origin.run())
+        self._tasks.start(self._origin.run())
         self._start_witnessing()
         await super().start()
 
@@ -98,6 +88,26 @@
         await self._replier.stop()
         self._requesters.close()
         await self._platform.close()
+        await self._operators_platform.close()
+
+    def _create_parts(self, settings: ApiSettings, clock: Clock) -> ApiParts:
+        platform = self._operators_platform
+        repository = Repository(
+            platform,
+            clock,
+            WitnessAnnouncer(self._requesters),
+        )
+        archive = Archive(platform, repository)
+        observe = self._desk.observe
+        return ApiParts(
+            settings=settings,
+            clock=clock,
+            platform=platform,
+            repository=repository,
+            feed=self.feed,
+            origin=Origin(repository, self.feed, clock, observe, archive),
+            archive=archive,
+        )
 
     def _start_witnessing(self) -> None:
         parts = self._parts
--- a/crocusshunt/store/_client.py
+++ b/crocusshunt/store/_client.py
@@ -158,9 +158,14 @@
         if not self.policy.admit():
             return Err(StoreUnavailableError('circuit open'))
         try:
-            return await self._call_until_deadline(call)
+            answer = await self._call_until_deadline(call)
         finally:
             self.policy.release()
+        if isinstance(answer, Err):
+            self.policy.note_failure()
+        else:
+            self.policy.note_success()
+        return answer
 
     async def _call_until_deadline(
         self,
@@ -186,17 +191,11 @@
         try:
             answer = await self._send(call, give_up_at)
         except aiohttp.ClientConnectorError as error:
-            self.policy.note_failure()
             return Err(StoreUnavailableError(type(error).__name__))
         except (aiohttp.ClientError, TimeoutError, OSError) as failure:
-            self.policy.note_failure()
             return Err(StoreUnknownOutcomeError(type(failure).__name__))
         refused = _check_status(call, answer.status)
-        if refused is None:
-            self.policy.note_success()
-            return Ok(answer)
-        self.policy.note_failure()
-        return Err(refused)
+        return Ok(answer) if refused is None else Err(refused)
 
     async def _send(self, call: _Call, give_up_at: float) -> _Answer:
         if self._session is None:
--- a/crocusshunt/store/_policy.py
+++ b/crocusshunt/store/_policy.py
@@ -11,6 +11,7 @@
 _MAX_TOKENS = 10
 _FAILURES_TO_OPEN = 5
 _FIRST_PAUSE_S = 0.05
+_MAX_RETRIES = 2
 _OPEN_S = 1
 _WINDOW_S = 10
 
@@ -84,7 +85,9 @@
 
         :param attempt: number of calls made so far.
         """
-        if self._tokens < 1 or self.state is not CircuitState.closed:
+        if attempt > _MAX_RETRIES or self._tokens < 1:
+            return None
+        if self.state is not CircuitState.closed:
             return None
         self._tokens -= 1
         self._count('retries')
@@ -97,7 +100,7 @@
         self._failures = 0
 
     def note_failure(self) -> None:
-        """Count a failure; enough of them in a row open the circuit."""
+        """Count a failed call; enough of them in a row open the circuit."""
         self._failures += 1
         self._count('failures')
         if self._failures >= _FAILURES_TO_OPEN:
