--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -5,13 +5,17 @@
 
 from aiomisc import Service
 
+from crocusshunt.configuration import Repository
 from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._peers import HostPeers
+from crocusshunt.controller._presence import PresenceWatch
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
     FetchChanges,
+    GatewayHeartbeat,
     Handlers,
     Replier,
     RequesterPool,
@@ -19,6 +23,7 @@
 from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
+from crocusshunt.steering import Readings
 
 
 class ControllerService(Service):
@@ -38,13 +43,16 @@
             random.SystemRandom(),
         )
         self.hosts = self.membership.hosts
+        self.readings = Readings()
         self._follower = Follower(
             FollowerSettings(settings.controller.sources),
             self.feed,
             self._requesters,
             clock,
         )
+        self._shifts = self._create_shift_runner(clock)
         self._lending = self._create_lending(clock)
+        self._presence = PresenceWatch(self.membership, clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -53,6 +61,8 @@
         self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
+        self._tasks.start(self._presence.run())
+        self._tasks.start(self._shifts.run())
         self._tasks.start(self._lending.loans.run())
         self._tasks.start(self._lending.run_supports())
 
@@ -65,6 +75,20 @@
         self.membership.close()
         self._requesters.close()
 
+    def _create_shift_runner(self, clock: Clock) -> ShiftRunner:
+        relay = RelaySettings(self._settings.controller.sources)
+        sources = ShiftSources(
+            lambda: self.feed.configuration,
+            lambda: tuple(host.name for host in self.hosts.find_live()),
+            lambda: self.readings,
+        )
+        return ShiftRunner(
+            self._settings.host.name,
+            sources,
+            Repository(RelayedTables(relay, self._requesters), clock),
+            clock,
+        )
+
     def _create_lending(self, clock: Clock) -> Lending:
         sources = self._settings.controller.sources
         return Lending(
@@ -81,6 +105,7 @@
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
+        handlers.register(GatewayHeartbeat)(self._presence.answer)
         self._lending.register(handlers)
         self.membership.register(handlers)
         return handlers
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -46,6 +46,7 @@
     ProbeAnswer,
     RelayProbe,
 )
+from crocusshunt.messages._presence import GatewayHeartbeat, HeartbeatNoted
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -74,9 +75,11 @@
     'FetchChanges',
     'FetchHosts',
     'FetchMembers',
+    'GatewayHeartbeat',
     'FetchTestimony',
     'GivenTestimony',
     'Handlers',
+    'HeartbeatNoted',
     'HostList',
     'Member',
     'MemberList',
