Answer unknown where a lost answer could not be read again

Change: after a fence the id is read at once, and a failure says unknown. Conclusion: accepted is in the log, refused is not, all else is unknown.

--- a/crocusshunt/configuration/_errors.py
+++ b/crocusshunt/configuration/_errors.py
@@ -103,7 +103,7 @@
 
 @dataclass(unsafe_hash=True)
 class UnreachableStoreError(ProposalError):
-    """The store could not be read; nothing was written."""
+    """The store could not be read; this call wrote nothing."""
 
     code = 'store-unreachable'
 
--- a/crocusshunt/configuration/_repository.py
+++ b/crocusshunt/configuration/_repository.py
@@ -242,7 +242,10 @@
         settled = await self.fence()
         if isinstance(settled, Err):
             return Err(UnknownOutcomeError(change.change_id))
-        return None
+        found = await self.find_change(change.change_id)
+        if isinstance(found, Err):
+            return Err(UnknownOutcomeError(change.change_id))
+        return Ok(change) if found.ok_value == change else None
 
     async def _explain_conflict(
         self,
