--- a/crocusshunt/configuration/_errors.py
+++ b/crocusshunt/configuration/_errors.py
@@ -91,6 +91,13 @@
     reason: str
     edits: tuple[Edit, ...] = ()
 
+    def describe(self) -> str:
+        """Return one line without the edits, which answers carry apart."""
+        return (
+            f'{self.code}: expected={self.expected}, actual={self.actual}, '
+            f'author={self.author!r}, reason={self.reason!r}'
+        )
+
 
 @dataclass(unsafe_hash=True)
 class UnknownOutcomeError(ProposalError):
--- a/crocusshunt/gateway/_admission.py
+++ b/crocusshunt/gateway/_admission.py
@@ -64,7 +64,7 @@
     @property
     def servers(self) -> Mapping[str, tuple[Server, ...]]:
         """Return backend servers by pool, without those that may be leaving."""
-        leaving = self._feed.find_suspension().servers
+        leaving = self._feed.find_suspension(self._key_evidence_s).servers
         if not leaving:
             return self._servers
         return {
@@ -117,7 +117,10 @@
         )
 
     def _check_suspension(self, key: Key) -> Result[Key, NotRun]:
-        if key.name not in self._feed.find_suspension().keys:
+        if (
+            key.name
+            not in self._feed.find_suspension(self._key_evidence_s).keys
+        ):
             return Ok(key)
         return Err(
             NotRun(
--- a/crocusshunt/gateway/tests/test_evidence.py
+++ b/crocusshunt/gateway/tests/test_evidence.py
@@ -118,3 +118,14 @@
     clock.advance(1)
     _testify(feed, clock)
     assert _ask(gatekeeper, 'court') == 'court'
+
+
+def test_suspension_lasts_as_long_as_evidence_is_trusted(
+    feed: Feed,
+    clock: ManualClock,
+) -> None:
+    gatekeeper = Gatekeeper(feed, 3 * _EVIDENCE_S)
+    gatekeeper._rebuild(feed.configuration)
+    _testify(feed, clock, Announcement('c2', 2, 2, keys=('court',)))
+    clock.advance(2 * _EVIDENCE_S)
+    assert _ask(gatekeeper, 'court') == 'key-suspended'
--- a/crocusshunt/replication/_feed.py
+++ b/crocusshunt/replication/_feed.py
@@ -50,11 +50,14 @@
         quorum_age = self._testimonies.measure_age(revision, self.seats)
         return min(self.evidence.measure_age(revision), quorum_age)
 
-    def find_suspension(self) -> Suspension:
-        """Return what announced changes may already have withdrawn."""
+    def find_suspension(self, within_s: float = _RECENT_S) -> Suspension:
+        """Return what announced changes may already have withdrawn.
+
+        :param within_s: age in seconds up to which evidence is trusted.
+        """
         return self._testimonies.find_suspension(
             self.configuration.revision,
-            _RECENT_S,
+            within_s,
         )
 
     def is_behind(self) -> bool:
