--- a/crocusshunt/bench/_simulation/_fleet.py
+++ b/crocusshunt/bench/_simulation/_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -82,29 +82,29 @@
         key: str,
     ) -> Result[StoredRow | None, StoreError]:
         """Return a row, None where it is absent."""
-        return await self._call(self._fleet.platform.read(table, key))
+        return await self._call(lambda: self._fleet.platform.read(table, key))
 
     async def query(
         self,
         query: Query,
     ) -> Result[tuple[StoredRow, ...], StoreError]:
         """Return the rows of a range."""
-        return await self._call(self._fleet.platform.query(query))
+        return await self._call(lambda: self._fleet.platform.query(query))
 
     async def transact(
         self,
         writes: tuple[Write, ...],
     ) -> Result[None, StoreError]:
         """Do all writes or none."""
-        return await self._call(self._fleet.platform.transact(writes))
+        return await self._call(lambda: self._fleet.platform.transact(writes))
 
     async def _call(
         self,
-        call: Coroutine[Any, Any, Result[_Found, StoreError]],
+        call: Callable[[], Coroutine[Any, Any, Result[_Found, StoreError]]],
     ) -> Result[_Found, StoreError]:
         network = self._fleet.network
         await network.wait_while_paused(self._host)
-        running = asyncio.ensure_future(call)
+        running = asyncio.ensure_future(call())
         try:
             async with asyncio.timeout(_STORE_TIMEOUT_S):
                 found = await asyncio.shield(running)
--- a/crocusshunt/gateway/_limits.py
+++ b/crocusshunt/gateway/_limits.py
@@ -22,6 +22,7 @@
 _STATUS_UNAVAILABLE = 503
 _TIMEOUT_S = 1
 _PAUSE_S = 0.1
+_MIN_PAUSE_S = 0.001
 _RETRY_S = 1
 _PATIENCE_S = 3
 _RATE_PATIENCE_S = 0.5
@@ -185,6 +186,7 @@
             is_settled = isinstance(taken.err_value, RateExceededError)
             if is_settled or now + wait_s > give_up_at:
                 return taken
+            await asyncio.sleep(_PAUSE_S)
 
     async def _try_once(
         self,
@@ -243,7 +245,7 @@
             if wake_at is None:
                 return
             pause = wake_at - self._clock.monotonic()
-            await asyncio.sleep(max(0, pause))
+            await asyncio.sleep(max(_MIN_PAUSE_S, pause))
 
     async def _borrow(
         self,
