--- a/crocusshunt/bench/_simulation/_traffic.py
+++ b/crocusshunt/bench/_simulation/_traffic.py
@@ -65,7 +65,7 @@
 ) -> tuple[Arrival, ...]:
     """Return Poisson arrivals, each host getting half as many as the last."""
     weights = [_SKEW**number for number in range(hosts)]
-    arrivals = []
+    arrivals: list[Arrival] = []
     now = load.start_s
     while True:
         now += source.expovariate(load.per_s)
--- /dev/null
+++ b/crocusshunt/bench/limits.py
@@ -0,0 +1,291 @@
+"""Measurements of the customers' limits."""
+
+import asyncio
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from crocusshunt.bench._registry import Measurement, register_bench
+from crocusshunt.bench._simulation import (
+    Arrival,
+    Layout,
+    LimitFleet,
+    Load,
+    Tally,
+    count_overshoot,
+    create_arrivals,
+    drive,
+    simulate,
+)
+from crocusshunt.core import ManualClock
+from crocusshunt.limits import (
+    AdmissionQueue,
+    HomeLedger,
+    LoanRequest,
+    QueueSettings,
+    Tenure,
+    Verdict,
+    find_shard,
+)
+from crocusshunt.routing import Customer
+
+_SEED = 11
+_HOSTS = 10
+_RATE = 20
+_LOAD_RATIO = 0.9
+_DURATION_S = 240
+_PATIENCE_S = 0.5
+_BURSTS = (10, 40, 200)
+_DECISIONS = 200_000
+_ACCOUNTS = 2000
+_PERCENT = 100
+
+Act = Callable[[LimitFleet], Coroutine[Any, Any, None]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    layout: Layout
+    loads: tuple[tuple[Customer, float], ...]
+    act: Act | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcome:
+    tallies: dict[str, Tally]
+    arrivals: dict[str, tuple[Arrival, ...]]
+    messages: int
+    message_bytes: int
+
+
+_TROSARINA = Layout(_HOSTS)
+_ABAY = Layout(
+    _HOSTS,
+    ('addis', 'dire', 'bahir'),
+    region_delay_s=0.055,
+    queue=QueueSettings(ahead_s=0.3),
+)
+
+
+async def _kill_home(fleet: LimitFleet) -> None:
+    await asyncio.sleep(60)
+    lenders = fleet.find_lenders(find_shard('cellar'))
+    fleet.kill(lenders[0])
+    await asyncio.sleep(2)
+    fleet.forget(lenders[0])
+
+
+async def _stop_store(fleet: LimitFleet) -> None:
+    await asyncio.sleep(6)
+    fleet.platform.switches.is_down = True
+
+
+_ACTS: dict[str, Act | None] = {
+    'normal': None,
+    'dead_host': _kill_home,
+    'store_down': _stop_store,
+}
+
+
+@register_bench('limit')
+def measure_limits() -> Iterator[Measurement]:
+    """Measure refusals, overshoot, fairness, speed and slopes."""
+    yield from _measure_refusals('trosarina', _TROSARINA)
+    yield from _measure_refusals('abay', _ABAY)
+    yield from _measure_worst_customer()
+    yield _measure_decisions()
+    yield _measure_memory()
+    yield from _measure_messages()
+
+
+def _measure_refusals(user: str, layout: Layout) -> Iterator[Measurement]:
+    overshoot = 0
+    for burst in _BURSTS:
+        customer = Customer('cellar', _RATE, burst)
+        for condition, act in _ACTS.items():
+            load = (customer, _RATE * _LOAD_RATIO)
+            outcome = _run(_Trial(layout, (load,), act))
+            tally = outcome.tallies[customer.name]
+            arrivals = outcome.arrivals[customer.name]
+            overshoot += count_overshoot(customer, tally.admitted)
+            name = f'{user}.{condition}.burst_{burst}'
+            ideal = _refuse_centrally(customer, arrivals)
+            yield Measurement(
+                f'limit.wrongful_refusals.{name}',
+                round(tally.measure_refusals(), 3),
+                '%',
+                target=round(1.2 * ideal + 0.5, 3),
+                baseline=round(_refuse_by_split(customer, arrivals), 3),
+                seed=_SEED,
+            )
+            if condition == 'normal':
+                yield _measure_wait(name, tally)
+    yield Measurement(
+        f'limit.overshoot.{user}',
+        overshoot,
+        'requests',
+        target=0,
+        seed=_SEED,
+    )
+
+
+def _measure_wait(name: str, tally: Tally) -> Measurement:
+    waits = sorted(tally.waits)
+    worst = waits[len(waits) * 99 // _PERCENT]
+    return Measurement(
+        f'limit.wait_p99.{name}',
+        round(worst * 1000, 1),
+        'ms',
+        seed=_SEED,
+    )
+
+
+def _measure_worst_customer() -> Iterator[Measurement]:
+    greedy = Customer('lager', _RATE, 40)
+    modest = tuple(Customer(f'cellar-{one}', 5, 10) for one in range(3))
+    quiet = tuple((one, one.rate * 0.5) for one in modest)
+    alone = _run(_Trial(_TROSARINA, quiet))
+    together = _run(_Trial(_TROSARINA, (*quiet, (greedy, _RATE * 5))))
+    names = [one.name for one in modest]
+    yield Measurement(
+        'limit.worst_customer',
+        max(together.tallies[one].measure_refusals() for one in names),
+        '% refused of a customer within its rate, beside one at 5x',
+        target=max(alone.tallies[one].measure_refusals() for one in names),
+        seed=_SEED,
+    )
+    yield Measurement(
+        'limit.overshoot.greedy',
+        count_overshoot(greedy, together.tallies[greedy.name].admitted),
+        'requests',
+        target=0,
+        seed=_SEED,
+    )
+
+
+def _measure_decisions() -> Measurement:
+    clock = ManualClock()
+    ledger = HomeLedger(clock)
+    customer = Customer('cellar', 1_000_000, 1_000_000)
+    queue = AdmissionQueue(QueueSettings(ahead_s=0.1), customer.rate)
+    tenure = Tenure(1, 0)
+    started_at = time.process_time()
+    for ticket in range(_DECISIONS):
+        clock.advance(0.0001)
+        now = clock.monotonic()
+        if queue.arrive(ticket, now, 1) is not Verdict.admitted:
+            request = queue.plan(f'{ticket}', now)
+            if request is not None:
+                queue.receive(ledger.lend(customer, request, tenure), now)
+    spent_s = time.process_time() - started_at
+    return Measurement(
+        'limit.decisions',
+        round(_DECISIONS / spent_s),
+        'decisions/s a core, without messages',
+        seed=_SEED,
+    )
+
+
+def _measure_memory() -> Measurement:
+    ledger = HomeLedger(ManualClock())
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(_ACCOUNTS):
+        customer = Customer(f'customer-{number}', _RATE, 40)
+        ledger.lend(customer, LoanRequest('one', 1), Tenure(1, 0))
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return Measurement(
+        'limit.home_bytes',
+        round(grown / _ACCOUNTS),
+        'bytes a customer at its home',
+        seed=_SEED,
+    )
+
+
+def _measure_messages() -> Iterator[Measurement]:
+    customer = Customer('cellar', _RATE * 4, 200)
+    for per_s in (1, _RATE, _RATE * 3):
+        outcome = _run(_Trial(_TROSARINA, ((customer, per_s),)))
+        yield Measurement(
+            f'limit.messages.at_{per_s}_per_s',
+            round(outcome.messages / _DURATION_S, 2),
+            'messages/s between hosts, 10 hosts, one customer',
+            seed=_SEED,
+        )
+        yield Measurement(
+            f'limit.bytes.at_{per_s}_per_s',
+            round(outcome.message_bytes / _DURATION_S / _HOSTS, 1),
+            'bytes/s a host',
+            seed=_SEED,
+        )
+
+
+def _run(trial: _Trial) -> _Outcome:
+    source = random.Random(_SEED)
+    arrivals = {
+        customer.name: create_arrivals(
+            Load(customer.name, per_s, _DURATION_S),
+            _HOSTS,
+            source,
+        )
+        for customer, per_s in trial.loads
+    }
+    return simulate(_play(trial, arrivals))
+
+
+async def _play(
+    trial: _Trial,
+    arrivals: dict[str, tuple[Arrival, ...]],
+) -> _Outcome:
+    customers = tuple(customer for customer, _ in trial.loads)
+    fleet = LimitFleet(trial.layout, customers, _SEED)
+    fleet.start()
+    acting = asyncio.create_task(trial.act(fleet)) if trial.act else None
+    tallies = await asyncio.gather(
+        *(drive(fleet, name, sent) for name, sent in arrivals.items()),
+    )
+    if acting is not None:
+        await acting
+    fleet.stop()
+    return _Outcome(
+        dict(zip(arrivals, tallies, strict=True)),
+        arrivals,
+        fleet.network.sent.total(),
+        fleet.network.sent_bytes.total(),
+    )
+
+
+def _refuse_centrally(
+    customer: Customer,
+    arrivals: tuple[Arrival, ...],
+    share: float = 1,
+) -> float:
+    """Return the percentage that one ideal bucket without a queue refuses."""
+    level = customer.burst * share
+    before: float = 0
+    refused = 0
+    for arrival in arrivals:
+        gained = (arrival.at - before) * customer.rate * share
+        level = min(customer.burst * share, level + gained)
+        before = arrival.at
+        if level < 1:
+            refused += 1
+        else:
+            level -= 1
+    return _PERCENT * refused / max(1, len(arrivals))
+
+
+def _refuse_by_split(
+    customer: Customer,
+    arrivals: tuple[Arrival, ...],
+) -> float:
+    refused: float = 0
+    for host in range(_HOSTS):
+        own = tuple(one for one in arrivals if one.host == host)
+        share = 1 / _HOSTS
+        refused += _refuse_centrally(customer, own, share) * len(own)
+    return refused / max(1, len(arrivals))
--- a/crocusshunt/controller/tests/test_lending.py
+++ b/crocusshunt/controller/tests/test_lending.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 from itertools import combinations
 
 import pytest
@@ -30,7 +31,7 @@
 _SAMPLES = 144
 _LOAD = Load(_CUSTOMER.name, per_s=12, duration_s=_DURATION_S)
 
-Fault = Callable[[LimitFleet], Awaitable[None]]
+Fault = Callable[[LimitFleet], Coroutine[Any, Any, None]]
 _FAULTS: dict[str, Fault] = {}
 
 
@@ -124,8 +125,9 @@
 async def differ_on_hosts(fleet: LimitFleet) -> None:
     holder = _find_lender(fleet)
     for name in ('h1', 'h3', 'h5'):
-        if name in fleet.hosts:
-            fleet.hosts[name].peers.domains.pop(holder, None)
+        host = fleet.hosts.get(name)
+        if host is not None:
+            host.peers.domains.pop(holder, None)
 
 
 def _run(
@@ -161,8 +163,8 @@
     return most
 
 
-_ALONE = [(name,) for name in sorted(_FAULTS)]
-_PAIRS = list(combinations(sorted(_FAULTS), 2))
+_ALONE: list[tuple[str, ...]] = [(name,) for name in sorted(_FAULTS)]
+_PAIRS: list[tuple[str, ...]] = list(combinations(sorted(_FAULTS), 2))
 
 
 @pytest.mark.parametrize('names', _ALONE + _PAIRS, ids='+'.join)
