--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -7,9 +7,14 @@
     format_limit_headers,
 )
 from crocusshunt.gateway._service import GatewayService
-from crocusshunt.gateway._settings import GatewaySection, GatewaySettings
+from crocusshunt.gateway._settings import (
+    DeliveryPolicy,
+    GatewaySection,
+    GatewaySettings,
+)
 
 __all__ = (
+    'DeliveryPolicy',
     'GatewaySection',
     'GatewayService',
     'GatewaySettings',
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -2,12 +2,7 @@
 
 from crocusshunt.messages._bodies import (
     Body,
-    ChangeFeed,
-    FetchChanges,
-    FetchHosts,
-    HostList,
     Refusal,
-    SnapshotFeed,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -18,6 +13,15 @@
     UnknownKindError,
     UnknownVersionError,
 )
+from crocusshunt.messages._configuration import (
+    AnnounceChange,
+    ChangeFeed,
+    ChangeNoted,
+    FetchChanges,
+    FetchTestimony,
+    GivenTestimony,
+    SnapshotFeed,
+)
 from crocusshunt.messages._errors import (
     PeerRefusalError,
     PeerTimeoutError,
@@ -31,6 +35,18 @@
     RenewLeases,
     TokenLoan,
 )
+from crocusshunt.messages._membership import (
+    FetchHosts,
+    FetchMembers,
+    HostList,
+    Member,
+    MemberList,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    RelayProbe,
+)
+from crocusshunt.messages._presence import GatewayHeartbeat, HeartbeatNoted
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -48,24 +64,37 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'AnnounceChange',
     'Body',
     'BorrowTokens',
     'ChangeFeed',
+    'ChangeNoted',
     'Codec',
     'DamagedMessageError',
     'FencedLease',
     'FetchChanges',
     'FetchHosts',
+    'FetchMembers',
+    'GatewayHeartbeat',
+    'FetchTestimony',
+    'GivenTestimony',
     'Handlers',
+    'HeartbeatNoted',
     'HostList',
+    'Member',
+    'MemberList',
+    'MemberStatus',
     'LeaseEpoch',
     'LeasesRenewed',
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
+    'Probe',
+    'ProbeAnswer',
     'QueryRows',
     'ReadRow',
     'Refusal',
+    'RelayProbe',
     'RenewLeases',
     'Replier',
     'Requester',
