--- a/crocusshunt/limits/tests/test_exactness.py
+++ b/crocusshunt/limits/tests/test_exactness.py
@@ -12,6 +12,7 @@
 from crocusshunt.limits import (
     LOAN_LIFETIME_S,
     ROW_LEASE_S,
+    SUPPORT_S,
     Candidate,
     HomeLedger,
     LeaseRow,
@@ -227,7 +228,7 @@
     ledger = HomeLedger(clock)
     tenure = Tenure(1, 0)
     assert ledger.lend(_CUSTOMER, LoanRequest('a', 6), tenure).granted == 6
-    clock.advance(0.25)
+    clock.advance(0.45)
     smaller = Customer('cellar', rate=4, burst=2)
     assert not ledger.lend(smaller, LoanRequest('b', 2), tenure).granted
 
@@ -241,3 +242,25 @@
     settled = (Settlement('a', 2),) * repeats
     loan = ledger.lend(_CUSTOMER, LoanRequest('b', 6, settled), tenure)
     assert loan.granted == 2
+
+
+def test_open_loans_count_under_the_burst() -> None:
+    clock = ManualClock(10)
+    ledger = HomeLedger(clock)
+    tenure = Tenure(1, 0)
+    assert ledger.lend(_CUSTOMER, LoanRequest('a', 6), tenure).granted == 6
+    clock.advance(0.45)
+    assert not ledger.lend(_CUSTOMER, LoanRequest('b', 6), tenure).granted
+
+
+def test_tokens_are_void_after_the_loan() -> None:
+    wallet = Wallet()
+    wallet.put(Loan('a', 2, LOAN_LIFETIME_S, 0, 0), asked_at=1)
+    assert wallet.take(1.4)
+    assert not wallet.take(1 + LOAN_LIFETIME_S)
+
+
+def test_restarted_witness_waits_for_its_former_support() -> None:
+    witness = Witness(started_at=100)
+    wait_s = witness.fence(_SHARD, epoch=2, now=101)
+    assert wait_s == pytest.approx(lengthen(SUPPORT_S) - 1)
