--- a/crocusshunt/declarations/_text.py
+++ b/crocusshunt/declarations/_text.py
@@ -16,6 +16,7 @@
     'pool',
     'route',
     'server',
+    'witness',
 )
 
 
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -31,6 +31,7 @@
 from crocusshunt.routing import Customer, FailureDomain, Server, Tables
 from crocusshunt.standin import BackendService, PlatformService, RunCounter
 from crocusshunt.store import HostEntry, PlatformSettings
+from crocusshunt.witnesses import Witness
 
 _LOOPBACK = '127.0.0.1'
 _ANY_PORT = 0
@@ -117,6 +118,7 @@
         self.tables = declared.put(*servers)
 
     async def _start_apis(self) -> None:
+        addresses: dict[str, str] = {}
         for domain in self.tables.select(FailureDomain):
             service = ApiService(
                 ApiSettings(
@@ -137,6 +139,13 @@
             )
             await service.start()
             self.apis.append(service)
+            addresses[domain.name] = service.address
+        self.tables = self.tables.put(
+            *(
+                replace(seat, address=addresses[seat.failure_domain])
+                for seat in self.tables.select(Witness)
+            ),
+        )
 
     async def _start_hosts(self) -> None:
         for position, domain in enumerate(self.tables.select(FailureDomain)):
