--- a/crocusshunt/gateway/tests/test_faults.py
+++ b/crocusshunt/gateway/tests/test_faults.py
@@ -23,7 +23,7 @@
 
 
 async def _get_json(site: Site, path: str) -> tuple[int, dict[str, object]]:
-    async with site.request('GET', path) as answer:
+    async with asyncio.timeout(10), site.request('GET', path) as answer:
         return answer.status, await answer.json()
 
 
@@ -59,8 +59,7 @@
         )
         configure(site.gateways[0], (*rows, only))
         with pytest.raises(aiohttp.ClientPayloadError):
-            async with site.request('GET', '/verify/1') as answer:
-                await answer.read()
+            await _get_json(site, '/verify/1')
     server.close()
 
 
--- a/crocusshunt/gateway/tests/test_stop.py
+++ b/crocusshunt/gateway/tests/test_stop.py
@@ -1,6 +1,7 @@
 """Planned stops."""
 
 import asyncio
+import logging
 
 import aiohttp
 import pytest
@@ -40,16 +41,30 @@
             await _call(site, 0)
 
 
-async def test_bound_ends_the_stop_and_names_what_it_cut() -> None:
+async def test_bound_ends_the_stop_and_names_what_it_cut(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async with run_site(servers=1) as site:
         gateway = site.gateways[0]
         running = asyncio.create_task(_call(site, 8000))
         while not site.backends[0].running:
             await asyncio.sleep(0.01)
-        report = await gateway._in_flight.finish(0.1)
-        assert (report.finished, len(report.cut)) == (0, 1)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        with caplog.at_level(logging.WARNING):
+            await gateway.stop()
+        # The bound is 2 s; the request would have taken 8.
+        assert loop.time() - started_at < 6
+        record = caplog.records[-1]
+        assert record.getMessage() == 'requests finished for the stop'
+        assert len(record.__dict__['crocus_fields']['cut']) == 1
         with pytest.raises(aiohttp.ClientError):
             await running
+
+
+async def test_closed_gateway_refuses_truthfully() -> None:
+    async with run_site(servers=1) as site:
+        await site.gateways[0]._in_flight.finish(0)
         async with site.request('GET', '/verify/1') as answer:
             refused = await answer.json()
         assert refused['type'].endswith('host-leaving')
