--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -1,25 +1,29 @@
 """Service of the control process."""
 
+import random
 from typing import Any
 
 from aiomisc import Service
 
-from crocusshunt.membership import HostTable
-from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.configuration import Repository
+from crocusshunt.controller._lending import Lending, LendingContext
+from crocusshunt.controller._peers import HostPeers
+from crocusshunt.controller._presence import PresenceWatch
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
-from crocusshunt.core import Clock
+from crocusshunt.core import Clock, Identifiers
+from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
-    Body,
-    BorrowTokens,
     FetchChanges,
-    FetchHosts,
+    GatewayHeartbeat,
     Handlers,
-    HostList,
     Replier,
     RequesterPool,
 )
+from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
+from crocusshunt.steering import Readings
 
 
 class ControllerService(Service):
@@ -32,40 +36,76 @@
         self._tasks = TaskGroup()
         self._requesters = RequesterPool()
         self.feed = Feed(clock)
-        self.hosts = HostTable(settings.controller.sources, self._requesters)
-        self._follower = Follower(
-            FollowerSettings(settings.controller.sources),
-            self.feed,
-            self._requesters,
+        self.membership = MembershipService(
+            settings.host,
+            HostTable(settings.controller.sources, self._requesters),
             clock,
+            random.SystemRandom(),
         )
-        self._loans = LoanDesk(
-            settings.host,
+        self.hosts = self.membership.hosts
+        self.readings = Readings()
+        self._follower = Follower(
+            FollowerSettings(settings.controller.sources),
             self.feed,
-            self.hosts,
             self._requesters,
             clock,
         )
+        self._shifts = self._create_shift_runner(clock)
+        self._lending = self._create_lending(clock)
+        self._presence = PresenceWatch(self.membership, clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
         """Listen and follow."""
         await self.replier.start()
+        self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
-        self._tasks.start(self.hosts.run())
+        self._tasks.start(self.membership.run())
+        self._tasks.start(self._presence.run())
+        self._tasks.start(self._shifts.run())
+        self._tasks.start(self._lending.loans.run())
+        self._tasks.start(self._lending.run_supports())
 
     async def stop(self, exception: Exception | None = None) -> Any:
-        """Stop all tasks and close all sockets."""
+        """Announce the stop, stop all tasks and close all sockets."""
+        await self.membership.leave()
         await self._tasks.stop()
+        await self._lending.loans.leave()
         await self.replier.stop()
+        self.membership.close()
         self._requesters.close()
 
+    def _create_shift_runner(self, clock: Clock) -> ShiftRunner:
+        relay = RelaySettings(self._settings.controller.sources)
+        sources = ShiftSources(
+            lambda: self.feed.configuration,
+            lambda: tuple(host.name for host in self.hosts.find_live()),
+            lambda: self.readings,
+        )
+        return ShiftRunner(
+            self._settings.host.name,
+            sources,
+            Repository(RelayedTables(relay, self._requesters), clock),
+            clock,
+        )
+
+    def _create_lending(self, clock: Clock) -> Lending:
+        sources = self._settings.controller.sources
+        return Lending(
+            LendingContext(
+                self._settings.host,
+                Identifiers().create('controller'),
+                lambda: self.feed.configuration.tables,
+                HostPeers(self.hosts, self._requesters),
+                RelayedTables(RelaySettings(sources), self._requesters),
+                clock,
+            ),
+        )
+
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
-        handlers.register(BorrowTokens)(self._loans.answer)
-        handlers.register(FetchHosts)(self._list_hosts)
+        handlers.register(GatewayHeartbeat)(self._presence.answer)
+        self._lending.register(handlers)
+        self.membership.register(handlers)
         return handlers
-
-    async def _list_hosts(self, question: FetchHosts) -> Body:
-        return HostList(self.hosts.hosts)
--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -1,5 +1,11 @@
-"""The process that passes callers' requests to backend servers."""
+"""Service that admits callers' requests and forwards them."""
 
+from crocusshunt.gateway._limits import (
+    Limiter,
+    LimitUnavailableError,
+    RateExceededError,
+    format_limit_headers,
+)
 from crocusshunt.gateway._service import GatewayService
 from crocusshunt.gateway._settings import (
     DeliveryPolicy,
@@ -12,4 +18,8 @@
     'GatewaySection',
     'GatewayService',
     'GatewaySettings',
+    'LimitUnavailableError',
+    'Limiter',
+    'RateExceededError',
+    'format_limit_headers',
 )
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -20,6 +20,7 @@
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
+from crocusshunt.gateway._heartbeat import HeartbeatSender
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._picking import ServerPicker, ServerState
 from crocusshunt.gateway._rooms import Rooms
@@ -61,7 +62,13 @@
         self._board = SuspectBoard(self._platform, clock)
         self._sweeper = ClaimSweeper(self._platform, clock)
         self._in_flight = InFlight()
-        self._drain_hooks: list[DrainHook] = []
+        self._heartbeats = HeartbeatSender(
+            section.controller,
+            self._requesters,
+        )
+        self._drain_hooks: list[DrainHook] = [
+            self._heartbeats.announce_leave,
+        ]
         self._forwarder = Forwarder()
         identifiers = Identifiers(source)
         self._handler = RequestHandler(
@@ -99,6 +106,7 @@
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
         self._tasks.start(self._board.run())
+        self._tasks.start(self._heartbeats.run())
         self._tasks.start(self._sweeper.run())
         await super().start()
 
@@ -114,8 +122,7 @@
         """Leave the locator, finish requests, then close."""
         section = self._settings.gateway
         await self.begin_drain()
-        if self._drain_hooks:
-            await asyncio.sleep(section.answer_lifetime_s)
+        await asyncio.sleep(section.answer_lifetime_s)
         await self._in_flight.finish(section.finish_s)
         await super().stop(exception)
         await self._tasks.stop()
--- a/crocusshunt/membership/_hosts.py
+++ b/crocusshunt/membership/_hosts.py
@@ -1,10 +1,18 @@
-"""The hosts that a controller knows."""
+"""The hosts that a process knows."""
 
 import asyncio
+from collections.abc import Iterable
 
 from result import Ok
 
-from crocusshunt.messages import FetchHosts, HostList, RequesterPool
+from crocusshunt.membership._precedence import create_entry
+from crocusshunt.messages import (
+    FetchHosts,
+    HostList,
+    Member,
+    MemberStatus,
+    RequesterPool,
+)
 from crocusshunt.store import HostEntry, HostState
 
 _POLL_S = 1
@@ -12,7 +20,10 @@
 
 
 class HostTable:
-    """Keeps the newest list of hosts from the first source that answers."""
+    """Keeps the newest list of hosts from the first source that answers.
+
+    :ivar version: grows with each list that differs from the one before.
+    """
 
     def __init__(
         self,
@@ -21,6 +32,8 @@
     ) -> None:
         """Start without hosts."""
         self.hosts: tuple[HostEntry, ...] = ()
+        self.suspects: frozenset[str] = frozenset()
+        self.version = 0
         self._sources = sources
         self._requesters = requesters
 
@@ -39,11 +52,53 @@
                 _TIMEOUT_S,
             )
             if isinstance(answer, Ok) and answer.ok_value.hosts:
-                self.hosts = answer.ok_value.hosts
+                self.replace(answer.ok_value)
                 return
 
+    def replace(self, listing: HostList) -> None:
+        """Take a newer list.
+
+        :param listing: the hosts, and which of them may have failed.
+        """
+        suspects = frozenset(listing.suspects)
+        if (listing.hosts, suspects) != (self.hosts, self.suspects):
+            self.hosts = listing.hosts
+            self.suspects = suspects
+            self.version += 1
+
     def find_live(self) -> tuple[HostEntry, ...]:
         """Return the hosts that are not known to be leaving."""
         return tuple(
             host for host in self.hosts if host.state is HostState.live
         )
+
+
+def list_usable(region: str, members: Iterable[Member]) -> HostList:
+    """Return the hosts that are not held for lost, seen from a region.
+
+    What another region cannot reach may well be reached from here, so its
+    verdict counts for a host of this region as mere suspicion.
+
+    :param region: region of the host that answers.
+    :param members: everything believed of all hosts.
+    """
+    usable = [
+        member
+        for member in members
+        if member.gateway and _is_usable(region, member)
+    ]
+    hosts = tuple(sorted(create_entry(member) for member in usable))
+    suspects = tuple(
+        sorted(
+            member.name
+            for member in usable
+            if member.status is not MemberStatus.alive
+        ),
+    )
+    return HostList(hosts, suspects)
+
+
+def _is_usable(region: str, member: Member) -> bool:
+    if member.status is MemberStatus.unreachable:
+        return member.region == region
+    return member.status is not MemberStatus.dead
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -1,15 +1,8 @@
 """Typed, versioned messages between the system's processes."""
 
 from crocusshunt.messages._bodies import (
-    BorrowTokens,
     Body,
-    ChangeFeed,
-    FetchChanges,
-    FetchHosts,
-    HostList,
     Refusal,
-    SnapshotFeed,
-    TokenLoan,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -20,11 +13,40 @@
     UnknownKindError,
     UnknownVersionError,
 )
+from crocusshunt.messages._configuration import (
+    AnnounceChange,
+    ChangeFeed,
+    ChangeNoted,
+    FetchChanges,
+    FetchTestimony,
+    GivenTestimony,
+    SnapshotFeed,
+)
 from crocusshunt.messages._errors import (
     PeerRefusalError,
     PeerTimeoutError,
     TransportError,
 )
+from crocusshunt.messages._loans import (
+    BorrowTokens,
+    FencedLease,
+    LeaseEpoch,
+    LeasesRenewed,
+    RenewLeases,
+    TokenLoan,
+)
+from crocusshunt.messages._membership import (
+    FetchHosts,
+    FetchMembers,
+    HostList,
+    Member,
+    MemberList,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    RelayProbe,
+)
+from crocusshunt.messages._presence import GatewayHeartbeat, HeartbeatNoted
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -42,21 +64,38 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'AnnounceChange',
     'Body',
     'BorrowTokens',
     'ChangeFeed',
+    'ChangeNoted',
     'Codec',
     'DamagedMessageError',
+    'FencedLease',
     'FetchChanges',
     'FetchHosts',
+    'FetchMembers',
+    'GatewayHeartbeat',
+    'FetchTestimony',
+    'GivenTestimony',
     'Handlers',
+    'HeartbeatNoted',
     'HostList',
+    'Member',
+    'MemberList',
+    'MemberStatus',
+    'LeaseEpoch',
+    'LeasesRenewed',
     'MessageError',
     'PeerRefusalError',
     'PeerTimeoutError',
+    'Probe',
+    'ProbeAnswer',
     'QueryRows',
     'ReadRow',
     'Refusal',
+    'RelayProbe',
+    'RenewLeases',
     'Replier',
     'Requester',
     'RequesterPool',
