--- a/crocusshunt/delivery/_quarantine.py
+++ b/crocusshunt/delivery/_quarantine.py
@@ -13,24 +13,25 @@
 class QuarantineSettings:
     """When a request is quarantined.
 
-    :param servers: backend servers lost before it is.
+    :param losses: crashes of backend servers before it is.
     :param window_s: how long a loss counts, in seconds.
     """
 
-    servers: int = 2
+    losses: int = 2
     window_s: float = 600
 
 
 class Suspicion(msgspec.Struct, frozen=True):
-    """Backend servers that a request seems to have crashed.
+    """Crashes of backend servers that a request seems to have caused.
 
-    :param servers: their names.
+    :param losses: the server and the attempt of each; a server that came
+        back and crashed again counts twice.
     :param expires_at: Unix time.
     """
 
     customer: str
     fingerprint: str
-    servers: tuple[str, ...]
+    losses: tuple[str, ...]
     expires_at: float
 
     @property
@@ -43,9 +44,9 @@
     """Suspicions by customer and request.
 
     >>> ledger = QuarantineLedger(QuarantineSettings())
-    >>> lost = Suspicion('court', 'f1', ('s1', 's2'), 600)
-    >>> ledger.merge(lost, now=0).servers
-    ('s1', 's2')
+    >>> lost = Suspicion('court', 'f1', ('s1 r1', 's1 r2'), 600)
+    >>> ledger.merge(lost, now=0).losses
+    ('s1 r1', 's1 r2')
     >>> ledger.check('court', 'f1', now=1).code
     'request-quarantined'
     >>> ledger.check('bar-office', 'f1', now=1) is None
@@ -66,12 +67,15 @@
         self,
         customer: str,
         fingerprint: str,
-        server: str,
+        loss: str,
         now: float,
     ) -> Suspicion:
-        """Count a server that went away while it ran a request."""
+        """Count a server that went away while it ran a request.
+
+        :param loss: the server and the attempt, unique.
+        """
         expires_at = now + self._settings.window_s
-        lost = Suspicion(customer, fingerprint, (server,), expires_at)
+        lost = Suspicion(customer, fingerprint, (loss,), expires_at)
         return self.merge(lost, now)
 
     def merge(self, seen: Suspicion, now: float) -> Suspicion:
@@ -81,7 +85,7 @@
         if known is not None and now < known.expires_at:
             seen = msgspec.structs.replace(
                 seen,
-                servers=tuple(sorted({*known.servers, *seen.servers})),
+                losses=tuple(sorted({*known.losses, *seen.losses})),
                 expires_at=max(known.expires_at, seen.expires_at),
             )
         held[seen.fingerprint] = seen
@@ -102,7 +106,7 @@
         seen = self._held.get(customer, {}).get(fingerprint)
         if seen is None or now >= seen.expires_at:
             return None
-        if len(seen.servers) < self._settings.servers:
+        if len(seen.losses) < self._settings.losses:
             return None
         return NotRun(
             'request-quarantined',
--- a/crocusshunt/gateway/_dispatch.py
+++ b/crocusshunt/gateway/_dispatch.py
@@ -132,7 +132,7 @@
         return self._parts.board.note_loss(
             customer,
             job.fingerprint(),
-            server.name,
+            f'{server.name} {job.request_id}',
         )
 
     def _may_retry(self, job: Job, progress: Progress) -> bool:
--- a/crocusshunt/gateway/_suspects.py
+++ b/crocusshunt/gateway/_suspects.py
@@ -75,11 +75,14 @@
         self,
         customer: str,
         fingerprint: str,
-        server: str,
+        loss: str,
     ) -> Suspicion:
-        """Count a server lost to a request, on this host."""
+        """Count a server lost to a request, on this host.
+
+        :param loss: the server and the attempt, unique.
+        """
         now = self._clock.wall()
-        return self._ledger.note_loss(customer, fingerprint, server, now)
+        return self._ledger.note_loss(customer, fingerprint, loss, now)
 
     async def forget(self, customer: str, fingerprint: str) -> None:
         """Drop the suspicion of a request that ran well."""
