--- a/crocusshunt/membership/_detector.py
+++ b/crocusshunt/membership/_detector.py
@@ -52,6 +52,7 @@
         self._settings = settings
         self._source = source
         self._names: frozenset[str] = frozenset()
+        self._seen_changes = 0
         self._turns: Counter[str] = Counter()
         self._suspected_s: dict[str, float] = {}
 
@@ -120,6 +121,9 @@
         self._table.accuse(member.name, verdict)
 
     def _assign(self) -> None:
+        if self._table.changes == self._seen_changes:
+            return
+        self._seen_changes = self._table.changes
         kept = {
             name: member
             for name, member in self._table.members.items()
--- a/crocusshunt/membership/_news.py
+++ b/crocusshunt/membership/_news.py
@@ -1,5 +1,6 @@
 """News that waits to be passed on with probes."""
 
+from heapq import nsmallest
 from math import ceil, log2
 
 from crocusshunt.messages import Member
@@ -9,7 +10,7 @@
 
 
 class NewsQueue:
-    """Beliefs to pass on, those passed on least often first.
+    """Beliefs to pass on, those passed on least often first, then the newest.
 
     Each is passed on a number of times that grows with the logarithm of the
     hosts, which reaches all of them with high probability.
@@ -34,6 +35,7 @@
 
     def put(self, member: Member) -> None:
         """Pass on a belief; an older one of the same host is dropped."""
+        self._news.pop(member.name, None)
         self._news[member.name] = member
         self._sent[member.name] = 0
 
@@ -43,8 +45,9 @@
         :param hosts: number of hosts that the news is to reach.
         """
         limit = _SPREAD_FACTOR * ceil(log2(hosts + 1))
-        names = sorted(self._sent, key=lambda name: self._sent[name])
-        chosen = tuple(self._news[name] for name in names[:_NEWS_LIMIT])
+        newest_first = reversed(self._news)
+        names = nsmallest(_NEWS_LIMIT, newest_first, key=self._sent.__getitem__)
+        chosen = tuple(self._news[name] for name in names)
         for member in chosen:
             self._count(member.name, limit)
         return chosen
--- a/crocusshunt/membership/_table.py
+++ b/crocusshunt/membership/_table.py
@@ -36,6 +36,7 @@
         self._members: dict[str, Member] = {}
         self._listed: Mapping[str, HostEntry] = {}
         self._put(me)
+        self.news.put(me)
 
     @property
     def members(self) -> Mapping[str, Member]:
@@ -95,7 +96,8 @@
         listed = create_member(entry)
         held = self._members.get(entry.name)
         if held is None:
-            self._merge(listed)
+            # Every host gets the list, so this is no news.
+            self._put(listed)
             return
         is_leaving = entry.state is HostState.leaving
         if entry.name == self.me.name:
@@ -120,6 +122,7 @@
         merged = heard if held is None else merge_members(held, heard)
         if merged != held:
             self._put(merged)
+            self.news.put(merged)
 
     def _refute(self, rumour: Member) -> None:
         if merge_members(self.me, rumour) != self.me:
@@ -131,6 +134,7 @@
     def _replace_me(self, member: Member) -> None:
         self.me = member
         self._put(member)
+        self.news.put(member)
 
     def _put(self, member: Member) -> None:
         held = self._members.get(member.name)
@@ -138,7 +142,6 @@
             self.digests.toggle(held)
         self.digests.toggle(member)
         self._members[member.name] = member
-        self.news.put(member)
         self.changes += 1
 
     def _forget(self, name: str) -> None:
