Measure steering, and find edits that jump

Cause: the caps of shifts hold for steps, but an operator's edit could move all load at once, or remove a row that still moves some. Change: find_jumps compares the tables in force with those proposed. The order of hosts is picked from a window of the ring without generators, and networks are searched without a call for each length.

--- /dev/null
+++ b/crocusshunt/bench/_regions.py
@@ -0,0 +1,175 @@
+"""Regions whose load is measured late, for measurements of decisions."""
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from itertools import permutations
+
+from crocusshunt.routing import Link, Priority
+from crocusshunt.steering import (
+    BalanceFacts,
+    BalanceSettings,
+    LinkLoad,
+    Plan,
+    PoolLoad,
+    Readings,
+    advance_plan,
+)
+
+REGIONS = ('addis', 'dire', 'bahir')
+STEP_S = 5
+_LAG_STEPS = 2
+_SLOTS = 20
+_LEFT_SLOTS = 4
+_OFFERED = 12
+_LOSS_STEP = 10
+_STEPS = 120
+_NOTICEABLE = 0.01
+_NOTHING = float(0)
+_LINKS = tuple(
+    Link(f'{source}-{target}', source, target, 4000, 55)
+    for source, target in permutations(REGIONS, 2)
+)
+
+Shares = dict[tuple[str, str], float]
+Policy = Callable[[Readings, float], Shares]
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a policy did after most of a region's servers were lost.
+
+    :param settle_steps: steps from the loss to the last noticeable change.
+    :param reversals: changes of a region's load against the one before.
+    :param overload: slot-seconds above a region's slots that load from
+        other regions caused.
+    :param served: share of the load served at the end.
+    """
+
+    settle_steps: int = 0
+    reversals: int = 0
+    overload: float = 0
+    served: float = 0
+
+
+@dataclass(slots=True)
+class DampedPolicy:
+    """The plan of the steering package, applied by all gateways."""
+
+    plan: Plan = field(default_factory=Plan)
+    changed_s: float = float('-inf')
+
+    def __call__(self, readings: Readings, now_s: float) -> Shares:
+        """Return the share of each region's load for each region."""
+        facts = BalanceFacts(
+            'verify',
+            REGIONS,
+            readings,
+            _LINKS,
+            since_step_s=now_s - self.changed_s,
+        )
+        planned = advance_plan(self.plan, facts, BalanceSettings())
+        if planned.flows != self.plan.flows:
+            self.changed_s = now_s
+        self.plan = planned
+        demand = {
+            region: planned.demand.get((Priority.normal, region), 0)
+            for region in REGIONS
+        }
+        return {
+            (source, target): slots / demand[source]
+            for (_, source, target), slots in planned.flows.items()
+        }
+
+
+def split_in_proportion(readings: Readings, now_s: float) -> Shares:
+    """Send all load where room was measured, in proportion to it."""
+    room = {
+        region: max(0, load.slots - load.busy)
+        for (_, region), load in readings.pools.items()
+    }
+    total = sum(room.values()) or 1
+    return {
+        (source, target): room[target] / total
+        for source in REGIONS
+        for target in REGIONS
+    }
+
+
+def lose_servers(policy: Policy) -> Outcome:
+    """Lose most of a region's servers under lagging measurements."""
+    outcome = Outcome()
+    load: Mapping[str, float] = dict.fromkeys(REGIONS, _OFFERED)
+    history = deque([_read(load, 0)], maxlen=_LAG_STEPS + 1)
+    before_change = dict.fromkeys(REGIONS, _NOTHING)
+    for step in range(_STEPS):
+        shares = policy(_age(history), step * STEP_S)
+        loads, inflows = _apply(shares)
+        for region in REGIONS:
+            change = loads[region] - load[region]
+            if step > _LOSS_STEP and abs(change) > _SLOTS * _NOTICEABLE:
+                outcome.settle_steps = step - _LOSS_STEP
+                outcome.reversals += change * before_change[region] < 0
+                before_change[region] = change
+        outcome.overload += _measure_overload(loads, inflows, step) * STEP_S
+        load = loads
+        history.append(_read(load, step))
+        outcome.served = _measure_served(loads, step)
+    return outcome
+
+
+def _apply(shares: Shares) -> tuple[dict[str, float], dict[str, float]]:
+    loads = dict.fromkeys(REGIONS, _NOTHING)
+    inflows = dict.fromkeys(REGIONS, _NOTHING)
+    for (source, target), share in shares.items():
+        loads[target] += share * _OFFERED
+        if source != target:
+            inflows[target] += share * _OFFERED
+    return loads, inflows
+
+
+def _measure_overload(
+    loads: Mapping[str, float],
+    inflows: Mapping[str, float],
+    step: int,
+) -> float:
+    """Return the slots in excess that load from other regions caused."""
+    return sum(
+        min(max(0, load - _count_slots(name, step)), inflows[name])
+        for name, load in loads.items()
+    )
+
+
+def _measure_served(loads: Mapping[str, float], step: int) -> float:
+    """Return the share of all load that found a slot."""
+    served = sum(
+        min(load, _count_slots(name, step)) for name, load in loads.items()
+    )
+    return served / (_OFFERED * len(REGIONS))
+
+
+def _count_slots(region: str, step: int) -> int:
+    is_hit = region == REGIONS[0] and step >= _LOSS_STEP
+    return _LEFT_SLOTS if is_hit else _SLOTS
+
+
+def _read(load: Mapping[str, float], step: int) -> Readings:
+    pools = {}
+    for region in REGIONS:
+        slots = _count_slots(region, step)
+        busy = min(slots, load[region])
+        pools['verify', region] = PoolLoad(slots, busy, _OFFERED)
+    links = {(link.source, link.target): LinkLoad(0) for link in _LINKS}
+    return Readings(pools, links)
+
+
+def _age(history: 'deque[Readings]') -> Readings:
+    """Return the oldest reading, with its age."""
+    oldest = history[0]
+    age_s = (len(history) - 1) * STEP_S
+    pools = {
+        place: PoolLoad(load.slots, load.busy, load.offered, age_s=age_s)
+        for place, load in oldest.pools.items()
+    }
+    links = {pair: LinkLoad(0, age_s) for pair in oldest.links}
+    return Readings(pools, links)
--- a/crocusshunt/shifts/__init__.py
+++ b/crocusshunt/shifts/__init__.py
@@ -11,6 +11,7 @@
     reverse_shift,
     start_shift,
 )
+from crocusshunt.shifts._jumps import find_jumps
 from crocusshunt.shifts._preview import (
     RegionShare,
     ShiftPreview,
@@ -35,6 +36,7 @@
     'ShiftState',
     'ShiftStateError',
     'StepSettings',
+    'find_jumps',
     'find_shares',
     'finish_shift',
     'list_commands',
--- a/crocusshunt/shifts/tests/test_shifts.py
+++ b/crocusshunt/shifts/tests/test_shifts.py
@@ -16,6 +16,7 @@
     ShiftState,
     ShiftStateError,
     StepSettings,
+    find_jumps,
     find_shares,
     list_commands,
     plan_step,
@@ -163,3 +164,21 @@
     assert shares == (RegionShare('dire', 0.2),)
     assert not find_shares(tables, 'verify', 'dire')
     assert not find_shares(tables, 'renew', 'addis')
+
+
+@pytest.mark.parametrize(
+    ('row', 'problem'),
+    [
+        (replace(_SHIFT, moved=0.3), ''),
+        (replace(_SHIFT, moved=0.31), 'moves more than one step'),
+        (replace(_SHIFT, moved=0), 'moves more than one step'),
+        (replace(_SHIFT, moved=0.2, source='bahir'), 'still moves 20%'),
+        (replace(_SHIFT, moved=0.5, step_share=1), 'moves more than one step'),
+    ],
+)
+def test_edits_that_jump_are_found(row: Shift, problem: str) -> None:
+    """An edit may not move what a step may not."""
+    before = Tables().put(replace(_SHIFT, moved=0.2))
+    faults = find_jumps(before, Tables().put(row))
+    assert bool(faults) == bool(problem)
+    assert all(problem in fault.problem for fault in faults)
--- a/crocusshunt/steering/_blocks.py
+++ b/crocusshunt/steering/_blocks.py
@@ -1,6 +1,7 @@
 """Blocks of client addresses."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from crocusshunt.core import IPAddress, IPNetwork, parse_network
 from crocusshunt.routing import Block
@@ -9,6 +10,7 @@
 _IPV4 = 4
 _IPV6 = 6
 _KEY_BITS = 64
+_ADDRESS_BITS: Mapping[int, int] = {_IPV4: 32, _IPV6: 128}
 _KEY_TYPES: Mapping[int, str] = {_IPV4: 'I', _IPV6: 'Q'}
 
 
@@ -49,7 +51,10 @@
         self._sites: list[str] = []
         self._numbers: dict[str, int] = {}
         self._maps: dict[tuple[int, int], PrefixMap | _LongPrefixes] = {}
-        self._lengths: dict[int, tuple[int, ...]] = {_IPV4: (), _IPV6: ()}
+        self._searches: dict[int, tuple[_Search, ...]] = {
+            _IPV4: (),
+            _IPV6: (),
+        }
         for block in blocks:
             self.put(block)
 
@@ -80,7 +85,7 @@
         version, length = place
         if place not in self._maps:
             self._maps[place] = _create_map(version, length)
-            self._lengths[version] = self._list_lengths(version)
+            self._searches[version] = self._list_searches(version)
         self._maps[place].put(_shorten(version, length, first), number)
 
     def remove(self, block: Block) -> None:
@@ -94,13 +99,10 @@
 
     def find_region(self, client: IPAddress) -> str:
         """Return the region of a client, empty if no block holds it."""
-        version = client.version
         number = int(client)
-        for length in self._lengths[version]:
-            host_bits = client.max_prefixlen - length
-            first = (number >> host_bits) << host_bits
-            key = _shorten(version, length, first)
-            site = self._maps[version, length].get(key)
+        for search in self._searches[client.version]:
+            key = (number >> search.host_bits) << search.zero_bits
+            site = search.networks.get(key)
             if site is not None:
                 return self._sites[site]
         return ''
@@ -120,9 +122,37 @@
         """Return the number of networks."""
         return sum(len(one) for one in self._maps.values())
 
-    def _list_lengths(self, version: int) -> tuple[int, ...]:
-        lengths = (place[1] for place in self._maps if place[0] == version)
-        return tuple(sorted(lengths, reverse=True))
+    def _list_searches(self, version: int) -> tuple['_Search', ...]:
+        places = sorted(self._maps, reverse=True)
+        return tuple(
+            _create_search(place, self._maps[place])
+            for place in places
+            if place[0] == version
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """How networks of one length are found.
+
+    :param host_bits: bits of an address that do not belong to the network.
+    :param zero_bits: zeros that follow the network's bits in its key.
+    """
+
+    networks: PrefixMap | _LongPrefixes
+    host_bits: int
+    zero_bits: int
+
+
+def _create_search(
+    place: tuple[int, int],
+    networks: PrefixMap | _LongPrefixes,
+) -> _Search:
+    version, length = place
+    host_bits = _ADDRESS_BITS[version] - length
+    is_short = version == _IPV6 and length <= _KEY_BITS
+    zero_bits = host_bits - _KEY_BITS if is_short else host_bits
+    return _Search(networks, host_bits, zero_bits)
 
 
 def _create_map(version: int, length: int) -> PrefixMap | _LongPrefixes:
--- a/crocusshunt/steering/_lookup.py
+++ b/crocusshunt/steering/_lookup.py
@@ -1,16 +1,18 @@
 """Order of the entry hosts for a caller."""
 
 from bisect import bisect_left
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
-from itertools import chain, islice, zip_longest
+from itertools import chain, zip_longest
 
 from crocusshunt.routing import Link
 from crocusshunt.store import HostEntry, HostState
 
 _POINTS = 64
+# Points that nearly always hold enough different hosts.
+_WINDOW = 16
 _MOST_HOSTS = 4096
 _DIGEST_BYTES = 8
 _UNKNOWN_DELAY_MS = 1_000_000
@@ -46,16 +48,14 @@
         self._points = [point for point, _ in points]
         self._hosts = [host for _, host in points]
 
-    def walk(self, key: int) -> Iterator[HostEntry]:
-        """Yield each host once, in the ring's order from a key."""
+    def pick(self, key: int, count: int) -> list[HostEntry]:
+        """Return some hosts, each once, in the ring's order from a key."""
         start = bisect_left(self._points, key)
-        seen = set()
-        for host in chain(
-            islice(self._hosts, start, None), islice(self._hosts, start)
-        ):
-            if host.name not in seen:
-                seen.add(host.name)
-                yield host
+        near = _take_distinct(self._hosts[start : start + _WINDOW], count)
+        if len(near) == count:
+            return near
+        turned = chain(self._hosts[start:], self._hosts[:start])
+        return _take_distinct(turned, count)
 
 
 class Directory:
@@ -98,14 +98,15 @@
         :param count: greatest number of hosts.
         """
         key = _hash(caller.identity)
+        found: list[HostEntry] = []
         regions = self._order_regions(caller)
-        hosts = chain.from_iterable(
-            _spread(rings[region], key)
-            for rings in (self._rings, self._fallback)
-            for region in regions
-            if region in rings
-        )
-        return tuple(islice(hosts, count))
+        for rings in (self._rings, self._fallback):
+            for region in regions:
+                missing = count - len(found)
+                found += _spread(rings.get(region, ()), key, missing)
+                if len(found) == count:
+                    return tuple(found)
+        return tuple(found)
 
     def _order_regions(self, caller: Caller) -> tuple[str, ...]:
         place = (caller.region, caller.targets)
@@ -151,13 +152,35 @@
     }
 
 
-def _spread(rings: tuple[_Ring, ...], key: int) -> Iterator[HostEntry]:
+def _spread(
+    rings: tuple[_Ring, ...],
+    key: int,
+    count: int,
+) -> list[HostEntry]:
     """Take one host of each failure domain in turn."""
+    if not rings:
+        return []
     start = key % len(rings)
     turned = rings[start:] + rings[:start]
-    walks = [ring.walk(key) for ring in turned]
-    for turn in zip_longest(*walks):
-        yield from (host for host in turn if host is not None)
+    fair = -(-count // len(rings))
+    picks = [ring.pick(key, fair) for ring in turned]
+    if sum(map(len, picks)) < count:
+        # Some failure domain is small; the others make up for it.
+        picks = [ring.pick(key, count) for ring in turned]
+    turns = chain.from_iterable(zip_longest(*picks))
+    return [host for host in turns if host is not None][:count]
+
+
+def _take_distinct(
+    hosts: Iterable[HostEntry],
+    count: int,
+) -> list[HostEntry]:
+    found: dict[str, HostEntry] = {}
+    for host in hosts:
+        found[host.name] = host
+        if len(found) == count:
+            break
+    return list(found.values())
 
 
 @lru_cache(maxsize=_MOST_HOSTS)
