--- a/crocusshunt/api/_documents.py
+++ b/crocusshunt/api/_documents.py
@@ -2,7 +2,19 @@
 
 import msgspec
 
-from crocusshunt.configuration import Change, EditRequest
+from crocusshunt.configuration import Change, Edit, EditRequest
+
+
+class ConflictDocument(msgspec.Struct, frozen=True):
+    """The change that came first.
+
+    :param revision: revision now in force.
+    """
+
+    revision: int
+    author: str
+    reason: str
+    edits: tuple[Edit, ...]
 
 
 class ErrorDocument(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -15,18 +27,22 @@
     code: str
     detail: str
     faults: tuple[str, ...] = ()
+    conflict: ConflictDocument | None = None
 
 
 class ChangeDocument(msgspec.Struct, frozen=True):
     """A proposed change.
 
     :param expected: revision that the operator had seen.
+    :param destroyed: witnesses whose processes an administrator states to
+        have ended for good; they count neither for nor against the change.
     """
 
     change_id: str
     expected: int
     reason: str
     edits: tuple[EditRequest, ...]
+    destroyed: tuple[str, ...] = ()
 
 
 class AcceptedDocument(msgspec.Struct, frozen=True):
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -8,12 +8,14 @@
 from crocusshunt.configuration import Repository
 from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._peers import HostPeers
+from crocusshunt.controller._presence import PresenceWatch
 from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
     FetchChanges,
+    GatewayHeartbeat,
     Handlers,
     Replier,
     RequesterPool,
@@ -50,6 +52,7 @@
         )
         self._shifts = self._create_shift_runner(clock)
         self._lending = self._create_lending(clock)
+        self._presence = PresenceWatch(self.membership, clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
     async def start(self) -> None:
@@ -58,6 +61,7 @@
         self.membership.join(self.replier.address)
         self._tasks.start(self._follower.run())
         self._tasks.start(self.membership.run())
+        self._tasks.start(self._presence.run())
         self._tasks.start(self._shifts.run())
         self._tasks.start(self._lending.loans.run())
         self._tasks.start(self._lending.run_supports())
@@ -101,6 +105,7 @@
     def _register(self) -> Handlers:
         handlers = Handlers()
         handlers.register(FetchChanges)(self.feed.answer)
+        handlers.register(GatewayHeartbeat)(self._presence.answer)
         self._lending.register(handlers)
         self.membership.register(handlers)
         return handlers
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -8,32 +8,30 @@
 
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.delivery import (
-    BudgetSettings,
     Claimant,
-    EjectionSettings,
     Forwarder,
     OutlierDetector,
-    QueueSettings,
     RetryBudget,
     ServerLoads,
 )
 from crocusshunt.gateway._admission import Gatekeeper
 from crocusshunt.gateway._claiming import ClaimLedger
+from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
+from crocusshunt.gateway._heartbeat import HeartbeatSender
 from crocusshunt.gateway._limits import Limiter
-from crocusshunt.gateway._rooms import Rooms, ServerState
-from crocusshunt.gateway._settings import GatewaySettings
+from crocusshunt.gateway._picking import ServerPicker, ServerState
+from crocusshunt.gateway._rooms import Rooms
+from crocusshunt.gateway._settlement import Settlement
+from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._suspects import SuspectBoard
 from crocusshunt.messages import RequesterPool
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import HttpService, TaskGroup
 from crocusshunt.store import HttpPlatform
 
-_SHED_RATIO = 0.5
-_SHED_RESERVE = 20
-
 
 class GatewayService(HttpService):
     """Admits requests and forwards them."""
@@ -43,8 +41,10 @@
         settings: GatewaySettings,
         clock: Clock,
         source: random.Random,
+        policy: DeliveryPolicy | None = None,
     ) -> None:
         """Assemble the parts; nothing runs yet."""
+        self._policy = policy or DeliveryPolicy()
         section = settings.gateway
         super().__init__(section.address, section.port)
         self._tasks = TaskGroup()
@@ -60,8 +60,15 @@
         self._clock = clock
         self._platform = HttpPlatform(settings.platform)
         self._board = SuspectBoard(self._platform, clock)
+        self._sweeper = ClaimSweeper(self._platform, clock)
         self._in_flight = InFlight()
-        self._drain_hooks: list[DrainHook] = []
+        self._heartbeats = HeartbeatSender(
+            section.controller,
+            self._requesters,
+        )
+        self._drain_hooks: list[DrainHook] = [
+            self._heartbeats.announce_leave,
+        ]
         self._forwarder = Forwarder()
         identifiers = Identifiers(source)
         self._handler = RequestHandler(
@@ -99,6 +106,8 @@
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
         self._tasks.start(self._board.run())
+        self._tasks.start(self._heartbeats.run())
+        self._tasks.start(self._sweeper.run())
         await super().start()
 
     async def begin_drain(self) -> None:
@@ -113,8 +122,7 @@
         """Leave the locator, finish requests, then close."""
         section = self._settings.gateway
         await self.begin_drain()
-        if self._drain_hooks:
-            await asyncio.sleep(section.answer_lifetime_s)
+        await asyncio.sleep(section.answer_lifetime_s)
         await self._in_flight.finish(section.finish_s)
         await super().stop(exception)
         await self._tasks.stop()
@@ -139,11 +147,15 @@
         return Desk(
             gatekeeper,
             limiter,
-            ClaimLedger(self._platform, self._clock, owner),
+            Settlement(
+                ClaimLedger(self._platform, self._clock, owner),
+                self._board,
+                self._in_flight,
+                self._tasks,
+            ),
             self._board,
             self._create_dispatcher(gatekeeper, identifiers.source),
             self._in_flight,
-            self._tasks,
         )
 
     def _create_dispatcher(
@@ -153,16 +165,23 @@
     ) -> Dispatcher:
         state = ServerState(
             ServerLoads(),
-            OutlierDetector(EjectionSettings()),
+            OutlierDetector(self._policy.ejection),
+        )
+        picker = ServerPicker(
+            gatekeeper,
+            state,
+            self._clock,
+            source,
+            self._settings.host.region,
         )
-        rooms = Rooms(gatekeeper, state, self._clock, source, QueueSettings())
+        rooms = Rooms(picker, self._clock, self._policy.queue)
         parts = DispatchParts(
             rooms,
             state,
             self._forwarder,
             self._board,
-            retries=RetryBudget(BudgetSettings()),
-            sheds=RetryBudget(BudgetSettings(_SHED_RATIO, _SHED_RESERVE)),
+            retries=RetryBudget(self._policy.retries),
+            sheds=RetryBudget(self._policy.sheds),
         )
         return Dispatcher(parts, self._clock)
 
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -1,8 +1,13 @@
 """Settings of the gateway."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusshunt.core import HostIdentity
+from crocusshunt.delivery import (
+    BudgetSettings,
+    EjectionSettings,
+    QueueSettings,
+)
 from crocusshunt.store import PlatformSettings
 
 
@@ -13,8 +18,9 @@
     :param controller: address of this host's controller.
     :param key_evidence_s: greatest age of the evidence under which keys
         are honoured, in seconds.
-    :param answer_lifetime_s: how long callers keep an answer of the locator
-        that names this host, in seconds.
+    :param answer_lifetime_s: how long callers may still come after a stop
+        began, in seconds: until every locator knows of it, and then for as
+        long as they keep a locator's answer.
     :param finish_s: longest wait for running requests at a stop, in seconds.
     """
 
@@ -22,7 +28,7 @@
     port: int
     controller: str
     key_evidence_s: float = 4
-    answer_lifetime_s: float = 5
+    answer_lifetime_s: float = 8
     finish_s: float = 35
 
 
@@ -33,3 +39,19 @@
     host: HostIdentity
     gateway: GatewaySection
     platform: PlatformSettings
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryPolicy:
+    """How requests wait, are retried, and servers are left out.
+
+    :param retries: budget for attempts after a failure.
+    :param sheds: budget for attempts after a server had no room.
+    """
+
+    queue: QueueSettings = field(default_factory=QueueSettings)
+    ejection: EjectionSettings = field(default_factory=EjectionSettings)
+    retries: BudgetSettings = field(default_factory=BudgetSettings)
+    sheds: BudgetSettings = field(
+        default_factory=lambda: BudgetSettings(ratio=3, reserve=100),
+    )
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -2,10 +2,7 @@
 
 from crocusshunt.messages._bodies import (
     Body,
-    ChangeFeed,
-    FetchChanges,
     Refusal,
-    SnapshotFeed,
     register_body,
 )
 from crocusshunt.messages._codec import (
@@ -16,6 +13,15 @@
     UnknownKindError,
     UnknownVersionError,
 )
+from crocusshunt.messages._configuration import (
+    AnnounceChange,
+    ChangeFeed,
+    ChangeNoted,
+    FetchChanges,
+    FetchTestimony,
+    GivenTestimony,
+    SnapshotFeed,
+)
 from crocusshunt.messages._errors import (
     PeerRefusalError,
     PeerTimeoutError,
@@ -40,6 +46,7 @@
     ProbeAnswer,
     RelayProbe,
 )
+from crocusshunt.messages._presence import GatewayHeartbeat, HeartbeatNoted
 from crocusshunt.messages._sockets import (
     Handlers,
     Replier,
@@ -57,16 +64,22 @@
 
 __all__ = (
     'PROTOCOL_VERSION',
+    'AnnounceChange',
     'Body',
     'BorrowTokens',
     'ChangeFeed',
+    'ChangeNoted',
     'Codec',
     'DamagedMessageError',
     'FencedLease',
     'FetchChanges',
     'FetchHosts',
     'FetchMembers',
+    'GatewayHeartbeat',
+    'FetchTestimony',
+    'GivenTestimony',
     'Handlers',
+    'HeartbeatNoted',
     'HostList',
     'Member',
     'MemberList',
--- a/crocusshunt/schema/__init__.py
+++ b/crocusshunt/schema/__init__.py
@@ -20,6 +20,7 @@
     row_type,
     table_names,
 )
+from crocusshunt.witnesses import Witness
 from crocusshunt.shifts import Shift
 
 __all__ = (
@@ -33,6 +34,7 @@
     'Pool',
     'Route',
     'Server',
+    'Witness',
     'Shift',
     'is_table',
     'row_type',
--- a/crocusshunt/store/__init__.py
+++ b/crocusshunt/store/__init__.py
@@ -3,10 +3,12 @@
 from crocusshunt.store._client import HttpPlatform, PlatformSettings
 from crocusshunt.store._errors import (
     StoreConflictError,
+    StoreDamagedAnswerError,
     StoreError,
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
+from crocusshunt.store._policy import CallPolicy, CircuitState, Tally
 from crocusshunt.store._values import (
     ABSENT,
     HostEntry,
@@ -21,6 +23,8 @@
 
 __all__ = (
     'ABSENT',
+    'CallPolicy',
+    'CircuitState',
     'HostEntry',
     'HostState',
     'HttpPlatform',
@@ -29,10 +33,12 @@
     'PlatformSettings',
     'Query',
     'StoreConflictError',
+    'StoreDamagedAnswerError',
     'StoreError',
     'StoreUnavailableError',
     'StoreUnknownOutcomeError',
     'StoredRow',
     'TableStore',
+    'Tally',
     'Write',
 )
