--- a/crocusshunt/ctl/__init__.py
+++ b/crocusshunt/ctl/__init__.py
@@ -11,6 +11,7 @@
     _audits,
     _changes,
     _keys,
+    _movements,
     _queries,
     _requests,
 )
--- a/crocusshunt/ctl/_changes.py
+++ b/crocusshunt/ctl/_changes.py
@@ -60,6 +60,11 @@
     if not is_table(table):
         allowed = ', '.join(table_names())
         return report_faults(context, (Fault(table, 'unknown table', allowed),))
+    return await edit_fields(context, table)
+
+
+async def edit_fields(context: Context, table: str) -> ExitStatus:
+    """Change the assigned fields of the named row of a table."""
     values = _parse_assignments(context.arguments['ASSIGNMENT'])
     if isinstance(values, Err):
         return report_faults(context, values.err_value)
--- a/crocusshunt/ctl/_failures.py
+++ b/crocusshunt/ctl/_failures.py
@@ -9,7 +9,13 @@
 from crocusshunt.core import Fault
 from crocusshunt.ctl._commands import Context, ExitStatus
 
-_UNKNOWN_CODES = frozenset(('unknown-outcome', 'store-unreachable'))
+_WAIT = (
+    'wait until "crocusctl status" shows a small evidence age, '
+    'then repeat as shown'
+)
+_UNKNOWN_CODES = frozenset(
+    ('unknown-outcome', 'store-unreachable', 'store-unavailable'),
+)
 _NEXT_STEPS: Mapping[str, str] = {
     'operator-unknown': (
         'name the file that holds your operator key with --key=FILE'
@@ -19,10 +25,13 @@
         'read the other change with "crocusctl history", then plan again'
     ),
     'invalid-change': 'correct the rows named above, then repeat',
-    'store-unreachable': (
-        'wait until "crocusctl status" shows a small evidence age, '
-        'then repeat as shown'
+    'store-unreachable': _WAIT,
+    'store-unavailable': _WAIT,
+    'witnesses-missing': (
+        'start the missing crocus-api processes, then repeat as shown; '
+        'docs/operators/alarms.md says what to do if one is gone for good'
     ),
+    'change-id-reused': 'leave --change-id out to make another change',
     'unknown-outcome': 'repeat as shown; it is applied at most once',
 }
 _CHECK_API = 'check --api and that crocus-api runs'
@@ -86,6 +95,13 @@
 
 
 def _shorten(document: ErrorDocument) -> str:
+    conflict = document.conflict
+    if conflict is not None:
+        rows = ', '.join(f'{edit.table} {edit.name}' for edit in conflict.edits)
+        return (
+            f'{conflict.author} changed {rows} first ("{conflict.reason}"); '
+            f'revision {conflict.revision} is in force'
+        )
     return document.detail.removeprefix(f'{document.code}: ')
 
 
--- a/crocusshunt/ctl/_queries.py
+++ b/crocusshunt/ctl/_queries.py
@@ -63,6 +63,9 @@
         for name, row in sorted(named.items())
         if wanted[0] in {None, table} and wanted[1] in {None, name}
     ]
+    if wanted[1] and not rows:
+        fault = Fault(f'{wanted[0]} {wanted[1]}', 'does not exist')
+        return report_faults(context, (fault,))
     context.console.show(
         rows,
         format_table(
--- a/crocusshunt/operators/_roles.py
+++ b/crocusshunt/operators/_roles.py
@@ -62,6 +62,10 @@
     name: str
     needed: Role
 
+    def describe(self) -> str:
+        """Return who lacks which role."""
+        return f'{self.code}: {self.name} needs the role {self.needed.value}'
+
 
 class Operators:
     """Answers which operator a key stands for.
--- a/crocusshunt/plans/__init__.py
+++ b/crocusshunt/plans/__init__.py
@@ -11,7 +11,12 @@
     Severity,
     find_consequences,
 )
-from crocusshunt.plans import _access, _capacity, _traffic  # noqa: F401
+from crocusshunt.plans import (  # noqa: F401
+    _access,
+    _capacity,
+    _movements,
+    _traffic,
+)
 
 __all__ = (
     'Consequence',
--- a/crocusshunt/plans/_capacity.py
+++ b/crocusshunt/plans/_capacity.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from crocusshunt.drains import Drain, DrainedPlaces
 from crocusshunt.plans._registry import Consequence, pair_rows, rule, warn
 from crocusshunt.routing import Route, Server, ServerState, Tables
 
@@ -65,18 +66,20 @@
 
 def _count_pools(tables: Tables) -> Counter[str]:
     slots: Counter[str] = Counter()
-    for server in tables.select(Server):
-        slots[server.pool] += _count_slots(server)
+    for server, count in _list_slots(tables):
+        slots[server.pool] += count
     return slots
 
 
 def _count_regions(tables: Tables) -> Counter[tuple[str, str]]:
     slots: Counter[tuple[str, str]] = Counter()
-    for server in tables.select(Server):
-        slots[server.pool, server.region] += _count_slots(server)
+    for server, count in _list_slots(tables):
+        slots[server.pool, server.region] += count
     return slots
 
 
-def _count_slots(server: Server) -> int:
-    is_serving = server.state is ServerState.active and server.weight
-    return server.slots if is_serving else 0
+def _list_slots(tables: Tables) -> Iterator[tuple[Server, int]]:
+    drained = DrainedPlaces(tables.select(Drain))
+    for server in tables.select(Server):
+        is_serving = server.weight and not drained.has_server(server)
+        yield server, server.slots if is_serving else 0
--- a/crocusshunt/plans/tests/test_consequences.py
+++ b/crocusshunt/plans/tests/test_consequences.py
@@ -5,6 +5,7 @@
 import pytest
 
 from crocusshunt.configuration import EditRequest
+from crocusshunt.drains import Drain, DrainKind
 from crocusshunt.keys import Key, KeyState
 from crocusshunt.operators import Operator, Role
 from crocusshunt.plans import Severity, find_consequences, preview_edits
@@ -22,6 +23,7 @@
     Tables,
     name_table,
 )
+from crocusshunt.shifts import Shift, ShiftState
 
 _KEY = Key('court', 'court', 'a' * 64)
 _ROUTE = Route('verify', 'verify', idempotent=False)
@@ -86,6 +88,17 @@
     assert f'{table} {row.name}' in dangers
 
 
+def test_shifts_and_drains_are_dangers() -> None:
+    shift = Shift('s', 'verify', 'addis', 'dire', state=ShiftState.running)
+    drain = Drain('d', DrainKind.region, 'dire')
+    started = str(find_consequences(_HELD, _HELD.put(shift, drain)))
+    assert '100% of the load of pool verify in addis moves' in started
+    assert 'no slot is left in dire' in started
+    moved = _HELD.put(replace(shift, moved=0.5))
+    removed = str(find_consequences(moved, _HELD))
+    assert '50% of the load returns to addis at once' in removed
+
+
 def test_lost_slots_name_the_promise() -> None:
     drained = [
         replace(server, state=ServerState.draining) for server in _SERVERS
--- a/crocusshunt/programs/ctl.py
+++ b/crocusshunt/programs/ctl.py
@@ -20,6 +20,14 @@
   crocusctl [options] operator withdraw NAME --reason=TEXT
   crocusctl [options] drain SERVER --reason=TEXT
   crocusctl [options] undrain SERVER --reason=TEXT
+  crocusctl [options] drain (pool|host|failure_domain|region) TARGET \
+--reason=TEXT
+  crocusctl [options] undrain (pool|host|failure_domain|region) TARGET \
+--reason=TEXT
+  crocusctl [options] shift create NAME ASSIGNMENT... --reason=TEXT
+  crocusctl [options] shift (start|pause|resume|reverse|finish) NAME \
+--reason=TEXT
+  crocusctl [options] shift list
   crocusctl [options] status
   crocusctl [options] explain REQUEST_ID (--log=FILE)...
   crocusctl [options] top (--log=FILE)...
@@ -36,6 +44,7 @@
   --from=REVISION     Refuse if another change came after this revision.
   --secret-file=FILE  Holds the secret of a granted key; made if missing;
                       NAME.key if not given.
+  --override          Drain although there is no room for the load.
   --head=DIGEST       Digest that the trail's last record must have.
   --log=FILE          Log of a gateway; several may be given.
   --tables=DIR        Declares customers' rates, to tell which refusals were
