Keep the HTTP library out of the control process

Cause: packages that the controller uses re-exported the HTTP server and the platform's client, and its service was an aiomisc one. Change: HTTP servers moved to crocusshunt.web, the platform's client to crocusshunt.platform; the controller is run without aiomisc.

--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -20,6 +20,9 @@
     Replier,
     RequesterPool,
 )
+from crocusshunt.platform import (
+    HttpPlatform,
+)
 from crocusshunt.relay import register_relay
 from crocusshunt.replication import (
     Archive,
@@ -31,8 +34,12 @@
     WitnessAnnouncer,
     WitnessDesk,
 )
-from crocusshunt.services import HttpService, TaskGroup
-from crocusshunt.store import HttpPlatform
+from crocusshunt.services import (
+    TaskGroup,
+)
+from crocusshunt.web import (
+    HttpService,
+)
 
 _MAX_BODY_BYTES = 16_777_216
 # Modules whose import registers endpoints; a new module is added here.
--- a/crocusshunt/api/_settings.py
+++ b/crocusshunt/api/_settings.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.store import PlatformSettings
+from crocusshunt.platform import (
+    PlatformSettings,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/bench/_delivery_cost.py
+++ b/crocusshunt/bench/_delivery_cost.py
@@ -11,8 +11,10 @@
 
 from crocusshunt.bench._registry import Measurement
 from crocusshunt.gateway.tests.site import COURT_KEY, Site, run_site
-from crocusshunt.services import HttpService
 from crocusshunt.standin import Fault
+from crocusshunt.web import (
+    HttpService,
+)
 
 _REQUESTS = 3000
 _WARM_UP = 300
--- a/crocusshunt/bench/delivery.py
+++ b/crocusshunt/bench/delivery.py
@@ -21,7 +21,9 @@
     simulate_room,
 )
 from crocusshunt.delivery import list_choices
-from crocusshunt.services import create_loop
+from crocusshunt.services import (
+    create_loop,
+)
 
 _SEED = 5
 
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -1,16 +1,14 @@
 """Service of the control process."""
 
+import asyncio
 import random
-from typing import Any
-
-from aiomisc import Service
 
 from crocusshunt.configuration import Repository
 from crocusshunt.controller._lending import Lending, LendingContext
 from crocusshunt.controller._peers import HostPeers
 from crocusshunt.controller._presence import PresenceWatch
-from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.controller._settings import ControllerSettings
+from crocusshunt.controller._shifts import ShiftRunner, ShiftSources
 from crocusshunt.core import Clock, Identifiers
 from crocusshunt.membership import HostTable, MembershipService
 from crocusshunt.messages import (
@@ -22,16 +20,17 @@
 )
 from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.services import TaskGroup
+from crocusshunt.services import (
+    TaskGroup,
+)
 from crocusshunt.steering import Readings
 
 
-class ControllerService(Service):
+class ControllerService:
     """Keeps the configuration, the hosts and the customers' tokens."""
 
     def __init__(self, settings: ControllerSettings, clock: Clock) -> None:
         """Assemble the parts; nothing runs yet."""
-        super().__init__()
         self._settings = settings
         self._tasks = TaskGroup()
         self._requesters = RequesterPool()
@@ -55,6 +54,12 @@
         self._presence = PresenceWatch(self.membership, clock)
         self.replier = Replier(settings.controller.listen, self._register())
 
+    async def serve(self, stopping: asyncio.Event) -> None:
+        """Run until an event is set."""
+        await self.start()
+        await stopping.wait()
+        await self.stop()
+
     async def start(self) -> None:
         """Listen and follow."""
         await self.replier.start()
@@ -66,7 +71,7 @@
         self._tasks.start(self._lending.loans.run())
         self._tasks.start(self._lending.run_supports())
 
-    async def stop(self, exception: Exception | None = None) -> Any:
+    async def stop(self) -> None:
         """Announce the stop, stop all tasks and close all sockets."""
         await self.membership.leave()
         await self._tasks.stop()
--- a/crocusshunt/controller/tests/test_lending.py
+++ b/crocusshunt/controller/tests/test_lending.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from typing import Any
 from itertools import combinations
+from typing import Any
 
 import pytest
 
--- a/crocusshunt/ctl/__init__.py
+++ b/crocusshunt/ctl/__init__.py
@@ -1,12 +1,5 @@
 """Commands of the operators' program."""
 
-from crocusshunt.ctl._commands import (
-    Arguments,
-    ExitStatus,
-    Surroundings,
-    run_command,
-)
-from crocusshunt.ctl._console import Console
 from crocusshunt.ctl import (  # noqa: F401
     _audits,
     _changes,
@@ -15,6 +8,13 @@
     _queries,
     _requests,
 )
+from crocusshunt.ctl._commands import (
+    Arguments,
+    ExitStatus,
+    Surroundings,
+    run_command,
+)
+from crocusshunt.ctl._console import Console
 
 __all__ = (
     'Arguments',
--- a/crocusshunt/delivery/__init__.py
+++ b/crocusshunt/delivery/__init__.py
@@ -1,5 +1,6 @@
 """Delivery of a request to a backend server."""
 
+from crocusshunt.delivery._budget import BudgetSettings, RetryBudget
 from crocusshunt.delivery._claims import (
     Claim,
     Claimant,
@@ -11,7 +12,6 @@
     fingerprint_request,
     judge_claim,
 )
-from crocusshunt.delivery._budget import BudgetSettings, RetryBudget
 from crocusshunt.delivery._ejection import EjectionSettings, OutlierDetector
 from crocusshunt.delivery._forwarding import (
     OVERLOAD_HEADER,
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -28,9 +28,14 @@
     LocatorService,
     LocatorSettings,
 )
+from crocusshunt.platform import (
+    PlatformSettings,
+)
 from crocusshunt.routing import Customer, FailureDomain, Server, Tables
 from crocusshunt.standin import BackendService, PlatformService, RunCounter
-from crocusshunt.store import HostEntry, PlatformSettings
+from crocusshunt.store import (
+    HostEntry,
+)
 from crocusshunt.witnesses import Witness
 
 _LOOPBACK = '127.0.0.1'
--- a/crocusshunt/demo/tests/terminal.py
+++ b/crocusshunt/demo/tests/terminal.py
@@ -7,14 +7,18 @@
 from pathlib import Path
 
 from docopt import docopt
+from result import Err, Result
 
 from crocusshunt.core import Identifiers, SystemClock
 from crocusshunt.ctl import Console, Surroundings, run_command
 from crocusshunt.demo import Fleet, FleetSettings
 from crocusshunt.programs import ctl
 from crocusshunt.standin import MemoryPlatform
-from crocusshunt.store import StoreError, StoreUnknownOutcomeError, Write
-from result import Err, Result
+from crocusshunt.store import (
+    StoreError,
+    StoreUnknownOutcomeError,
+    Write,
+)
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
 _CHANGES = 'configuration-change'
--- a/crocusshunt/gateway/_admission.py
+++ b/crocusshunt/gateway/_admission.py
@@ -8,7 +8,7 @@
 from crocusshunt.configuration import Configuration
 from crocusshunt.core import IPAddress
 from crocusshunt.delivery import NotRun
-from crocusshunt.keys import Keyring, Key, MissingKeyError
+from crocusshunt.keys import Key, Keyring, MissingKeyError
 from crocusshunt.replication import Feed
 from crocusshunt.routing import (
     Access,
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -16,7 +16,6 @@
 )
 from crocusshunt.gateway._admission import Gatekeeper
 from crocusshunt.gateway._claiming import ClaimLedger
-from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
@@ -24,13 +23,21 @@
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._picking import ServerPicker, ServerState
 from crocusshunt.gateway._rooms import Rooms
-from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
+from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.messages import RequesterPool
+from crocusshunt.platform import (
+    HttpPlatform,
+)
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.services import HttpService, TaskGroup
-from crocusshunt.store import HttpPlatform
+from crocusshunt.services import (
+    TaskGroup,
+)
+from crocusshunt.web import (
+    HttpService,
+)
 
 
 class GatewayService(HttpService):
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -8,7 +8,9 @@
     EjectionSettings,
     QueueSettings,
 )
-from crocusshunt.store import PlatformSettings
+from crocusshunt.platform import (
+    PlatformSettings,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/gateway/_settlement.py
+++ b/crocusshunt/gateway/_settlement.py
@@ -17,7 +17,9 @@
 from crocusshunt.gateway._draining import InFlight
 from crocusshunt.gateway._jobs import Ending, Job
 from crocusshunt.gateway._suspects import SuspectBoard
-from crocusshunt.services import TaskGroup
+from crocusshunt.services import (
+    TaskGroup,
+)
 
 
 class Settlement:
--- a/crocusshunt/gateway/_suspects.py
+++ b/crocusshunt/gateway/_suspects.py
@@ -15,8 +15,8 @@
 from crocusshunt.store import (
     ABSENT,
     Query,
-    StoredRow,
     StoreConflictError,
+    StoredRow,
     TableStore,
     Write,
 )
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -21,6 +21,9 @@
 from crocusshunt.gateway._limits import Limiter
 from crocusshunt.keys import Key, digest_key
 from crocusshunt.messages import RequesterPool, SnapshotFeed
+from crocusshunt.platform import (
+    PlatformSettings,
+)
 from crocusshunt.routing import (
     Access,
     Customer,
@@ -34,7 +37,6 @@
     name_table,
 )
 from crocusshunt.standin import BackendService, PlatformService, RunCounter
-from crocusshunt.store import PlatformSettings
 
 COURT_KEY = 'ck_court_0123456789'
 BAR_KEY = 'ck_bar_9876543210'
--- a/crocusshunt/gateway/tests/test_evidence.py
+++ b/crocusshunt/gateway/tests/test_evidence.py
@@ -25,7 +25,8 @@
     Server,
     name_table,
 )
-from crocusshunt.witnesses import Announcement, Testimony as Given, Witness
+from crocusshunt.witnesses import Announcement, Witness
+from crocusshunt.witnesses import Testimony as Given
 
 _SECRETS = {'court': 'ck_court_00', 'bar': 'ck_bar_00'}
 _SEATS = tuple(f'tcp://127.0.0.1:{port}' for port in (1, 2, 3))
--- a/crocusshunt/keys/__init__.py
+++ b/crocusshunt/keys/__init__.py
@@ -4,10 +4,10 @@
 from crocusshunt.keys._keyring import (
     Digest,
     Key,
-    RefusedKeyError,
     Keyring,
     KeyState,
     MissingKeyError,
+    RefusedKeyError,
     UnknownKeyError,
     WithdrawnKeyError,
 )
--- a/crocusshunt/limits/_tenancy.py
+++ b/crocusshunt/limits/_tenancy.py
@@ -8,8 +8,8 @@
 from crocusshunt.limits._lease import (
     ROW_LEASE_S,
     SUPPORT_S,
-    Level,
     LeaseRow,
+    Level,
     has_majority,
 )
 from crocusshunt.limits._ledger import Tenure
--- a/crocusshunt/membership/_precedence.py
+++ b/crocusshunt/membership/_precedence.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from crocusshunt.messages import Member, MemberStatus
-from crocusshunt.store import HostEntry, HostState
+from crocusshunt.store import (
+    HostEntry,
+    HostState,
+)
 
 _DIGEST_BYTES = 8
 
--- a/crocusshunt/membership/tests/network.py
+++ b/crocusshunt/membership/tests/network.py
@@ -20,7 +20,10 @@
     RelayProbe,
     TransportError,
 )
-from crocusshunt.store import HostEntry, HostState
+from crocusshunt.store import (
+    HostEntry,
+    HostState,
+)
 
 _REJOIN_ROUNDS = 5
 
--- a/crocusshunt/plans/__init__.py
+++ b/crocusshunt/plans/__init__.py
@@ -1,5 +1,11 @@
 """What a proposed change would do before it is proposed."""
 
+from crocusshunt.plans import (  # noqa: F401
+    _access,
+    _capacity,
+    _movements,
+    _traffic,
+)
 from crocusshunt.plans._differences import (
     FieldChange,
     RowChange,
@@ -11,12 +17,6 @@
     Severity,
     find_consequences,
 )
-from crocusshunt.plans import (  # noqa: F401
-    _access,
-    _capacity,
-    _movements,
-    _traffic,
-)
 
 __all__ = (
     'Consequence',
--- a/crocusshunt/store/_client.py
+++ b/crocusshunt/platform/_client.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock, SystemClock
+from crocusshunt.platform._policy import CallPolicy
 from crocusshunt.store._errors import (
     StoreConflictError,
     StoreDamagedAnswerError,
@@ -17,7 +18,6 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from crocusshunt.store._policy import CallPolicy
 from crocusshunt.store._values import HostEntry, Query, StoredRow, Write
 
 _STATUS_OK = 200
--- a/crocusshunt/programs/api.py
+++ b/crocusshunt/programs/api.py
@@ -9,10 +9,12 @@
   --help           Show this text.
 """
 
-from crocusshunt.core import SystemClock
 from crocusshunt.api import ApiService, ApiSettings
+from crocusshunt.core import SystemClock
 from crocusshunt.programs._start import start_program
-from crocusshunt.services import run_services
+from crocusshunt.web import (
+    run_services,
+)
 
 
 def main() -> None:
--- a/crocusshunt/programs/controller.py
+++ b/crocusshunt/programs/controller.py
@@ -9,13 +9,14 @@
   --help           Show this text.
 """
 
-from crocusshunt.core import SystemClock
 from crocusshunt.controller import ControllerService, ControllerSettings
+from crocusshunt.core import SystemClock
 from crocusshunt.programs._start import start_program
-from crocusshunt.services import run_services
+from crocusshunt.services import run_until_signal
 
 
 def main() -> None:
     """Run until SIGTERM."""
     settings = start_program(__doc__ or '', ControllerSettings)
-    run_services(ControllerService(settings, SystemClock()))
+    service = ControllerService(settings, SystemClock())
+    run_until_signal(service.serve)
--- a/crocusshunt/programs/demo.py
+++ b/crocusshunt/programs/demo.py
@@ -31,8 +31,13 @@
     run_session,
 )
 from crocusshunt.logs import start_logging
-from crocusshunt.services import create_loop, run_services
+from crocusshunt.services import (
+    create_loop,
+)
 from crocusshunt.settings import SettingsError
+from crocusshunt.web import (
+    run_services,
+)
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
 
--- a/crocusshunt/programs/gateway.py
+++ b/crocusshunt/programs/gateway.py
@@ -14,7 +14,9 @@
 from crocusshunt.core import SystemClock
 from crocusshunt.gateway import GatewayService, GatewaySettings
 from crocusshunt.programs._start import start_program
-from crocusshunt.services import run_services
+from crocusshunt.web import (
+    run_services,
+)
 
 
 def main() -> None:
--- a/crocusshunt/programs/standin.py
+++ b/crocusshunt/programs/standin.py
@@ -17,12 +17,14 @@
 from crocusshunt.declarations import read_declarations
 from crocusshunt.programs._start import EXIT_SETTINGS, start_program
 from crocusshunt.routing import Server, Tables
-from crocusshunt.services import run_services
 from crocusshunt.standin import (
     PlatformService,
     StandinSettings,
     create_backends,
 )
+from crocusshunt.web import (
+    run_services,
+)
 
 
 def main() -> None:
--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import msgspec
+from result import Result
 
 from crocusshunt.api import AcceptedDocument
 from crocusshunt.client import ApiError, OperatorClient, Proposal
@@ -28,8 +29,9 @@
     name_table,
 )
 from crocusshunt.standin import Switches
-from crocusshunt.store import HostEntry
-from result import Result
+from crocusshunt.store import (
+    HostEntry,
+)
 
 PROGRAMS = Path(sys.executable).parent
 CALLER_KEY = 'ck_court_0e'
--- a/crocusshunt/replication/tests/test_outage.py
+++ b/crocusshunt/replication/tests/test_outage.py
@@ -21,9 +21,11 @@
 from crocusshunt.witnesses import (
     Announcement,
     AnnouncementLog,
-    Testimony as Given,
     Witness,
 )
+from crocusshunt.witnesses import (
+    Testimony as Given,
+)
 
 _SEATS = tuple(f'tcp://127.0.0.1:{port}' for port in (1, 2, 3))
 _EVIDENCE_S = 4
--- a/crocusshunt/schema/__init__.py
+++ b/crocusshunt/schema/__init__.py
@@ -20,8 +20,8 @@
     row_type,
     table_names,
 )
-from crocusshunt.witnesses import Witness
 from crocusshunt.shifts import Shift
+from crocusshunt.witnesses import Witness
 
 __all__ = (
     'Block',
--- a/crocusshunt/services/__init__.py
+++ b/crocusshunt/services/__init__.py
@@ -1,13 +1,6 @@
-"""How every program runs its services on an event loop."""
+"""The event loop, its background tasks, and the end by signals."""
 
-from crocusshunt.services._http import HttpService, json_response
-from crocusshunt.services._running import create_loop, run_services
+from crocusshunt.services._running import create_loop, run_until_signal
 from crocusshunt.services._tasks import TaskGroup
 
-__all__ = (
-    'HttpService',
-    'TaskGroup',
-    'create_loop',
-    'json_response',
-    'run_services',
-)
+__all__ = ('TaskGroup', 'create_loop', 'run_until_signal')
--- a/crocusshunt/services/_running.py
+++ b/crocusshunt/services/_running.py
@@ -1,14 +1,15 @@
-"""Event loop without io_uring, and the life of services on it."""
+"""Event loop without io_uring, and the end of a process by signals."""
 
 import asyncio
 import os
 import signal
+from collections.abc import Awaitable, Callable
 
 import uvloop
-from aiomisc import Service, entrypoint
 
 _IO_URING_SWITCH = 'UV_USE_IO_URING'
-_SHUTDOWN_TIMEOUT_S = 60
+
+Serve = Callable[[asyncio.Event], Awaitable[None]]
 
 
 def create_loop() -> asyncio.AbstractEventLoop:
@@ -20,25 +21,22 @@
     return uvloop.new_event_loop()
 
 
-def run_services(*services: Service) -> None:
-    """Run services until SIGTERM or SIGINT, then stop them gracefully.
+def run_until_signal(serve: Serve) -> None:
+    """Run a function that serves until its event is set.
+
+    SIGTERM or SIGINT sets the event; a second signal ends the process at
+    once.
 
-    A second signal ends the process without waiting for the services.
+    :param serve: serves, and returns after the event was set.
     """
     with asyncio.Runner(loop_factory=create_loop) as runner:
-        runner.run(_run(services))
+        runner.run(_watch(serve))
 
 
-async def _run(services: tuple[Service, ...]) -> None:
+async def _watch(serve: Serve) -> None:
     stopping = asyncio.Event()
     _watch_signals(stopping)
-    async with entrypoint(
-        *services,
-        log_config=False,
-        catch_signals=(),
-        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
-    ):
-        await stopping.wait()
+    await serve(stopping)
 
 
 def _watch_signals(stopping: asyncio.Event) -> None:
--- a/crocusshunt/services/_tasks.py
+++ b/crocusshunt/services/_tasks.py
@@ -5,7 +5,6 @@
 from collections.abc import Coroutine
 from typing import Any
 
-
 from crocusshunt.logs import log_event
 
 
--- a/crocusshunt/standin/_platform.py
+++ b/crocusshunt/standin/_platform.py
@@ -6,7 +6,6 @@
 from aiohttp import web
 from result import Err, Result
 
-from crocusshunt.services import HttpService, json_response
 from crocusshunt.standin._memory import MemoryPlatform, Switches
 from crocusshunt.store import (
     HostEntry,
@@ -17,6 +16,10 @@
     StoreUnknownOutcomeError,
     Write,
 )
+from crocusshunt.web import (
+    HttpService,
+    json_response,
+)
 
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
--- a/crocusshunt/store/__init__.py
+++ b/crocusshunt/store/__init__.py
@@ -1,6 +1,5 @@
 """The platform's table service, object store and list of hosts."""
 
-from crocusshunt.store._client import HttpPlatform, PlatformSettings
 from crocusshunt.store._errors import (
     StoreConflictError,
     StoreDamagedAnswerError,
@@ -8,7 +7,6 @@
     StoreUnavailableError,
     StoreUnknownOutcomeError,
 )
-from crocusshunt.store._policy import CallPolicy, CircuitState, Tally
 from crocusshunt.store._values import (
     ABSENT,
     HostEntry,
@@ -23,14 +21,10 @@
 
 __all__ = (
     'ABSENT',
-    'CallPolicy',
-    'CircuitState',
     'HostEntry',
     'HostState',
-    'HttpPlatform',
     'ObjectStore',
     'Platform',
-    'PlatformSettings',
     'Query',
     'StoreConflictError',
     'StoreDamagedAnswerError',
@@ -39,6 +33,5 @@
     'StoreUnknownOutcomeError',
     'StoredRow',
     'TableStore',
-    'Tally',
     'Write',
 )
--- a/crocusshunt/store/tests/test_client.py
+++ b/crocusshunt/store/tests/test_client.py
@@ -7,12 +7,13 @@
 from aiohttp import web
 
 from crocusshunt.core import ManualClock
-from crocusshunt.services import HttpService
-from crocusshunt.store import (
+from crocusshunt.platform import (
     CallPolicy,
     CircuitState,
     HttpPlatform,
     PlatformSettings,
+)
+from crocusshunt.store import (
     Query,
     StoreDamagedAnswerError,
     StoreError,
@@ -20,6 +21,9 @@
     StoreUnknownOutcomeError,
     Write,
 )
+from crocusshunt.web import (
+    HttpService,
+)
 
 _WRITES = (Write('t', 'k', 'body'),)
 
--- /dev/null
+++ b/crocusshunt/web/_running.py
@@ -0,0 +1,29 @@
+"""Life of aiomisc services."""
+
+import asyncio
+
+from aiomisc import Service, entrypoint
+
+from crocusshunt.services import (
+    run_until_signal,
+)
+
+_SHUTDOWN_TIMEOUT_S = 60
+
+
+def run_services(*services: Service) -> None:
+    """Run services until SIGTERM or SIGINT, then stop them gracefully.
+
+    A second signal ends the process without waiting for the services.
+    """
+
+    async def serve(stopping: asyncio.Event) -> None:
+        async with entrypoint(
+            *services,
+            log_config=False,
+            catch_signals=(),
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        ):
+            await stopping.wait()
+
+    run_until_signal(serve)
--- /dev/null
+++ b/crocusshunt/web/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package beside this folder."""
--- a/crocusshunt/witnesses/__init__.py
+++ b/crocusshunt/witnesses/__init__.py
@@ -7,7 +7,7 @@
     Testimony,
 )
 from crocusshunt.witnesses._rows import Witness
-from crocusshunt.witnesses._testimonies import Suspension, QuorumLog
+from crocusshunt.witnesses._testimonies import QuorumLog, Suspension
 
 __all__ = (
     'Announcement',
