State the crashes of a poison request as their sum

Change: the golden file holds the sum, which stays exactly 2. Conclusion: as strict on what is promised.

--- a/crocusshunt/demo/tests/test_failures.py
+++ b/crocusshunt/demo/tests/test_failures.py
@@ -67,8 +67,9 @@
     for position, _host in enumerate(fleet.hosts):
         outcome = await _post(fleet, position, _POISON)
         terminal.say(f'the request through host {position}: {outcome}')
-    crashes = [server.crashes for server in fleet.backends if server.crashes]
-    terminal.say(f'crashes of each backend server: {sorted(crashes)}')
+    # A server that came back may be chosen again; the sum is what is bounded.
+    crashes = sum(server.crashes for server in fleet.backends)
+    terminal.say(f'crashes of backend servers: {crashes}')
     other = await _post(fleet, 0, 'harmless')
     terminal.say(f'another request of the customer: {other}')
     assert '\n'.join(terminal.lines) == snapshot
