--- a/crocusshunt/bench/delivery.py
+++ b/crocusshunt/bench/delivery.py
@@ -16,10 +16,12 @@
 from crocusshunt.bench._registry import Measurement, register_bench
 from crocusshunt.bench._room import (
     SLOT_SHARES,
-    RoomWorkload,
     simulate_ideal,
     simulate_room,
 )
+from crocusshunt.bench._room_values import (
+    RoomWorkload,
+)
 from crocusshunt.delivery import list_choices
 from crocusshunt.services import (
     create_loop,
--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -2,6 +2,8 @@
 
 from crocusshunt.gateway._limits import (
     Limiter,
+)
+from crocusshunt.gateway._refusals import (
     LimitUnavailableError,
     RateExceededError,
     format_limit_headers,
--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -23,6 +23,8 @@
 from crocusshunt.gateway._jobs import Job
 from crocusshunt.gateway._limits import (
     Limiter,
+)
+from crocusshunt.gateway._refusals import (
     describe_limit,
     format_limit_headers,
 )
--- a/crocusshunt/gateway/_limits.py
+++ b/crocusshunt/gateway/_limits.py
@@ -6,8 +6,14 @@
 
 from result import Err, Ok, Result
 
-from crocusshunt.core import Clock, CrocusError, Identifiers
+from crocusshunt.core import Clock, Identifiers
 from crocusshunt.delivery import NotRun
+from crocusshunt.gateway._refusals import (
+    LimitError,
+    LimitUnavailableError,
+    RateExceededError,
+    describe_limit,
+)
 from crocusshunt.limits import (
     AdmissionQueue,
     Decision,
@@ -18,91 +24,15 @@
 )
 from crocusshunt.messages import BorrowTokens, TokenLoan, TransportError
 
-_STATUS_TOO_MANY = 429
-_STATUS_UNAVAILABLE = 503
 _TIMEOUT_S = 1
 _PAUSE_S = 0.1
 _MIN_PAUSE_S = 0.001
-_RETRY_S = 1
 _PATIENCE_S = 3
 _RATE_PATIENCE_S = 1
 _RATE_UNKNOWN = 1
 _MAX_QUEUES = 4096
 
 
-@dataclass(unsafe_hash=True)
-class RateExceededError(CrocusError):
-    """A request above its customer's rate and burst.
-
-    :param limit: requests a second.
-    :param burst: requests at once.
-    :param remaining: whole tokens left.
-    :param reset_s: seconds until another token is there.
-    """
-
-    code = 'rate-exceeded'
-
-    limit: float
-    burst: int
-    remaining: int
-    reset_s: float
-
-
-@dataclass(unsafe_hash=True)
-class LimitUnavailableError(CrocusError):
-    """No host could say whether the customer is within its rate.
-
-    :param detail: what was seen.
-    """
-
-    code = 'limit-unavailable'
-
-    detail: str
-
-
-LimitError = RateExceededError | LimitUnavailableError
-
-
-def describe_limit(failure: LimitError) -> NotRun:
-    """Return the outcome for the caller.
-
-    >>> describe_limit(RateExceededError(10, 5, 0, 0.1)).status
-    429
-    """
-    if isinstance(failure, RateExceededError):
-        return NotRun(
-            failure.code,
-            _STATUS_TOO_MANY,
-            'the customer is over its rate and burst',
-            failure.reset_s,
-        )
-    return NotRun(
-        failure.code,
-        _STATUS_UNAVAILABLE,
-        failure.detail,
-        _RETRY_S,
-    )
-
-
-def format_limit_headers(failure: LimitError) -> dict[str, str]:
-    """Return the headers of a refusal besides Retry-After.
-
-    Reference: IETF draft-ietf-httpapi-ratelimit-headers.
-
-    >>> headers = format_limit_headers(RateExceededError(10, 5, 0, 0.1))
-    >>> headers['RateLimit'], headers['RateLimit-Policy']
-    ('"customer";r=0;t=1', '"customer";q=10;w=1;burst=5')
-    """
-    if isinstance(failure, LimitUnavailableError):
-        return {}
-    reset_s = max(1, round(failure.reset_s))
-    policy = f'"customer";q={failure.limit};w=1;burst={failure.burst}'
-    return {
-        'RateLimit': f'"customer";r={failure.remaining};t={reset_s}',
-        'RateLimit-Policy': policy,
-    }
-
-
 class _Lender(Protocol):
     async def ask(
         self,
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -17,7 +17,9 @@
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import Desk, RequestHandler
 from crocusshunt.gateway._heartbeat import HeartbeatSender
-from crocusshunt.gateway._limits import Limiter
+from crocusshunt.gateway._limits import (
+    Limiter,
+)
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._suspects import SuspectBoard
--- a/crocusshunt/routing/__init__.py
+++ b/crocusshunt/routing/__init__.py
@@ -6,6 +6,7 @@
     check_change,
     find_change_faults,
     find_faults,
+    find_shared_addresses,
 )
 from crocusshunt.routing._matching import (
     RequestFacts,
@@ -58,6 +59,7 @@
     'check_change',
     'find_change_faults',
     'find_faults',
+    'find_shared_addresses',
     'is_table',
     'name_table',
     'order_routes',
--- a/crocusshunt/routing/_check_registry.py
+++ b/crocusshunt/routing/_check_registry.py
@@ -1,6 +1,6 @@
 """Registry of the checks that tables must pass before acceptance."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from crocusshunt.core import Fault
 from crocusshunt.routing._tables import Tables
@@ -53,3 +53,23 @@
     """
     found = {fault for one in _CHECKS for fault in one(tables)}
     return tuple(sorted(found))
+
+
+def find_shared_addresses(
+    table: str,
+    addresses: Iterable[tuple[str, str]],
+) -> Iterator[Fault]:
+    """Yield a fault for each row whose address another row has.
+
+    :param addresses: pairs of a row's name and its address.
+
+    >>> shared = find_shared_addresses('server', (('a', 'x'), ('b', 'x')))
+    >>> [fault.place for fault in shared]
+    ['server b']
+    """
+    holders: dict[str, str] = {}
+    for name, address in addresses:
+        holder = holders.setdefault(address, name)
+        if holder != name:
+            problem = f"address is also that of {table} '{holder}'"
+            yield Fault(f'{table} {name}', problem)
--- a/crocusshunt/routing/_checks.py
+++ b/crocusshunt/routing/_checks.py
@@ -3,7 +3,10 @@
 from collections.abc import Iterable, Iterator
 
 from crocusshunt.core import Fault, parse_network
-from crocusshunt.routing._check_registry import check
+from crocusshunt.routing._check_registry import (
+    check,
+    find_shared_addresses,
+)
 from crocusshunt.routing._matching import is_under, order_routes
 from crocusshunt.routing._rows import (
     Access,
@@ -65,12 +68,9 @@
 
 @check
 def _check_addresses(tables: Tables) -> Iterator[Fault]:
-    holders: dict[str, str] = {}
-    for server in tables.select(Server):
-        holder = holders.setdefault(server.address, server.name)
-        if holder != server.name:
-            place = f'server {server.name}'
-            yield Fault(place, f"address is also that of server '{holder}'")
+    servers = tables.select(Server)
+    addresses = ((server.name, server.address) for server in servers)
+    return find_shared_addresses('server', addresses)
 
 
 @check
--- a/crocusshunt/witnesses/_rows.py
+++ b/crocusshunt/witnesses/_rows.py
@@ -12,6 +12,7 @@
     Name,
     Tables,
     check,
+    find_shared_addresses,
     register_table,
 )
 
@@ -34,12 +35,9 @@
 
 @check
 def _check_addresses(tables: Tables) -> Iterator[Fault]:
-    holders: dict[str, str] = {}
-    for witness in tables.select(Witness):
-        holder = holders.setdefault(witness.address, witness.name)
-        if holder != witness.name:
-            place = f'witness {witness.name}'
-            yield Fault(place, f"address is also that of witness '{holder}'")
+    seats = tables.select(Witness)
+    addresses = ((seat.name, seat.address) for seat in seats)
+    return find_shared_addresses('witness', addresses)
 
 
 @check
