Refuse settings that could never work

Cause: settings were checked for their type only; a port of 70000, an address that is no IP or an evidence age past the promise of 5 s were accepted. Change: every program's settings use the annotated types; the age of key evidence is at most 4.5 s. Before: key_evidence_s = 60 started. After: refused with file, section, key, value and what is allowed. Conclusion: a wrong file does not start a program.

--- a/crocusshunt/api/_settings.py
+++ b/crocusshunt/api/_settings.py
@@ -6,6 +6,12 @@
 from crocusshunt.platform import (
     PlatformSettings,
 )
+from crocusshunt.settings import (
+    HostAddress,
+    OptionalDigest,
+    Port,
+    TcpAddress,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,11 +25,11 @@
         administer until the operator table has a row.
     """
 
-    address: str
-    port: int
-    listen: str
-    bootstrap_digest: str = ''
-    peers: tuple[str, ...] = ()
+    address: HostAddress
+    port: Port
+    listen: TcpAddress
+    bootstrap_digest: OptionalDigest = ''
+    peers: tuple[TcpAddress, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/controller/_settings.py
+++ b/crocusshunt/controller/_settings.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
+from crocusshunt.settings import (
+    TcpAddress,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,8 +16,8 @@
     :param sources: addresses asked for changes, in order of preference.
     """
 
-    listen: str
-    sources: tuple[str, ...]
+    listen: TcpAddress
+    sources: tuple[TcpAddress, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -1,6 +1,9 @@
 """Settings of the gateway."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
 
 from crocusshunt.core import HostIdentity
 from crocusshunt.delivery import (
@@ -11,6 +14,16 @@
 from crocusshunt.platform import (
     PlatformSettings,
 )
+from crocusshunt.settings import (
+    Duration,
+    HostAddress,
+    Port,
+    TcpAddress,
+)
+
+# A withdrawn key must stop working within 5 s.
+_GREATEST_EVIDENCE_AGE_S = 4.5
+EvidenceAge = Annotated[float, Meta(gt=0, le=_GREATEST_EVIDENCE_AGE_S)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,12 +39,12 @@
     :param finish_s: longest wait for running requests at a stop, in seconds.
     """
 
-    address: str
-    port: int
-    controller: str
-    key_evidence_s: float = 4
-    answer_lifetime_s: float = 8
-    finish_s: float = 35
+    address: HostAddress
+    port: Port
+    controller: TcpAddress
+    key_evidence_s: EvidenceAge = 4
+    answer_lifetime_s: Duration = 8
+    finish_s: Duration = 35
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/locator/_settings.py
+++ b/crocusshunt/locator/_settings.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
+from crocusshunt.settings import (
+    HostAddress,
+    Port,
+    TcpAddress,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,11 +20,11 @@
         believed.
     """
 
-    address: str
-    port: int
-    controller: str
+    address: HostAddress
+    port: Port
+    controller: TcpAddress
     lifetime_s: int = 5
-    trusted_forwarders: tuple[str, ...] = ()
+    trusted_forwarders: tuple[HostAddress, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/platform/_client.py
+++ b/crocusshunt/platform/_client.py
@@ -11,6 +11,10 @@
 
 from crocusshunt.core import Clock, SystemClock
 from crocusshunt.platform._policy import CallPolicy
+from crocusshunt.settings import (
+    BaseUrl,
+    Duration,
+)
 from crocusshunt.store._errors import (
     StoreConflictError,
     StoreDamagedAnswerError,
@@ -40,8 +44,8 @@
         seconds.
     """
 
-    url: str
-    timeout_s: float = 2
+    url: BaseUrl
+    timeout_s: Duration = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/programs/tests/test_processes.py
+++ b/crocusshunt/programs/tests/test_processes.py
@@ -32,7 +32,10 @@
 
 def test_wrong_settings_name_every_fault(tmp_path: Path) -> None:
     path = tmp_path / 'gateway.ini'
-    path.write_text('[gateway]\nport = many\n[extra]\n', encoding='utf-8')
+    path.write_text(
+        '[gateway]\nport = many\nkey_evidence_s = 60\n[extra]\n',
+        encoding='utf-8',
+    )
     ended = subprocess.run(
         [PROGRAMS / 'crocus-gateway', f'--settings={path}'],
         capture_output=True,
@@ -41,7 +44,9 @@
     )
     assert ended.returncode == 2
     assert f"{path} [gateway] port: value 'many'" in ended.stderr
-    assert '(allowed: a whole number)' in ended.stderr
+    assert '(allowed: a whole number >= 0 <= 65535)' in ended.stderr
+    assert f"{path} [gateway] key_evidence_s: value '60'" in ended.stderr
+    assert '(allowed: a number > 0 <= 4.5)' in ended.stderr
     assert f'{path} [extra]: unknown section' in ended.stderr
     assert f'{path} [host] name: missing' in ended.stderr
 
--- a/crocusshunt/standin/_settings.py
+++ b/crocusshunt/standin/_settings.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+from crocusshunt.settings import (
+    HostAddress,
+    Port,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class StandinSection:
@@ -11,8 +16,8 @@
         to serve the platform alone.
     """
 
-    address: str
-    port: int
+    address: HostAddress
+    port: Port
     declarations: str = ''
 
 
