Give classes the field's usual names

Cause: Desk, Gatekeeper, Board, Wallet and Scene are metaphors. Change: handlers, admission control, registry, token cache, context.

--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -29,7 +29,7 @@
     Origin,
     TestimonyCollector,
     WitnessAnnouncer,
-    WitnessDesk,
+    WitnessHandler,
 )
 from crocusshunt.services import (
     TaskGroup,
@@ -56,12 +56,12 @@
         self._operators_platform = HttpPlatform(settings.platform)
         self.feed = Feed(clock)
         repository = Repository(self._platform, clock)
-        self._desk = WitnessDesk(repository, clock)
+        self._witness = WitnessHandler(repository, clock)
         self._origin = Origin(
             repository,
             self.feed,
             clock,
-            self._desk.observe,
+            self._witness.observe,
             Archive(self._platform, repository),
         )
         self._parts = self._create_parts(settings, clock)
@@ -102,7 +102,7 @@
             WitnessAnnouncer(self._requesters),
         )
         archive = Archive(platform, repository)
-        observe = self._desk.observe
+        observe = self._witness.observe
         return ApiParts(
             settings=settings,
             clock=clock,
@@ -122,7 +122,7 @@
         )
         self._tasks.start(collector.run())
         self._tasks.start(
-            self._desk.run(lambda: self.address in self.feed.seats),
+            self._witness.run(lambda: self.address in self.feed.seats),
         )
         if parts.settings.api.peers:
             follower = Follower(
@@ -138,6 +138,6 @@
         handlers.register(FetchChanges)(self.feed.answer)
         listing = HostListing(self._platform, self._parts.clock)
         handlers.register(FetchHosts)(listing.answer)
-        self._desk.register(handlers)
+        self._witness.register(handlers)
         register_relay(handlers, self._platform)
         return handlers
--- a/crocusshunt/bench/_spread/_fleet.py
+++ b/crocusshunt/bench/_spread/_fleet.py
@@ -22,7 +22,7 @@
     Origin,
     TestimonyCollector,
     WitnessAnnouncer,
-    WitnessDesk,
+    WitnessHandler,
 )
 from crocusshunt.routing import Row, name_table
 from crocusshunt.standin import MemoryPlatform
@@ -111,14 +111,14 @@
             WitnessAnnouncer(pool),
         )
         feed = Feed(self._clock)
-        desk = WitnessDesk(repository, self._clock)
+        parts = WitnessHandler(repository, self._clock)
         handlers = Handlers()
-        desk.register(handlers)
+        parts.register(handlers)
         self._serve(address, feed, handlers)
         self._repositories.append(repository)
-        origin = Origin(repository, feed, self._clock, desk.observe)
+        origin = Origin(repository, feed, self._clock, parts.observe)
         self._run(origin.run())
-        self._run(desk.run(lambda: address in feed.seats))
+        self._run(parts.run(lambda: address in feed.seats))
         self._run(TestimonyCollector(feed, pool, self._clock).run())
 
     def _serve(self, address: str, feed: Feed, handlers: Handlers) -> None:
--- a/crocusshunt/bench/limits.py
+++ b/crocusshunt/bench/limits.py
@@ -234,10 +234,10 @@
         )
         for customer, per_s in trial.loads
     }
-    return simulate(_play(trial, arrivals))
+    return simulate(_register_step(trial, arrivals))
 
 
-async def _play(
+async def _register_step(
     trial: _Trial,
     arrivals: dict[str, tuple[Arrival, ...]],
 ) -> _Outcome:
--- a/crocusshunt/controller/_leases.py
+++ b/crocusshunt/controller/_leases.py
@@ -35,7 +35,7 @@
 Measure = Callable[[str, Tenure], tuple[Level, ...]]
 
 
-class LeaseKeeper:
+class LeaseManager:
     """Takes, renews and releases the leases of shards.
 
     It writes a row only to take a shard over, to change its witnesses, to
--- a/crocusshunt/controller/_lending.py
+++ b/crocusshunt/controller/_lending.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 
 from crocusshunt.controller._directory import Directory
-from crocusshunt.controller._leases import LeaseKeeper
-from crocusshunt.controller._loans import LoanDesk
+from crocusshunt.controller._leases import LeaseManager
+from crocusshunt.controller._loans import LoanHandler
 from crocusshunt.controller._peers import Peers
-from crocusshunt.controller._supports import SupportGatherer
-from crocusshunt.controller._witnessing import WitnessDesk
+from crocusshunt.controller._supports import SupportCollector
+from crocusshunt.controller._witnessing import WitnessHandler
 from crocusshunt.core import Clock, HostIdentity
 from crocusshunt.messages import BorrowTokens, Handlers, RenewLeases
 from crocusshunt.routing import Tables
@@ -42,27 +42,27 @@
 
     def __init__(self, context: LendingContext) -> None:
         """Start without leases."""
-        self.witness = WitnessDesk(context.tables, context.clock)
+        self.witness = WitnessHandler(context.tables, context.clock)
         directory = Directory(
             context.identity.name,
             context.peers,
             context.clock,
         )
-        self.keeper = LeaseKeeper(
+        self.keeper = LeaseManager(
             context.identity,
             context.incarnation,
             directory,
             context.tables,
             context.clock,
         )
-        self.gatherer = SupportGatherer(
+        self.gatherer = SupportCollector(
             context.identity.name,
             self.keeper,
             self.witness,
             context.peers,
             context.clock,
         )
-        self.loans = LoanDesk(
+        self.loans = LoanHandler(
             context.identity,
             context.configured,
             self.keeper,
--- a/crocusshunt/controller/_loans.py
+++ b/crocusshunt/controller/_loans.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from crocusshunt.controller._directory import Directory
-from crocusshunt.controller._leases import LeaseKeeper
+from crocusshunt.controller._leases import LeaseManager
 from crocusshunt.controller._peers import Peers
 from crocusshunt.core import Clock, HostIdentity
 from crocusshunt.limits import (
@@ -29,14 +29,14 @@
 _MAX_HOPS = 2
 
 
-class LoanDesk:
+class LoanHandler:
     """Lends from the ledger of this host, or asks the customer's home."""
 
     def __init__(
         self,
         identity: HostIdentity,
         tables: Callable[[], Tables],
-        keeper: LeaseKeeper,
+        keeper: LeaseManager,
         directory: Directory,
         peers: Peers,
         clock: Clock,
--- a/crocusshunt/controller/_supports.py
+++ b/crocusshunt/controller/_supports.py
@@ -6,9 +6,9 @@
 
 from result import Err, Ok, Result
 
-from crocusshunt.controller._leases import LeaseKeeper
+from crocusshunt.controller._leases import LeaseManager
 from crocusshunt.controller._peers import Peers
-from crocusshunt.controller._witnessing import WitnessDesk
+from crocusshunt.controller._witnessing import WitnessHandler
 from crocusshunt.core import Clock
 from crocusshunt.limits import Tenancy
 from crocusshunt.messages import (
@@ -27,25 +27,25 @@
     fences: list[LeaseEpoch] = field(default_factory=list)
 
 
-class SupportGatherer:
+class SupportCollector:
     """Asks each witness once for all leases that concern it."""
 
     def __init__(
         self,
         host: str,
-        keeper: LeaseKeeper,
-        desk: WitnessDesk,
+        keeper: LeaseManager,
+        parts: WitnessHandler,
         peers: Peers,
         clock: Clock,
     ) -> None:
         """Gather for the keeper's leases.
 
         :param host: name of this host.
-        :param desk: the witness that this host is itself.
+        :param parts: the witness that this host is itself.
         """
         self._host = host
         self._keeper = keeper
-        self._desk = desk
+        self._parts = parts
         self._peers = peers
         self._clock = clock
 
@@ -106,7 +106,7 @@
         question: RenewLeases,
     ) -> Result[LeasesRenewed, TransportError]:
         if host == self._host:
-            return Ok(await self._desk.answer(question))
+            return Ok(await self._parts.answer(question))
         return await self._peers.ask(host, question, LeasesRenewed, _TIMEOUT_S)
 
     def _find(self, shard: str, epochs: dict[str, int]) -> Tenancy | None:
--- a/crocusshunt/controller/_witnessing.py
+++ b/crocusshunt/controller/_witnessing.py
@@ -17,7 +17,7 @@
 LEASE_TABLE = 'token-leases'
 
 
-class WitnessDesk:
+class WitnessHandler:
     """Supports holders and fences them."""
 
     def __init__(self, tables: TableStore, clock: Clock) -> None:
--- a/crocusshunt/demo/_session.py
+++ b/crocusshunt/demo/_session.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Scene:
+class _Context:
     fleet: Fleet
     callers: aiohttp.ClientSession
     operators: OperatorClient
@@ -65,12 +65,12 @@
         return f'{gateway}{self.route.path_prefix}/42?page=1'
 
 
-_Play = Callable[[_Scene], Awaitable[Step]]
-_PLAYS: list[_Play] = []
+_StepFunction = Callable[[_Context], Awaitable[Step]]
+_STEPS: list[_StepFunction] = []
 
 
-def _play(function: _Play) -> _Play:
-    _PLAYS.append(function)
+def _register_step(function: _StepFunction) -> _StepFunction:
+    _STEPS.append(function)
     return function
 
 
@@ -81,30 +81,30 @@
     """
     operators = fleet.create_client()
     async with aiohttp.ClientSession() as callers:
-        scene = _Scene(fleet, callers, operators)
-        for play in _PLAYS:
-            yield await play(scene)
+        context = _Context(fleet, callers, operators)
+        for play in _STEPS:
+            yield await play(context)
     await operators.close()
 
 
-@_play
-async def _spread_tables(scene: _Scene) -> Step:
+@_register_step
+async def _spread_tables(context: _Context) -> Step:
     in_force = await _wait_for(
         lambda: all(
             host.gateway.feed.configuration.revision > 0
             and host.locator.hosts.hosts
-            for host in scene.fleet.hosts
+            for host in context.fleet.hosts
         ),
         _FORCE_S,
     )
-    count = len(scene.fleet.hosts)
+    count = len(context.fleet.hosts)
     return Step('tables', f'in force on {count} hosts', in_force)
 
 
-@_play
-async def _look_up(scene: _Scene) -> Step:
-    url = f'{scene.fleet.hosts[0].locator.url}/v1/lookup'
-    async with scene.callers.get(url) as response:
+@_register_step
+async def _look_up(context: _Context) -> Step:
+    url = f'{context.fleet.hosts[0].locator.url}/v1/lookup'
+    async with context.callers.get(url) as response:
         answer = await response.json()
     regions = {host['region'] for host in answer['hosts'][:2]}
     domains = {host['failure_domain'] for host in answer['hosts'][:2]}
@@ -112,39 +112,39 @@
     return Step('locator', shown, len(regions) == 1 and len(domains) == 2)
 
 
-@_play
-async def _call_with_key(scene: _Scene) -> Step:
-    url = scene.find_url()
-    async with scene.callers.get(url, headers=scene.headers) as response:
+@_register_step
+async def _call_with_key(context: _Context) -> Step:
+    url = context.find_url()
+    async with context.callers.get(url, headers=context.headers) as response:
         received = msgspec.json.decode(
             await response.read(),
             type=ReceivedRequest,
         )
-    key = scene.fleet.keys[scene.customer]
+    key = context.fleet.keys[context.customer]
     seen = msgspec.json.encode(received).decode()
     shown = f'backend server saw customer {received.customer} and no key'
-    passed = received.customer == scene.customer and key not in seen
+    passed = received.customer == context.customer and key not in seen
     return Step('keyed request', shown, passed)
 
 
-@_play
-async def _call_without_key(scene: _Scene) -> Step:
-    url = scene.find_url()
-    async with scene.callers.get(url) as response:
+@_register_step
+async def _call_without_key(context: _Context) -> Step:
+    url = context.find_url()
+    async with context.callers.get(url) as response:
         problem = await response.json()
     shown = f'{problem["status"]} {problem["title"]}, {problem["outcome"]}'
     return Step('no key', shown, problem['outcome'] == 'not_run')
 
 
-@_play
-async def _drain_server(scene: _Scene) -> Step:
-    pool = scene.route.pool
-    servers = scene.fleet.tables.select(Server)
+@_register_step
+async def _drain_server(context: _Context) -> Step:
+    pool = context.route.pool
+    servers = context.fleet.tables.select(Server)
     server = next(row for row in servers if row.pool == pool)
     drained = replace(server, state=ServerState.draining)
-    await _change(scene, 'drain', 'server', drained)
-    await _wait_for(lambda: _is_everywhere(scene, 2), _FORCE_S)
-    answers = [await _read(scene) for _ in range(_DRAIN_REQUESTS)]
+    await _change(context, 'drain', 'server', drained)
+    await _wait_for(lambda: _is_everywhere(context, 2), _FORCE_S)
+    answers = [await _read(context) for _ in range(_DRAIN_REQUESTS)]
     refused = sum(status != 200 for status, _received in answers)
     new_work = sum(
         received.get('server') == server.name for _status, received in answers
@@ -153,42 +153,42 @@
     return Step('drain', shown, refused == 0 and new_work == 0)
 
 
-@_play
-async def _withdraw_key(scene: _Scene) -> Step:
-    before, _answer = await _read(scene)
-    key = scene.fleet.keys[scene.customer]
-    held = scene.fleet.hosts[0].gateway.feed.configuration.tables
-    row = held.find(Key, scene.customer)
+@_register_step
+async def _withdraw_key(context: _Context) -> Step:
+    before, _answer = await _read(context)
+    key = context.fleet.keys[context.customer]
+    held = context.fleet.hosts[0].gateway.feed.configuration.tables
+    row = held.find(Key, context.customer)
     assert row is not None and key  # noqa: S101, PT018
     withdrawn = replace(row, state=KeyState.withdrawn)
-    await _change(scene, 'withdraw', 'key', withdrawn)
-    refused = await _poll(lambda: _is_refused(scene), _WITHDRAWAL_S)
+    await _change(context, 'withdraw', 'key', withdrawn)
+    refused = await _poll(lambda: _is_refused(context), _WITHDRAWAL_S)
     shown = f'honoured before: {before == 200}; refused within 5 s: {refused}'
     return Step('key withdrawn', shown, before == 200 and refused)
 
 
-async def _read(scene: _Scene) -> tuple[int, dict[str, Any]]:
-    url = scene.find_url()
-    async with scene.callers.get(url, headers=scene.headers) as response:
+async def _read(context: _Context) -> tuple[int, dict[str, Any]]:
+    url = context.find_url()
+    async with context.callers.get(url, headers=context.headers) as response:
         return response.status, await response.json()
 
 
-async def _is_refused(scene: _Scene) -> bool:
-    status, _answer = await _read(scene)
+async def _is_refused(context: _Context) -> bool:
+    status, _answer = await _read(context)
     return status == 401
 
 
-async def _change(scene: _Scene, name: str, table: str, row: Any) -> None:
-    snapshot = (await scene.operators.get_snapshot()).unwrap()
+async def _change(context: _Context, name: str, table: str, row: Any) -> None:
+    snapshot = (await context.operators.get_snapshot()).unwrap()
     edit = EditRequest(table, row.name, encode_row(row))
     proposal = Proposal(f'demo-{name}', snapshot.revision, name, (edit,))
-    (await scene.operators.propose(proposal)).unwrap()
+    (await context.operators.propose(proposal)).unwrap()
 
 
-def _is_everywhere(scene: _Scene, revision: int) -> bool:
+def _is_everywhere(context: _Context, revision: int) -> bool:
     return all(
         host.gateway.feed.configuration.revision >= revision
-        for host in scene.fleet.hosts
+        for host in context.fleet.hosts
     )
 
 
--- a/crocusshunt/gateway/_admission.py
+++ b/crocusshunt/gateway/_admission.py
@@ -50,7 +50,7 @@
     customer: str
 
 
-class Gatekeeper:
+class AdmissionControl:
     """Finds routes and checks keys against the configuration in force."""
 
     def __init__(self, feed: Feed, key_evidence_s: float) -> None:
--- a/crocusshunt/gateway/_assembly.py
+++ b/crocusshunt/gateway/_assembly.py
@@ -10,13 +10,13 @@
     RetryBudget,
     ServerLoads,
 )
-from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.gateway._dispatch import Dispatcher, DispatchParts
 from crocusshunt.gateway._picking import ServerPicker, ServerState
 from crocusshunt.gateway._rooms import Rooms
 from crocusshunt.gateway._settings import DeliveryPolicy
 from crocusshunt.gateway._shares import RegionSplit
-from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.replication import Feed
 
 
@@ -29,8 +29,8 @@
 
     region: str
     feed: Feed
-    gatekeeper: Gatekeeper
-    board: SuspectBoard
+    admission_control: AdmissionControl
+    suspects: SuspectRegistry
     forwarder: Forwarder
     clock: Clock
     source: random.Random
@@ -45,7 +45,7 @@
     split = RegionSplit(context.region)
     context.feed.listen(split.follow)
     picker = ServerPicker(
-        context.gatekeeper,
+        context.admission_control,
         state,
         context.clock,
         context.source,
@@ -55,7 +55,7 @@
         Rooms(picker, context.clock, policy.queue),
         state,
         context.forwarder,
-        context.board,
+        context.suspects,
         retries=RetryBudget(policy.retries),
         sheds=RetryBudget(policy.sheds),
     )
--- a/crocusshunt/gateway/_dispatch.py
+++ b/crocusshunt/gateway/_dispatch.py
@@ -26,7 +26,7 @@
 )
 from crocusshunt.gateway._picking import RoomRequest, ServerState
 from crocusshunt.gateway._rooms import Rooms
-from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.routing import Server
 
 _MAX_ATTEMPTS = 2
@@ -46,7 +46,7 @@
     rooms: Rooms
     state: ServerState
     forwarder: Forwarder
-    board: SuspectBoard
+    suspects: SuspectRegistry
     retries: RetryBudget
     sheds: RetryBudget
 
@@ -130,7 +130,7 @@
         if not is_loss(outcome):
             return None
         customer = job.admission.customer
-        return self._parts.board.note_loss(
+        return self._parts.suspects.note_loss(
             customer,
             job.fingerprint(),
             f'{server.name} {job.request_id}',
--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -14,7 +14,7 @@
     RecordedAnswer,
     UnknownOutcome,
 )
-from crocusshunt.gateway._admission import Admission, Gatekeeper
+from crocusshunt.gateway._admission import Admission, AdmissionControl
 from crocusshunt.gateway._bodies import Body, take_body
 from crocusshunt.gateway._claiming import Refusal
 from crocusshunt.gateway._dispatch import Dispatcher
@@ -34,7 +34,7 @@
     respond_recorded,
 )
 from crocusshunt.gateway._settlement import Settlement
-from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.gateway._tracing import Trace, Tracer
 
 _MILLISECONDS = 1000
@@ -45,41 +45,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Desk:
+class RequestParts:
     """Parts that every request passes through."""
 
-    gatekeeper: Gatekeeper
+    admission_control: AdmissionControl
     limiter: Limiter
     settlement: Settlement
-    board: SuspectBoard
+    suspects: SuspectRegistry
     dispatcher: Dispatcher
     in_flight: InFlight
     tracer: Tracer
 
 
 class RequestHandler:
-    """Runs requests through the desk."""
+    """Runs requests through the parts."""
 
     def __init__(
         self,
-        desk: Desk,
+        parts: RequestParts,
         clock: Clock,
         identifiers: Identifiers,
     ) -> None:
         """Use the parts of a gateway."""
-        self._desk = desk
+        self._parts = parts
         self._clock = clock
         self._identifiers = identifiers
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Return the caller's answer."""
-        trace = self._desk.tracer.open(self._identifiers.create('req'))
+        trace = self._parts.tracer.open(self._identifiers.create('req'))
         response: web.StreamResponse | None = None
         try:
             response = await self._track(request, trace)
         finally:
-            self._desk.tracer.close(trace, response)
-        if self._desk.in_flight.is_leaving and not response.prepared:
+            self._parts.tracer.close(trace, response)
+        if self._parts.in_flight.is_leaving and not response.prepared:
             response.force_close()
         return response
 
@@ -88,7 +88,7 @@
         request: web.Request,
         trace: Trace,
     ) -> web.StreamResponse:
-        in_flight = self._desk.in_flight
+        in_flight = self._parts.in_flight
         if in_flight.phase is DrainPhase.closed:
             return _refuse(_refuse_leaving(), trace)
         with in_flight.track(trace.request_id):
@@ -102,7 +102,7 @@
         inspected = inspect_request(request)
         if isinstance(inspected, Err):
             return _refuse(inspected.err_value, trace)
-        admission = self._desk.gatekeeper.admit(inspected.ok_value.ask)
+        admission = self._parts.admission_control.admit(inspected.ok_value.ask)
         if isinstance(admission, Err):
             return _refuse(admission.err_value, trace)
         trace.note_admission(admission.ok_value)
@@ -115,7 +115,7 @@
             inspected=inspected.ok_value,
             admission=admission.ok_value,
             body=Body(request),
-            reply=Reply(request, trace.request_id, self._desk.in_flight),
+            reply=Reply(request, trace.request_id, self._parts.in_flight),
             deadline=trace.started_at + granted_ms / _MILLISECONDS,
         )
         return await self._deliver(job)
@@ -128,7 +128,7 @@
         """Take a token of the customer, or refuse."""
         if not admission.customer:
             return None
-        taken = await self._desk.limiter.try_take(
+        taken = await self._parts.limiter.try_take(
             admission.customer,
             min(_PATIENCE_S, admission.route.deadline_ms / _MILLISECONDS),
         )
@@ -148,13 +148,13 @@
             return _refuse(quarantined, job.trace)
         if not _needs_claim(job):
             return await self._finish(job)
-        claimed = await self._desk.settlement.claim(job)
+        claimed = await self._parts.settlement.claim(job)
         if isinstance(claimed, Err):
             return _respond_refusal(claimed.err_value, job.trace)
         return await self._finish(replace(job, held=claimed.ok_value))
 
     async def _take_body(self, job: Job) -> Result[Body, NotRun]:
-        is_needed = _needs_claim(job) or self._desk.board.has_suspects(
+        is_needed = _needs_claim(job) or self._parts.suspects.has_suspects(
             job.admission.customer,
         )
         remaining = job.deadline - self._clock.monotonic()
@@ -172,21 +172,21 @@
 
     def _check_quarantine(self, job: Job) -> NotRun | None:
         customer = job.admission.customer
-        if not self._desk.board.has_suspects(customer):
+        if not self._parts.suspects.has_suspects(customer):
             return None
-        return self._desk.board.check(customer, job.fingerprint())
+        return self._parts.suspects.check(customer, job.fingerprint())
 
     async def _finish(self, job: Job) -> web.StreamResponse:
         try:
-            ending = await self._desk.dispatcher.run(job)
+            ending = await self._parts.dispatcher.run(job)
         except asyncio.CancelledError:
-            self._desk.settlement.record_unknown(job)
+            self._parts.settlement.record_unknown(job)
             raise
         except Exception:
             job.reply.break_off()
-            self._desk.settlement.record_unknown(job)
+            self._parts.settlement.record_unknown(job)
             raise
-        await self._desk.settlement.settle(job, ending)
+        await self._parts.settlement.settle(job, ending)
         return _respond(job, ending.outcome)
 
 
--- a/crocusshunt/gateway/_picking.py
+++ b/crocusshunt/gateway/_picking.py
@@ -10,7 +10,7 @@
     ServerLoads,
     choose_server,
 )
-from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.gateway._shares import RegionSplit
 from crocusshunt.routing import Priority, Server
 
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        gatekeeper: Gatekeeper,
+        admission_control: AdmissionControl,
         state: ServerState,
         clock: Clock,
         source: random.Random,
@@ -57,7 +57,7 @@
 
         :param split: names the region whose servers come first.
         """
-        self._gatekeeper = gatekeeper
+        self._admission_control = admission_control
         self._state = state
         self._clock = clock
         self._source = source
@@ -69,7 +69,7 @@
         Servers tried before are left out; other failure domains than
         theirs come first.
         """
-        servers = self._gatekeeper.servers.get(request.pool, ())
+        servers = self._admission_control.servers.get(request.pool, ())
         now = self._clock.monotonic()
         is_open = self._state.outliers.select_open(servers, now)
         if not request.tried:
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -11,18 +11,18 @@
     Claimant,
     Forwarder,
 )
-from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.gateway._assembly import DispatchContext, create_dispatcher
 from crocusshunt.gateway._claiming import ClaimLedger
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
-from crocusshunt.gateway._handling import Desk, RequestHandler
+from crocusshunt.gateway._handling import RequestHandler, RequestParts
 from crocusshunt.gateway._heartbeat import HeartbeatSender
 from crocusshunt.gateway._limits import (
     Limiter,
 )
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._settlement import Settlement
-from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway._tracing import Tracer
 from crocusshunt.messages import RequesterPool
@@ -65,7 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._platform = HttpPlatform(settings.platform)
-        self._board = SuspectBoard(self._platform, clock)
+        self._suspects = SuspectRegistry(self._platform, clock)
         self._sweeper = ClaimSweeper(self._platform, clock)
         self._in_flight = InFlight()
         self._heartbeats = HeartbeatSender(
@@ -112,7 +112,7 @@
         """Follow the controller and listen."""
         await self._forwarder.start()
         self._tasks.start(self._follower.run())
-        self._tasks.start(self._board.run())
+        self._tasks.start(self._suspects.run())
         self._tasks.start(self._heartbeats.run())
         self._tasks.start(self._sweeper.run())
         await super().start()
@@ -137,9 +137,9 @@
         await self._platform.close()
         self._requesters.close()
 
-    def _create_desk(self, identifiers: Identifiers) -> Desk:
+    def _create_desk(self, identifiers: Identifiers) -> RequestParts:
         section = self._settings.gateway
-        gatekeeper = Gatekeeper(self.feed, section.key_evidence_s)
+        admission_control = AdmissionControl(self.feed, section.key_evidence_s)
         limiter = Limiter(
             section.controller,
             self._requesters,
@@ -151,22 +151,22 @@
             identifiers.create('process'),
             '',
         )
-        return Desk(
-            gatekeeper,
+        return RequestParts(
+            admission_control,
             limiter,
             Settlement(
                 ClaimLedger(self._platform, self._clock, owner),
-                self._board,
+                self._suspects,
                 self._in_flight,
                 self._tasks,
             ),
-            self._board,
+            self._suspects,
             create_dispatcher(
                 DispatchContext(
                     self._settings.host.region,
                     self.feed,
-                    gatekeeper,
-                    self._board,
+                    admission_control,
+                    self._suspects,
                     self._forwarder,
                     self._clock,
                     identifiers.source,
--- a/crocusshunt/gateway/_settlement.py
+++ b/crocusshunt/gateway/_settlement.py
@@ -16,7 +16,7 @@
 )
 from crocusshunt.gateway._draining import InFlight
 from crocusshunt.gateway._jobs import Ending, Job
-from crocusshunt.gateway._suspects import SuspectBoard
+from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.services import (
     TaskGroup,
 )
@@ -28,7 +28,7 @@
     def __init__(
         self,
         ledger: ClaimLedger,
-        board: SuspectBoard,
+        suspects: SuspectRegistry,
         in_flight: InFlight,
         tasks: TaskGroup,
     ) -> None:
@@ -37,7 +37,7 @@
         :param in_flight: counts outcomes that are still being recorded.
         """
         self._ledger = ledger
-        self._board = board
+        self._suspects = suspects
         self._in_flight = in_flight
         self._tasks = tasks
 
@@ -61,7 +61,7 @@
 
     async def settle(self, job: Job, ending: Ending) -> None:
         """Record an outcome, and share the suspicion that it raised."""
-        outcome, board = ending.outcome, self._board
+        outcome, suspects = ending.outcome, self._suspects
         if isinstance(outcome, NotRun) and job.held is not None:
             # Before the answer, so that the caller may repeat at once.
             await self._ledger.record(job.held, ClaimState.released)
@@ -70,11 +70,11 @@
         else:
             self._record_later(job, ClaimState.unknown)
         if isinstance(outcome, Answered):
-            if board.has_suspects(job.admission.customer):
+            if suspects.has_suspects(job.admission.customer):
                 customer = job.admission.customer
-                await board.forget(customer, job.fingerprint())
+                await suspects.forget(customer, job.fingerprint())
         elif ending.suspicion is not None:
-            await board.share(ending.suspicion)
+            await suspects.share(ending.suspicion)
 
     def _record_later(self, job: Job, state: ClaimState) -> None:
         if job.held is not None:
--- a/crocusshunt/gateway/_suspects.py
+++ b/crocusshunt/gateway/_suspects.py
@@ -27,7 +27,7 @@
 _TRIES = 4
 
 
-class SuspectBoard:
+class SuspectRegistry:
     """Suspicions of this host and, a poll later, of all hosts.
 
     A caller learns that its request lost a server only after every host
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -145,7 +145,7 @@
     identifiers = Identifiers(random.Random(f'{name}-requests'))
     limiter = _UnlimitedLimiter(_NOBODY, RequesterPool(), clock, identifiers)
     service._handler = RequestHandler(
-        replace(handler._desk, limiter=limiter),
+        replace(handler._parts, limiter=limiter),
         clock,
         identifiers,
     )
--- a/crocusshunt/gateway/tests/test_drained.py
+++ b/crocusshunt/gateway/tests/test_drained.py
@@ -5,7 +5,7 @@
 from crocusshunt.configuration import Edit, Evidence, encode_row
 from crocusshunt.core import ManualClock
 from crocusshunt.drains import Drain, DrainKind
-from crocusshunt.gateway._admission import Gatekeeper
+from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.messages import SnapshotFeed
 from crocusshunt.replication import Feed
 from crocusshunt.routing import Pool, Row, Server, name_table
@@ -31,12 +31,12 @@
     expected: list[str],
 ) -> None:
     feed = Feed(ManualClock())
-    gatekeeper = Gatekeeper(feed, key_evidence_s=4)
+    admission_control = AdmissionControl(feed, key_evidence_s=4)
     rows: tuple[Row, ...] = (Pool('verify'), *_SERVERS)
     _put_in_force(feed, 1, rows)
-    assert len(gatekeeper.servers['verify']) == len(_SERVERS)
+    assert len(admission_control.servers['verify']) == len(_SERVERS)
     _put_in_force(feed, 2, (*rows, Drain('d', kind, target)))
-    names = [server.name for server in gatekeeper.servers['verify']]
+    names = [server.name for server in admission_control.servers['verify']]
     assert names == expected
 
 
--- a/crocusshunt/gateway/tests/test_evidence.py
+++ b/crocusshunt/gateway/tests/test_evidence.py
@@ -12,7 +12,7 @@
     seal_change,
 )
 from crocusshunt.core import ManualClock, parse_address
-from crocusshunt.gateway._admission import Ask, Gatekeeper
+from crocusshunt.gateway._admission import AdmissionControl, Ask
 from crocusshunt.keys import Key, digest_key
 from crocusshunt.replication import Feed
 from crocusshunt.routing import (
@@ -64,19 +64,21 @@
     return created
 
 
-def _ask(gatekeeper: Gatekeeper, name: str, path: str = '/verify') -> str:
+def _ask(
+    admission_control: AdmissionControl, name: str, path: str = '/verify'
+) -> str:
     presented = frozenset((_SECRETS[name],)) if name else frozenset[str]()
     client = parse_address('127.0.0.1').unwrap()
-    admitted = gatekeeper.admit(Ask('', path, 'GET', client, presented))
+    admitted = admission_control.admit(Ask('', path, 'GET', client, presented))
     if isinstance(admitted, Err):
         return admitted.err_value.code
     return admitted.ok_value.customer
 
 
-def _create(feed: Feed) -> Gatekeeper:
-    gatekeeper = Gatekeeper(feed, _EVIDENCE_S)
-    gatekeeper._rebuild(feed.configuration)
-    return gatekeeper
+def _create(feed: Feed) -> AdmissionControl:
+    admission_control = AdmissionControl(feed, _EVIDENCE_S)
+    admission_control._rebuild(feed.configuration)
+    return admission_control
 
 
 def _testify(feed: Feed, clock: ManualClock, *pending: Announcement) -> None:
@@ -91,42 +93,42 @@
     feed: Feed,
     clock: ManualClock,
 ) -> None:
-    gatekeeper = _create(feed)
-    assert _ask(gatekeeper, 'court') == 'court'
+    admission_control = _create(feed)
+    assert _ask(admission_control, 'court') == 'court'
     clock.advance(_EVIDENCE_S + 1)
-    assert _ask(gatekeeper, 'court') == 'key-evidence-stale'
-    assert _ask(gatekeeper, '', '/open') == ''
+    assert _ask(admission_control, 'court') == 'key-evidence-stale'
+    assert _ask(admission_control, '', '/open') == ''
 
 
 def test_witnesses_keep_keys_honoured(feed: Feed, clock: ManualClock) -> None:
-    gatekeeper = _create(feed)
+    admission_control = _create(feed)
     clock.advance(_EVIDENCE_S + 1)
     _testify(feed, clock)
-    assert _ask(gatekeeper, 'court') == 'court'
+    assert _ask(admission_control, 'court') == 'court'
 
 
 def test_pending_change_suspends_what_it_names(
     feed: Feed,
     clock: ManualClock,
 ) -> None:
-    gatekeeper = _create(feed)
+    admission_control = _create(feed)
     pending = Announcement('c2', 2, 2, keys=('court',), servers=('s1',))
     _testify(feed, clock, pending)
-    assert _ask(gatekeeper, 'court') == 'key-suspended'
-    assert _ask(gatekeeper, 'bar') == 'court'
-    servers = gatekeeper.servers['verify']
+    assert _ask(admission_control, 'court') == 'key-suspended'
+    assert _ask(admission_control, 'bar') == 'court'
+    servers = admission_control.servers['verify']
     assert [server.name for server in servers] == ['s2']
     clock.advance(1)
     _testify(feed, clock)
-    assert _ask(gatekeeper, 'court') == 'court'
+    assert _ask(admission_control, 'court') == 'court'
 
 
 def test_suspension_lasts_as_long_as_evidence_is_trusted(
     feed: Feed,
     clock: ManualClock,
 ) -> None:
-    gatekeeper = Gatekeeper(feed, 3 * _EVIDENCE_S)
-    gatekeeper._rebuild(feed.configuration)
+    admission_control = AdmissionControl(feed, 3 * _EVIDENCE_S)
+    admission_control._rebuild(feed.configuration)
     _testify(feed, clock, Announcement('c2', 2, 2, keys=('court',)))
     clock.advance(2 * _EVIDENCE_S)
-    assert _ask(gatekeeper, 'court') == 'key-suspended'
+    assert _ask(admission_control, 'court') == 'key-suspended'
--- a/crocusshunt/limits/__init__.py
+++ b/crocusshunt/limits/__init__.py
@@ -34,7 +34,7 @@
     replace_witnesses,
     succeed,
 )
-from crocusshunt.limits._wallet import Wallet
+from crocusshunt.limits._token_cache import TokenCache
 from crocusshunt.limits._witness import Witness
 
 __all__ = (
@@ -56,7 +56,7 @@
     'Tenancy',
     'Tenure',
     'Verdict',
-    'Wallet',
+    'TokenCache',
     'Witness',
     'choose_witnesses',
     'decode_lease',
--- a/crocusshunt/limits/_queue.py
+++ b/crocusshunt/limits/_queue.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from crocusshunt.limits._ledger import Loan, LoanRequest
-from crocusshunt.limits._wallet import Wallet
+from crocusshunt.limits._token_cache import TokenCache
 
 _MAX_BATCH_TOKENS = 64
 _MIN_PAUSE_S = 0.01
@@ -66,7 +66,7 @@
 
         :param rate: tokens a second that the customer gains.
         """
-        self.wallet = Wallet()
+        self.token_cache = TokenCache()
         self.rate = rate
         self.next_token_at: float = 0
         self._settings = settings
@@ -83,7 +83,7 @@
         :param patience_s: longest wait, in seconds.
         """
         self._count_demand(now)
-        if not self._waiters and self.wallet.take(now):
+        if not self._waiters and self.token_cache.take(now):
             return Verdict.admitted
         position = len(self._waiters)
         if self._estimate(position, now) > patience_s:
@@ -95,21 +95,21 @@
         """Return the request for tokens to send now, if any is due."""
         if self._asked_at is not None or now < self.next_token_at:
             return None
-        missing = len(self._waiters) - self.wallet.count(now)
+        missing = len(self._waiters) - self.token_cache.count(now)
         ahead = self._find_ahead(now)
-        is_due = missing > 0 or self.wallet.count(now) < ahead / 2
+        is_due = missing > 0 or self.token_cache.count(now) < ahead / 2
         if not is_due:
             return None
         self._asked_at = now
         wanted = min(_MAX_BATCH_TOKENS, max(1, missing + ahead))
-        return LoanRequest(loan_id, wanted, self.wallet.settle(now, ahead))
+        return LoanRequest(loan_id, wanted, self.token_cache.settle(now, ahead))
 
     def receive(self, loan: Loan, now: float) -> tuple[Decision, ...]:
         """Take in a loan and decide on those who wait."""
         asked_at = self._asked_at
         self._asked_at = None
         if asked_at is not None:
-            self.wallet.put(loan, asked_at)
+            self.token_cache.put(loan, asked_at)
         pause = max(_MIN_PAUSE_S, loan.retry_after_s)
         self.next_token_at = now if loan.remaining else now + pause
         return self.review(now)
@@ -156,7 +156,7 @@
     def _judge(self, waiter: _Waiter, position: int, now: float) -> Verdict:
         if waiter.give_up_at <= now:
             return Verdict.refused
-        if not position and self.wallet.take(now):
+        if not position and self.token_cache.take(now):
             return Verdict.admitted
         if now + self._estimate(position, now) > waiter.give_up_at:
             return Verdict.refused
--- a/crocusshunt/limits/_wallet.py
+++ b/crocusshunt/limits/_token_cache.py
@@ -13,14 +13,14 @@
     expires_at: float
 
 
-class Wallet:
+class TokenCache:
     """Unexpired borrowed tokens of one customer.
 
-    >>> wallet = Wallet()
-    >>> wallet.put(Loan('a', 1, 0.5, 0, 0), asked_at=0)
-    >>> wallet.take(now=0.1), wallet.take(now=0.1)
+    >>> token_cache = TokenCache()
+    >>> token_cache.put(Loan('a', 1, 0.5, 0, 0), asked_at=0)
+    >>> token_cache.take(now=0.1), token_cache.take(now=0.1)
     (True, False)
-    >>> wallet.settle(now=0.1)
+    >>> token_cache.settle(now=0.1)
     (Settlement(loan_id='a', returned=0),)
     """
 
--- a/crocusshunt/limits/tests/test_exactness.py
+++ b/crocusshunt/limits/tests/test_exactness.py
@@ -21,7 +21,7 @@
     Settlement,
     Tenancy,
     Tenure,
-    Wallet,
+    TokenCache,
     Witness,
     lengthen,
     succeed,
@@ -44,7 +44,7 @@
     witness: Witness
     ledger: HomeLedger
     tenancy: Tenancy | None = None
-    wallet: Wallet = field(default_factory=Wallet)
+    token_cache: TokenCache = field(default_factory=TokenCache)
     settled: tuple[Settlement, ...] = ()
 
 
@@ -134,7 +134,7 @@
         if mail.loan is None:
             self._answer(mail)
         else:
-            self.hosts[mail.target].wallet.put(mail.loan, mail.sent_at)
+            self.hosts[mail.target].token_cache.put(mail.loan, mail.sent_at)
 
     @rule(position=st.integers(0, 5))
     def lose(self, position: int) -> None:
@@ -154,7 +154,7 @@
         request = LoanRequest(
             f'{name}/{self.created}',
             wanted,
-            borrower.wallet.settle(asked_at),
+            borrower.token_cache.settle(asked_at),
         )
         loan = lender.ledger.lend(_CUSTOMER, request, tenure)
         self.mails.append(_Mail('loan', name, holder, 0, asked_at, loan))
@@ -164,7 +164,7 @@
         """Admit requests at a gateway while it has tokens."""
         host = self.hosts[name]
         for _ in range(count):
-            if host.wallet.take(host.clock.monotonic()):
+            if host.token_cache.take(host.clock.monotonic()):
                 self.admitted.append(self.now)
 
     @invariant()
@@ -254,10 +254,10 @@
 
 
 def test_tokens_are_void_after_the_loan() -> None:
-    wallet = Wallet()
-    wallet.put(Loan('a', 2, LOAN_LIFETIME_S, 0, 0), asked_at=1)
-    assert wallet.take(1.4)
-    assert not wallet.take(1 + LOAN_LIFETIME_S)
+    token_cache = TokenCache()
+    token_cache.put(Loan('a', 2, LOAN_LIFETIME_S, 0, 0), asked_at=1)
+    assert token_cache.take(1.4)
+    assert not token_cache.take(1 + LOAN_LIFETIME_S)
 
 
 def test_restarted_witness_waits_for_its_former_support() -> None:
--- a/crocusshunt/programs/demo.py
+++ b/crocusshunt/programs/demo.py
@@ -76,10 +76,10 @@
         run_services(_FleetService(fleet))
         return
     with asyncio.Runner(loop_factory=create_loop) as runner:
-        sys.exit(runner.run(_play(fleet)))
+        sys.exit(runner.run(_register_step(fleet)))
 
 
-async def _play(fleet: Fleet) -> int:
+async def _register_step(fleet: Fleet) -> int:
     failed = 0
     try:
         await fleet.start()
--- a/crocusshunt/relay/_server.py
+++ b/crocusshunt/relay/_server.py
@@ -28,13 +28,13 @@
 
     Transactions on the tables of the configuration are refused.
     """
-    desk = _RelayDesk(store)
-    handlers.register(ReadRow)(desk.read)
-    handlers.register(QueryRows)(desk.query)
-    handlers.register(TransactRows)(desk.transact)
+    parts = _RelayHandlers(store)
+    handlers.register(ReadRow)(parts.read)
+    handlers.register(QueryRows)(parts.query)
+    handlers.register(TransactRows)(parts.transact)
 
 
-class _RelayDesk:
+class _RelayHandlers:
     def __init__(self, store: TableStore) -> None:
         self._store = store
 
--- a/crocusshunt/replication/__init__.py
+++ b/crocusshunt/replication/__init__.py
@@ -7,7 +7,7 @@
 from crocusshunt.replication._witnessing import (
     TestimonyCollector,
     WitnessAnnouncer,
-    WitnessDesk,
+    WitnessHandler,
 )
 
 __all__ = (
@@ -20,5 +20,5 @@
     'Origin',
     'TestimonyCollector',
     'WitnessAnnouncer',
-    'WitnessDesk',
+    'WitnessHandler',
 )
--- a/crocusshunt/replication/_witnessing.py
+++ b/crocusshunt/replication/_witnessing.py
@@ -56,7 +56,7 @@
         return answer.is_ok()
 
 
-class WitnessDesk:
+class WitnessHandler:
     """Keeps announcements and testifies; owns the log of one witness."""
 
     def __init__(self, repository: Repository, clock: Clock) -> None:
