Explain a request from the log of a running gateway

Cause: the commands that read logs had only seen made-up lines. Change: a test asks crocusctl about a request that crossed all processes. Before: untested. After: route, server and outcome are shown.

--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -80,13 +80,18 @@
 
     def start(self, name: str) -> None:
         """Start a program, with its settings as they were before."""
-        self.processes[name] = subprocess.Popen(
-            [
-                PROGRAMS / f'crocus-{name}',
-                f'--settings={self.directory / name}.ini',
-            ],
-            stderr=subprocess.DEVNULL,
-        )
+        with self.find_log(name).open('ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [
+                    PROGRAMS / f'crocus-{name}',
+                    f'--settings={self.directory / name}.ini',
+                ],
+                stderr=log,
+            )
+
+    def find_log(self, name: str) -> Path:
+        """Return the file that takes a program's log."""
+        return self.directory / f'{name}.log'
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         self.processes[name].send_signal(number)
--- a/crocusshunt/programs/tests/test_processes.py
+++ b/crocusshunt/programs/tests/test_processes.py
@@ -30,6 +30,25 @@
         assert process.wait(GIVE_UP_S) == 0, name
 
 
+async def test_log_explains_a_request(site: Site) -> None:
+    answer = await site.call_until(_is_answered)
+    explained = subprocess.run(
+        [
+            PROGRAMS / 'crocusctl',
+            'explain',
+            str(answer.document['request_id']),
+            f'--log={site.find_log("gateway")}',
+        ],
+        capture_output=True,
+        check=False,
+        text=True,
+    )
+    assert explained.returncode == 0, explained.stderr
+    assert 'answered' in explained.stdout
+    assert 'verify' in explained.stdout
+    assert 's1' in explained.stdout
+
+
 def test_wrong_settings_name_every_fault(tmp_path: Path) -> None:
     path = tmp_path / 'gateway.ini'
     path.write_text(
