Serve the gateway's metrics on the loopback address

Cause: metrics were counted and could not be read. Change: a setting names a port on 127.0.0.1 for the Prometheus text. Before: none. After: a scrape of a running gateway counts the request.

--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Service that admits callers' requests and forwards them."""
 
+from crocusshunt.gateway._exposure import MetricsService
 from crocusshunt.gateway._limits import (
     Limiter,
 )
@@ -22,6 +23,7 @@
     'GatewaySettings',
     'LimitUnavailableError',
     'Limiter',
+    'MetricsService',
     'RateExceededError',
     'format_limit_headers',
 )
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -37,6 +37,7 @@
         began, in seconds: until every locator knows of it, and then for as
         long as they keep a locator's answer.
     :param finish_s: longest wait for running requests at a stop, in seconds.
+    :param metrics_port: loopback port of the metrics, 0 for none.
     """
 
     address: HostAddress
@@ -45,6 +46,7 @@
     key_evidence_s: EvidenceAge = 4
     answer_lifetime_s: Duration = 8
     finish_s: Duration = 35
+    metrics_port: Port = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/programs/gateway.py
+++ b/crocusshunt/programs/gateway.py
@@ -12,7 +12,11 @@
 import random
 
 from crocusshunt.core import SystemClock
-from crocusshunt.gateway import GatewayService, GatewaySettings
+from crocusshunt.gateway import (
+    GatewayService,
+    GatewaySettings,
+    MetricsService,
+)
 from crocusshunt.programs._start import start_program
 from crocusshunt.web import (
     run_services,
@@ -22,6 +26,9 @@
 def main() -> None:
     """Run until SIGTERM."""
     settings = start_program(__doc__ or '', GatewaySettings)
-    run_services(
-        GatewayService(settings, SystemClock(), random.SystemRandom()),
-    )
+    gateway = GatewayService(settings, SystemClock(), random.SystemRandom())
+    port = settings.gateway.metrics_port
+    if port:
+        run_services(gateway, MetricsService(port, gateway.metrics))
+    else:
+        run_services(gateway)
--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -47,6 +47,7 @@
     'control',
     'gateway',
     'locator',
+    'metrics',
 )
 _POLL_S = 0.02
 _Seen = TypeVar('_Seen')
@@ -211,6 +212,7 @@
                 f'{_HOST}{platform}[gateway]\n'
                 f'{self._listen("gateway")}{control}'
                 'answer_lifetime_s = 1\n'
+                f'metrics_port = {self.ports["metrics"]}\n'
             ),
             'locator': (
                 f'{_HOST}[locator]\n{self._listen("locator")}{control}'
--- a/crocusshunt/programs/tests/test_processes.py
+++ b/crocusshunt/programs/tests/test_processes.py
@@ -30,6 +30,16 @@
         assert process.wait(GIVE_UP_S) == 0, name
 
 
+async def test_metrics_count_a_request(site: Site) -> None:
+    await site.call_until(_is_answered)
+    async with site.session.get(f'{site.url("metrics")}/metrics') as scraped:
+        text = await scraped.text()
+    lines = [line for line in text.splitlines() if 'answered' in line]
+    counted = [line for line in lines if 'label="court"' in line]
+    assert counted
+    assert counted[0].endswith(' 1.0')
+
+
 async def test_log_explains_a_request(site: Site) -> None:
     answer = await site.call_until(_is_answered)
     explained = subprocess.run(
