--- a/crocusshunt/api/_answers.py
+++ b/crocusshunt/api/_answers.py
@@ -13,9 +13,7 @@
     RevisionConflictError,
 )
 from crocusshunt.core import CrocusError
-from crocusshunt.web import (
-    json_response,
-)
+from crocusshunt.web import json_response
 
 _STATUS_BAD_REQUEST = 400
 
--- a/crocusshunt/api/_changes.py
+++ b/crocusshunt/api/_changes.py
@@ -23,9 +23,7 @@
     RevisionConflictError,
 )
 from crocusshunt.operators import Role, find_needed_role
-from crocusshunt.web import (
-    json_response,
-)
+from crocusshunt.web import json_response
 
 _STATUS_BAD_REQUEST = 400
 _STATUS_NOT_FOUND = 404
--- a/crocusshunt/api/_endpoints.py
+++ b/crocusshunt/api/_endpoints.py
@@ -18,9 +18,7 @@
     UnknownOperatorError,
 )
 from crocusshunt.replication import Archive, Feed, Origin
-from crocusshunt.store import (
-    Platform,
-)
+from crocusshunt.store import Platform
 
 _STATUS_UNAUTHORIZED = 401
 _STATUS_FORBIDDEN = 403
--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -17,9 +17,7 @@
     Replier,
     RequesterPool,
 )
-from crocusshunt.platform import (
-    HttpPlatform,
-)
+from crocusshunt.platform import HttpPlatform
 from crocusshunt.relay import register_relay
 from crocusshunt.replication import (
     Archive,
@@ -31,12 +29,8 @@
     WitnessAnnouncer,
     WitnessHandler,
 )
-from crocusshunt.services import (
-    TaskGroup,
-)
-from crocusshunt.web import (
-    HttpService,
-)
+from crocusshunt.services import TaskGroup
+from crocusshunt.web import HttpService
 
 _MAX_BODY_BYTES = 16_777_216
 # Modules whose import registers endpoints; a new module is added here.
--- a/crocusshunt/api/_settings.py
+++ b/crocusshunt/api/_settings.py
@@ -3,15 +3,8 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.platform import (
-    PlatformSettings,
-)
-from crocusshunt.settings import (
-    HostAddress,
-    OptionalDigest,
-    Port,
-    TcpAddress,
-)
+from crocusshunt.platform import PlatformSettings
+from crocusshunt.settings import HostAddress, OptionalDigest, Port, TcpAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/api/_state.py
+++ b/crocusshunt/api/_state.py
@@ -10,9 +10,7 @@
 from crocusshunt.api._endpoints import Call, register_endpoint
 from crocusshunt.configuration import encode_row
 from crocusshunt.operators import Role
-from crocusshunt.web import (
-    json_response,
-)
+from crocusshunt.web import json_response
 
 
 @register_endpoint('GET', '/v1/status', Role.read)
--- a/crocusshunt/audit/tests/test_trail.py
+++ b/crocusshunt/audit/tests/test_trail.py
@@ -6,12 +6,7 @@
 from hypothesis import strategies as st
 
 from crocusshunt.audit import encode_record, read_trail, verify_trail
-from crocusshunt.configuration import (
-    GENESIS_DIGEST,
-    Change,
-    Edit,
-    seal_change,
-)
+from crocusshunt.configuration import GENESIS_DIGEST, Change, Edit, seal_change
 
 _LENGTH = 6
 
--- a/crocusshunt/bench/_delivery_cost.py
+++ b/crocusshunt/bench/_delivery_cost.py
@@ -12,9 +12,7 @@
 from crocusshunt.bench._registry import Measurement
 from crocusshunt.gateway.tests.site import COURT_KEY, Site, run_site
 from crocusshunt.standin import Fault
-from crocusshunt.web import (
-    HttpService,
-)
+from crocusshunt.web import HttpService
 
 _REQUESTS = 3000
 _WARM_UP = 300
--- a/crocusshunt/bench/capacity.py
+++ b/crocusshunt/bench/capacity.py
@@ -29,9 +29,7 @@
     Requester,
 )
 from crocusshunt.routing import Server, Tables
-from crocusshunt.services import (
-    create_loop,
-)
+from crocusshunt.services import create_loop
 
 _CONTROL_MB = 32
 _CONTROL_CORE_PERCENT = 1.4
--- a/crocusshunt/bench/delivery.py
+++ b/crocusshunt/bench/delivery.py
@@ -14,18 +14,10 @@
     measure_stops,
 )
 from crocusshunt.bench._registry import Measurement, register_bench
-from crocusshunt.bench._room import (
-    SLOT_SHARES,
-    simulate_ideal,
-    simulate_room,
-)
-from crocusshunt.bench._room_values import (
-    RoomWorkload,
-)
+from crocusshunt.bench._room import SLOT_SHARES, simulate_ideal, simulate_room
+from crocusshunt.bench._room_values import RoomWorkload
 from crocusshunt.delivery import list_choices
-from crocusshunt.services import (
-    create_loop,
-)
+from crocusshunt.services import create_loop
 
 _SEED = 5
 
--- a/crocusshunt/bench/membership.py
+++ b/crocusshunt/bench/membership.py
@@ -27,9 +27,7 @@
     RelayProbe,
     TransportError,
 )
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 
 _SEED = 5
 _SIZES = (10, 100, 1_000)
--- a/crocusshunt/bench/steering.py
+++ b/crocusshunt/bench/steering.py
@@ -21,9 +21,7 @@
 )
 from crocusshunt.drains import DrainBounds
 from crocusshunt.steering import BlockTable, Caller, Directory
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 
 _SEED = 1
 _DRAINS = 10
--- a/crocusshunt/configuration/__init__.py
+++ b/crocusshunt/configuration/__init__.py
@@ -1,9 +1,6 @@
 """Revisions of the configuration: changes, history and evidence."""
 
-from crocusshunt.configuration._announcing import (
-    Announcer,
-    describe_change,
-)
+from crocusshunt.configuration._announcing import Announcer, describe_change
 from crocusshunt.configuration._changes import (
     GENESIS_DIGEST,
     Change,
--- a/crocusshunt/controller/_leases.py
+++ b/crocusshunt/controller/_leases.py
@@ -25,12 +25,7 @@
     shorten,
     succeed,
 )
-from crocusshunt.store import (
-    ABSENT,
-    StoreError,
-    TableStore,
-    Write,
-)
+from crocusshunt.store import ABSENT, StoreError, TableStore, Write
 
 Measure = Callable[[str, Tenure], tuple[Level, ...]]
 
--- a/crocusshunt/controller/_lending.py
+++ b/crocusshunt/controller/_lending.py
@@ -13,9 +13,7 @@
 from crocusshunt.core import Clock, HostIdentity
 from crocusshunt.messages import BorrowTokens, Handlers, RenewLeases
 from crocusshunt.routing import Tables
-from crocusshunt.store import (
-    TableStore,
-)
+from crocusshunt.store import TableStore
 
 _PERIOD_S = 1
 _UNSETTLED_PERIOD_S = 0.2
--- a/crocusshunt/controller/_service.py
+++ b/crocusshunt/controller/_service.py
@@ -20,9 +20,7 @@
 )
 from crocusshunt.relay import RelayedTables, RelaySettings
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.services import (
-    TaskGroup,
-)
+from crocusshunt.services import TaskGroup
 from crocusshunt.steering import Readings
 
 
--- a/crocusshunt/controller/_settings.py
+++ b/crocusshunt/controller/_settings.py
@@ -3,9 +3,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.settings import (
-    TcpAddress,
-)
+from crocusshunt.settings import TcpAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/controller/_witnessing.py
+++ b/crocusshunt/controller/_witnessing.py
@@ -10,9 +10,7 @@
     LeasesRenewed,
     RenewLeases,
 )
-from crocusshunt.store import (
-    TableStore,
-)
+from crocusshunt.store import TableStore
 
 LEASE_TABLE = 'token-leases'
 
--- a/crocusshunt/ctl/_keys.py
+++ b/crocusshunt/ctl/_keys.py
@@ -18,13 +18,7 @@
 from crocusshunt.ctl._console import format_table
 from crocusshunt.ctl._failures import report_failure, report_faults
 from crocusshunt.ctl._proposals import Edits, change_tables
-from crocusshunt.keys import (
-    Key,
-    KeyState,
-    create_key,
-    digest_key,
-    split_key,
-)
+from crocusshunt.keys import Key, KeyState, create_key, digest_key, split_key
 from crocusshunt.operators import Operator, Role
 from crocusshunt.routing import Tables
 
--- a/crocusshunt/ctl/_proposals.py
+++ b/crocusshunt/ctl/_proposals.py
@@ -11,12 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from crocusshunt.client import (
-    ApiError,
-    Proposal,
-    RefusedCallError,
-    Snapshot,
-)
+from crocusshunt.client import ApiError, Proposal, RefusedCallError, Snapshot
 from crocusshunt.configuration import Change, EditRequest
 from crocusshunt.core import Fault
 from crocusshunt.ctl._commands import Context, ExitStatus
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -17,25 +17,13 @@
 )
 from crocusshunt.core import Clock, HostIdentity, SystemClock
 from crocusshunt.declarations import compare_tables, read_declarations
-from crocusshunt.gateway import (
-    GatewaySection,
-    GatewayService,
-    GatewaySettings,
-)
+from crocusshunt.gateway import GatewaySection, GatewayService, GatewaySettings
 from crocusshunt.keys import Key, create_key, digest_key
-from crocusshunt.locator import (
-    LocatorSection,
-    LocatorService,
-    LocatorSettings,
-)
-from crocusshunt.platform import (
-    PlatformSettings,
-)
+from crocusshunt.locator import LocatorSection, LocatorService, LocatorSettings
+from crocusshunt.platform import PlatformSettings
 from crocusshunt.routing import Customer, FailureDomain, Server, Tables
 from crocusshunt.standin import BackendService, PlatformService, RunCounter
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 from crocusshunt.witnesses import Witness
 
 _LOOPBACK = '127.0.0.1'
--- a/crocusshunt/demo/tests/terminal.py
+++ b/crocusshunt/demo/tests/terminal.py
@@ -14,11 +14,7 @@
 from crocusshunt.demo import Fleet, FleetSettings
 from crocusshunt.programs import ctl
 from crocusshunt.standin import MemoryPlatform
-from crocusshunt.store import (
-    StoreError,
-    StoreUnknownOutcomeError,
-    Write,
-)
+from crocusshunt.store import StoreError, StoreUnknownOutcomeError, Write
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
 _CHANGES = 'configuration-change'
--- a/crocusshunt/drains/_places.py
+++ b/crocusshunt/drains/_places.py
@@ -4,9 +4,7 @@
 
 from crocusshunt.drains._rows import Drain, DrainKind
 from crocusshunt.routing import Server, ServerState
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 
 
 class DrainedPlaces:
--- a/crocusshunt/drains/tests/test_drains.py
+++ b/crocusshunt/drains/tests/test_drains.py
@@ -14,13 +14,7 @@
     measure_progress,
     preview_drain,
 )
-from crocusshunt.routing import (
-    FailureDomain,
-    Pool,
-    Server,
-    Tables,
-    find_faults,
-)
+from crocusshunt.routing import FailureDomain, Pool, Server, Tables, find_faults
 from crocusshunt.shifts import Shift, ShiftState
 from crocusshunt.steering import PoolLoad, Readings
 
--- a/crocusshunt/gateway/__init__.py
+++ b/crocusshunt/gateway/__init__.py
@@ -1,9 +1,7 @@
 """Service that admits callers' requests and forwards them."""
 
 from crocusshunt.gateway._exposure import MetricsService
-from crocusshunt.gateway._limits import (
-    Limiter,
-)
+from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._refusals import (
     LimitUnavailableError,
     RateExceededError,
--- a/crocusshunt/gateway/_handling.py
+++ b/crocusshunt/gateway/_handling.py
@@ -21,18 +21,9 @@
 from crocusshunt.gateway._draining import DrainPhase, InFlight
 from crocusshunt.gateway._inspection import Inspected, inspect_request
 from crocusshunt.gateway._jobs import Job
-from crocusshunt.gateway._limits import (
-    Limiter,
-)
-from crocusshunt.gateway._refusals import (
-    describe_limit,
-    format_limit_headers,
-)
-from crocusshunt.gateway._relay import (
-    Reply,
-    respond_failure,
-    respond_recorded,
-)
+from crocusshunt.gateway._limits import Limiter
+from crocusshunt.gateway._refusals import describe_limit, format_limit_headers
+from crocusshunt.gateway._relay import Reply, respond_failure, respond_recorded
 from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._suspects import SuspectRegistry
 from crocusshunt.gateway._tracing import Trace, Tracer
--- a/crocusshunt/gateway/_heartbeat.py
+++ b/crocusshunt/gateway/_heartbeat.py
@@ -3,11 +3,7 @@
 import asyncio
 
 from crocusshunt.membership import HEARTBEAT_PERIOD_S
-from crocusshunt.messages import (
-    GatewayHeartbeat,
-    HeartbeatNoted,
-    RequesterPool,
-)
+from crocusshunt.messages import GatewayHeartbeat, HeartbeatNoted, RequesterPool
 
 _TIMEOUT_S = 1
 
--- a/crocusshunt/gateway/_picking.py
+++ b/crocusshunt/gateway/_picking.py
@@ -5,11 +5,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import Clock
-from crocusshunt.delivery import (
-    OutlierDetector,
-    ServerLoads,
-    choose_server,
-)
+from crocusshunt.delivery import OutlierDetector, ServerLoads, choose_server
 from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.gateway._shares import RegionSplit
 from crocusshunt.routing import Priority, Server
--- a/crocusshunt/gateway/_relay.py
+++ b/crocusshunt/gateway/_relay.py
@@ -12,9 +12,7 @@
     prepare_answer_headers,
 )
 from crocusshunt.gateway._draining import InFlight
-from crocusshunt.web import (
-    json_response,
-)
+from crocusshunt.web import json_response
 
 _KEPT_BYTES = 4096
 _REPLAYED_HEADER = 'Idempotency-Replayed'
--- a/crocusshunt/gateway/_rooms.py
+++ b/crocusshunt/gateway/_rooms.py
@@ -8,12 +8,7 @@
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
-from crocusshunt.delivery import (
-    NotRun,
-    QueueSettings,
-    Waiting,
-    WaitingQueue,
-)
+from crocusshunt.delivery import NotRun, QueueSettings, Waiting, WaitingQueue
 from crocusshunt.gateway._picking import RoomRequest, ServerPicker
 from crocusshunt.routing import Priority, Server
 
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -7,19 +7,14 @@
 from aiohttp import web
 
 from crocusshunt.core import Clock, Identifiers
-from crocusshunt.delivery import (
-    Claimant,
-    Forwarder,
-)
+from crocusshunt.delivery import Claimant, Forwarder
 from crocusshunt.gateway._admission import AdmissionControl
 from crocusshunt.gateway._assembly import DispatchContext, create_dispatcher
 from crocusshunt.gateway._claiming import ClaimLedger
 from crocusshunt.gateway._draining import DrainHook, DrainPhase, InFlight
 from crocusshunt.gateway._handling import RequestHandler, RequestParts
 from crocusshunt.gateway._heartbeat import HeartbeatSender
-from crocusshunt.gateway._limits import (
-    Limiter,
-)
+from crocusshunt.gateway._limits import Limiter
 from crocusshunt.gateway._settings import DeliveryPolicy, GatewaySettings
 from crocusshunt.gateway._settlement import Settlement
 from crocusshunt.gateway._suspects import SuspectRegistry
@@ -27,16 +22,10 @@
 from crocusshunt.gateway._tracing import Tracer
 from crocusshunt.messages import RequesterPool
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
-from crocusshunt.platform import (
-    HttpPlatform,
-)
+from crocusshunt.platform import HttpPlatform
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.services import (
-    TaskGroup,
-)
-from crocusshunt.web import (
-    HttpService,
-)
+from crocusshunt.services import TaskGroup
+from crocusshunt.web import HttpService
 
 
 class GatewayService(HttpService):
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -6,20 +6,9 @@
 from msgspec import Meta
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.delivery import (
-    BudgetSettings,
-    EjectionSettings,
-    QueueSettings,
-)
-from crocusshunt.platform import (
-    PlatformSettings,
-)
-from crocusshunt.settings import (
-    Duration,
-    HostAddress,
-    Port,
-    TcpAddress,
-)
+from crocusshunt.delivery import BudgetSettings, EjectionSettings, QueueSettings
+from crocusshunt.platform import PlatformSettings
+from crocusshunt.settings import Duration, HostAddress, Port, TcpAddress
 
 # A withdrawn key must stop working within 5 s.
 _GREATEST_EVIDENCE_AGE_S = 4.5
--- a/crocusshunt/gateway/_settlement.py
+++ b/crocusshunt/gateway/_settlement.py
@@ -2,12 +2,7 @@
 
 from result import Err, Result
 
-from crocusshunt.delivery import (
-    Answered,
-    BrokenOff,
-    ClaimState,
-    NotRun,
-)
+from crocusshunt.delivery import Answered, BrokenOff, ClaimState, NotRun
 from crocusshunt.gateway._claiming import (
     ClaimLedger,
     ClaimRequest,
@@ -17,9 +12,7 @@
 from crocusshunt.gateway._draining import InFlight
 from crocusshunt.gateway._jobs import Ending, Job
 from crocusshunt.gateway._suspects import SuspectRegistry
-from crocusshunt.services import (
-    TaskGroup,
-)
+from crocusshunt.services import TaskGroup
 
 
 class Settlement:
--- a/crocusshunt/gateway/_sweeping.py
+++ b/crocusshunt/gateway/_sweeping.py
@@ -8,12 +8,7 @@
 from crocusshunt.core import Clock
 from crocusshunt.delivery import Claim
 from crocusshunt.gateway._claiming import CLAIM_LIFETIME_S, CLAIM_TABLE
-from crocusshunt.store import (
-    Query,
-    StoredRow,
-    TableStore,
-    Write,
-)
+from crocusshunt.store import Query, StoredRow, TableStore, Write
 
 _PAUSE_S = 10
 _PAGE_ROWS = 500
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -17,17 +17,11 @@
     GatewaySettings,
 )
 from crocusshunt.gateway._handling import RequestHandler
-from crocusshunt.gateway._limits import (
-    Limiter,
-)
-from crocusshunt.gateway._refusals import (
-    LimitError,
-)
+from crocusshunt.gateway._limits import Limiter
+from crocusshunt.gateway._refusals import LimitError
 from crocusshunt.keys import Key, digest_key
 from crocusshunt.messages import RequesterPool, SnapshotFeed
-from crocusshunt.platform import (
-    PlatformSettings,
-)
+from crocusshunt.platform import PlatformSettings
 from crocusshunt.routing import (
     Access,
     Customer,
--- a/crocusshunt/gateway/tests/test_claims.py
+++ b/crocusshunt/gateway/tests/test_claims.py
@@ -22,9 +22,7 @@
 from crocusshunt.gateway._sweeping import ClaimSweeper
 from crocusshunt.gateway.tests.site import BAR_KEY, run_site
 from crocusshunt.standin import Fault, MemoryPlatform
-from crocusshunt.store import (
-    Query,
-)
+from crocusshunt.store import Query
 
 
 @pytest.fixture
--- a/crocusshunt/locator/_lookups.py
+++ b/crocusshunt/locator/_lookups.py
@@ -11,20 +11,8 @@
 from crocusshunt.core import CrocusError, IPAddress
 from crocusshunt.drains import Drain, DrainedPlaces
 from crocusshunt.membership import HostTable
-from crocusshunt.routing import (
-    Block,
-    Customer,
-    Link,
-    Route,
-    Server,
-    Tables,
-)
-from crocusshunt.steering import (
-    BlockTable,
-    Caller,
-    Directory,
-    measure_delays,
-)
+from crocusshunt.routing import Block, Customer, Link, Route, Server, Tables
+from crocusshunt.steering import BlockTable, Caller, Directory, measure_delays
 
 _LISTED_HOSTS = 4
 _DIGEST_BYTES = 8
--- a/crocusshunt/locator/_service.py
+++ b/crocusshunt/locator/_service.py
@@ -17,13 +17,8 @@
 from crocusshunt.membership import HostTable
 from crocusshunt.messages import RequesterPool
 from crocusshunt.replication import Feed, Follower, FollowerSettings
-from crocusshunt.services import (
-    TaskGroup,
-)
-from crocusshunt.web import (
-    HttpService,
-    json_response,
-)
+from crocusshunt.services import TaskGroup
+from crocusshunt.web import HttpService, json_response
 
 _STATUS_NOT_MODIFIED = 304
 _STATUS_BAD_REQUEST = 400
--- a/crocusshunt/locator/_settings.py
+++ b/crocusshunt/locator/_settings.py
@@ -3,11 +3,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.settings import (
-    HostAddress,
-    Port,
-    TcpAddress,
-)
+from crocusshunt.settings import HostAddress, Port, TcpAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/membership/__init__.py
+++ b/crocusshunt/membership/__init__.py
@@ -10,10 +10,7 @@
     digest_member,
     merge_members,
 )
-from crocusshunt.membership._presence import (
-    HEARTBEAT_PERIOD_S,
-    GatewayPresence,
-)
+from crocusshunt.membership._presence import HEARTBEAT_PERIOD_S, GatewayPresence
 from crocusshunt.membership._service import MembershipService
 from crocusshunt.membership._table import MemberTable
 from crocusshunt.membership._topology import Subjects, assign_subjects
--- a/crocusshunt/membership/_hosts.py
+++ b/crocusshunt/membership/_hosts.py
@@ -13,10 +13,7 @@
     MemberStatus,
     RequesterPool,
 )
-from crocusshunt.store import (
-    HostEntry,
-    HostState,
-)
+from crocusshunt.store import HostEntry, HostState
 
 _POLL_S = 1
 _TIMEOUT_S = 1
--- a/crocusshunt/membership/_precedence.py
+++ b/crocusshunt/membership/_precedence.py
@@ -5,10 +5,7 @@
 import msgspec
 
 from crocusshunt.messages import Member, MemberStatus
-from crocusshunt.store import (
-    HostEntry,
-    HostState,
-)
+from crocusshunt.store import HostEntry, HostState
 
 _DIGEST_BYTES = 8
 
--- a/crocusshunt/membership/_table.py
+++ b/crocusshunt/membership/_table.py
@@ -8,10 +8,7 @@
 from crocusshunt.membership._news import NewsQueue
 from crocusshunt.membership._precedence import create_member, merge_members
 from crocusshunt.messages import Member, MemberStatus
-from crocusshunt.store import (
-    HostEntry,
-    HostState,
-)
+from crocusshunt.store import HostEntry, HostState
 
 _LOST = frozenset((MemberStatus.unreachable, MemberStatus.dead))
 
--- a/crocusshunt/membership/tests/network.py
+++ b/crocusshunt/membership/tests/network.py
@@ -20,10 +20,7 @@
     RelayProbe,
     TransportError,
 )
-from crocusshunt.store import (
-    HostEntry,
-    HostState,
-)
+from crocusshunt.store import HostEntry, HostState
 
 _REJOIN_ROUNDS = 5
 
--- a/crocusshunt/membership/tests/test_membership.py
+++ b/crocusshunt/membership/tests/test_membership.py
@@ -15,9 +15,7 @@
 )
 from crocusshunt.membership.tests.network import Network, create_listing
 from crocusshunt.messages import Member, MemberStatus
-from crocusshunt.store import (
-    HostState,
-)
+from crocusshunt.store import HostState
 
 _SEED = 7
 _ME = Member('a0', 'a', 'a-0', 'http://a0', 'tcp://a0', 4)
--- a/crocusshunt/messages/__init__.py
+++ b/crocusshunt/messages/__init__.py
@@ -1,10 +1,6 @@
 """Typed, versioned messages between the system's processes."""
 
-from crocusshunt.messages._bodies import (
-    Body,
-    Refusal,
-    register_body,
-)
+from crocusshunt.messages._bodies import Body, Refusal, register_body
 from crocusshunt.messages._codec import (
     PROTOCOL_VERSION,
     Codec,
--- a/crocusshunt/messages/_membership.py
+++ b/crocusshunt/messages/_membership.py
@@ -5,9 +5,7 @@
 import msgspec
 
 from crocusshunt.messages._bodies import Body, register_body
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 
 
 class MemberStatus(IntEnum):
--- a/crocusshunt/messages/_store.py
+++ b/crocusshunt/messages/_store.py
@@ -1,11 +1,7 @@
 """Messages of processes that reach the table service through another."""
 
 from crocusshunt.messages._bodies import Body, register_body
-from crocusshunt.store import (
-    Query,
-    StoredRow,
-    Write,
-)
+from crocusshunt.store import Query, StoredRow, Write
 
 
 @register_body('read-row')
--- a/crocusshunt/plans/__init__.py
+++ b/crocusshunt/plans/__init__.py
@@ -6,17 +6,9 @@
     _movements,
     _traffic,
 )
-from crocusshunt.plans._differences import (
-    FieldChange,
-    RowChange,
-    compare_rows,
-)
+from crocusshunt.plans._differences import FieldChange, RowChange, compare_rows
 from crocusshunt.plans._preview import preview_edits
-from crocusshunt.plans._registry import (
-    Consequence,
-    Severity,
-    find_consequences,
-)
+from crocusshunt.plans._registry import Consequence, Severity, find_consequences
 
 __all__ = (
     'Consequence',
--- a/crocusshunt/platform/_client.py
+++ b/crocusshunt/platform/_client.py
@@ -11,10 +11,7 @@
 
 from crocusshunt.core import Clock, SystemClock
 from crocusshunt.platform._policy import CallPolicy
-from crocusshunt.settings import (
-    BaseUrl,
-    Duration,
-)
+from crocusshunt.settings import BaseUrl, Duration
 from crocusshunt.store._errors import (
     StoreConflictError,
     StoreDamagedAnswerError,
--- a/crocusshunt/programs/api.py
+++ b/crocusshunt/programs/api.py
@@ -12,9 +12,7 @@
 from crocusshunt.api import ApiService, ApiSettings
 from crocusshunt.core import SystemClock
 from crocusshunt.programs._start import start_program
-from crocusshunt.web import (
-    run_services,
-)
+from crocusshunt.web import run_services
 
 
 def main() -> None:
--- a/crocusshunt/programs/demo.py
+++ b/crocusshunt/programs/demo.py
@@ -24,20 +24,11 @@
 from aiomisc import Service
 from docopt import docopt
 
-from crocusshunt.demo import (
-    Fleet,
-    FleetSettings,
-    describe_fleet,
-    run_session,
-)
+from crocusshunt.demo import Fleet, FleetSettings, describe_fleet, run_session
 from crocusshunt.logs import start_logging
-from crocusshunt.services import (
-    create_loop,
-)
+from crocusshunt.services import create_loop
 from crocusshunt.settings import SettingsError
-from crocusshunt.web import (
-    run_services,
-)
+from crocusshunt.web import run_services
 
 _EXAMPLES = Path(__file__).parents[2] / 'examples'
 
--- a/crocusshunt/programs/gateway.py
+++ b/crocusshunt/programs/gateway.py
@@ -12,15 +12,9 @@
 import random
 
 from crocusshunt.core import SystemClock
-from crocusshunt.gateway import (
-    GatewayService,
-    GatewaySettings,
-    MetricsService,
-)
+from crocusshunt.gateway import GatewayService, GatewaySettings, MetricsService
 from crocusshunt.programs._start import start_program
-from crocusshunt.web import (
-    run_services,
-)
+from crocusshunt.web import run_services
 
 
 def main() -> None:
--- a/crocusshunt/programs/locator.py
+++ b/crocusshunt/programs/locator.py
@@ -12,9 +12,7 @@
 from crocusshunt.core import SystemClock
 from crocusshunt.locator import LocatorService, LocatorSettings
 from crocusshunt.programs._start import start_program
-from crocusshunt.web import (
-    run_services,
-)
+from crocusshunt.web import run_services
 
 
 def main() -> None:
--- a/crocusshunt/programs/standin.py
+++ b/crocusshunt/programs/standin.py
@@ -22,9 +22,7 @@
     StandinSettings,
     create_backends,
 )
-from crocusshunt.web import (
-    run_services,
-)
+from crocusshunt.web import run_services
 
 
 def main() -> None:
--- a/crocusshunt/programs/tests/site.py
+++ b/crocusshunt/programs/tests/site.py
@@ -29,9 +29,7 @@
     name_table,
 )
 from crocusshunt.standin import Switches
-from crocusshunt.store import (
-    HostEntry,
-)
+from crocusshunt.store import HostEntry
 
 PROGRAMS = Path(sys.executable).parent
 CALLER_KEY = 'ck_court_0e'
--- a/crocusshunt/programs/tests/test_demo.py
+++ b/crocusshunt/programs/tests/test_demo.py
@@ -9,12 +9,7 @@
 import pytest
 
 from crocusshunt.demo import FleetDocument
-from crocusshunt.programs.tests.site import (
-    GIVE_UP_S,
-    PROGRAMS,
-    STATUS_OK,
-    poll,
-)
+from crocusshunt.programs.tests.site import GIVE_UP_S, PROGRAMS, STATUS_OK, poll
 
 
 @pytest.fixture(params=['abay', 'trosarina'])
--- a/crocusshunt/relay/_server.py
+++ b/crocusshunt/relay/_server.py
@@ -13,11 +13,7 @@
     TransactRows,
     WriteConflict,
 )
-from crocusshunt.store import (
-    StoreConflictError,
-    StoreError,
-    TableStore,
-)
+from crocusshunt.store import StoreConflictError, StoreError, TableStore
 
 # The configuration is written only by the process that checks changes.
 _RESERVED_PREFIX = 'configuration-'
--- a/crocusshunt/replication/_archive.py
+++ b/crocusshunt/replication/_archive.py
@@ -10,10 +10,7 @@
     encode_snapshot,
 )
 from crocusshunt.logs import log_event
-from crocusshunt.store import (
-    ObjectStore,
-    StoreError,
-)
+from crocusshunt.store import ObjectStore, StoreError
 
 SNAPSHOT_NAME = 'configuration/snapshot'
 _CHANGES_PER_SNAPSHOT = 100
--- a/crocusshunt/replication/tests/test_outage.py
+++ b/crocusshunt/replication/tests/test_outage.py
@@ -18,14 +18,8 @@
 from crocusshunt.messages import ChangeFeed, FetchChanges, SnapshotFeed
 from crocusshunt.replication import Feed
 from crocusshunt.routing import FailureDomain, Row, name_table
-from crocusshunt.witnesses import (
-    Announcement,
-    AnnouncementLog,
-    Witness,
-)
-from crocusshunt.witnesses import (
-    Testimony as Given,
-)
+from crocusshunt.witnesses import Announcement, AnnouncementLog, Witness
+from crocusshunt.witnesses import Testimony as Given
 
 _SEATS = tuple(f'tcp://127.0.0.1:{port}' for port in (1, 2, 3))
 _EVIDENCE_S = 4
--- a/crocusshunt/routing/_checks.py
+++ b/crocusshunt/routing/_checks.py
@@ -3,10 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from crocusshunt.core import Fault, parse_network
-from crocusshunt.routing._check_registry import (
-    check,
-    find_shared_addresses,
-)
+from crocusshunt.routing._check_registry import check, find_shared_addresses
 from crocusshunt.routing._matching import is_under, order_routes
 from crocusshunt.routing._rows import (
     Access,
--- a/crocusshunt/standin/_backends.py
+++ b/crocusshunt/standin/_backends.py
@@ -10,10 +10,7 @@
 from aiohttp import web
 
 from crocusshunt.routing import Server
-from crocusshunt.web import (
-    HttpService,
-    json_response,
-)
+from crocusshunt.web import HttpService, json_response
 
 _MAX_BODY_BYTES = 67_108_864
 _REQUEST_ID_HEADER = 'X-Request-Id'
--- a/crocusshunt/standin/_platform.py
+++ b/crocusshunt/standin/_platform.py
@@ -16,10 +16,7 @@
     StoreUnknownOutcomeError,
     Write,
 )
-from crocusshunt.web import (
-    HttpService,
-    json_response,
-)
+from crocusshunt.web import HttpService, json_response
 
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
--- a/crocusshunt/standin/_settings.py
+++ b/crocusshunt/standin/_settings.py
@@ -2,10 +2,7 @@
 
 from dataclasses import dataclass
 
-from crocusshunt.settings import (
-    HostAddress,
-    Port,
-)
+from crocusshunt.settings import HostAddress, Port
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/steering/_lookup.py
+++ b/crocusshunt/steering/_lookup.py
@@ -8,10 +8,7 @@
 from itertools import chain, zip_longest
 
 from crocusshunt.routing import Link
-from crocusshunt.store import (
-    HostEntry,
-    HostState,
-)
+from crocusshunt.store import HostEntry, HostState
 
 _POINTS = 64
 # Points that nearly always hold enough different hosts.
--- a/crocusshunt/steering/tests/test_lookup.py
+++ b/crocusshunt/steering/tests/test_lookup.py
@@ -4,9 +4,7 @@
 
 from crocusshunt.membership.tests.network import create_listing
 from crocusshunt.steering import Caller, Directory
-from crocusshunt.store import (
-    HostState,
-)
+from crocusshunt.store import HostState
 
 _HOSTS = create_listing('abc', 4)
 _DELAYS_MS = {('a', 'b'): 55, ('a', 'c'): 20, ('b', 'c'): 10, ('c', 'b'): 10}
--- a/crocusshunt/store/tests/test_client.py
+++ b/crocusshunt/store/tests/test_client.py
@@ -21,9 +21,7 @@
     StoreUnknownOutcomeError,
     Write,
 )
-from crocusshunt.web import (
-    HttpService,
-)
+from crocusshunt.web import HttpService
 
 _WRITES = (Write('t', 'k', 'body'),)
 
--- a/crocusshunt/web/_running.py
+++ b/crocusshunt/web/_running.py
@@ -4,9 +4,7 @@
 
 from aiomisc import Service, entrypoint
 
-from crocusshunt.services import (
-    run_until_signal,
-)
+from crocusshunt.services import run_until_signal
 
 _SHUTDOWN_TIMEOUT_S = 60
 
