Remove the way to a token that nobody takes any more

Cause: since the handler asks with try_take, which says the limit and when to come back, Limiter.take had no caller left. Change: the method and its default wait are gone. Conclusion: one way to take a token.

--- a/crocusshunt/gateway/_limits.py
+++ b/crocusshunt/gateway/_limits.py
@@ -7,12 +7,10 @@
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock, Identifiers
-from crocusshunt.delivery import NotRun
 from crocusshunt.gateway._refusals import (
     LimitError,
     LimitUnavailableError,
     RateExceededError,
-    describe_limit,
 )
 from crocusshunt.limits import (
     AdmissionQueue,
@@ -27,7 +25,6 @@
 _TIMEOUT_S = 1
 _PAUSE_S = 0.1
 _MIN_PAUSE_S = 0.001
-_PATIENCE_S = 3
 _RATE_PATIENCE_S = 1
 _RATE_UNKNOWN = 1
 _MAX_QUEUES = 4096
@@ -82,18 +79,6 @@
         self._accounts: dict[str, _Account] = {}
         self._tickets = 0
 
-    async def take(
-        self,
-        customer: str,
-        patience_s: float = _PATIENCE_S,
-    ) -> Result[None, NotRun]:
-        """Use a token of a customer, or say when to ask again.
-
-        :param patience_s: longest wait for a token, in seconds.
-        """
-        taken = await self.try_take(customer, patience_s)
-        return taken.map_err(describe_limit)
-
     async def try_take(
         self,
         customer: str,
