--- /dev/null
+++ b/crocusshunt/catalog/_index.py
@@ -0,0 +1,88 @@
+"""Look-ups in a catalog."""
+
+from hashlib import blake2b
+
+from crocusshunt.catalog._values import (
+    Catalog,
+    CustomerRule,
+    PoolRule,
+    RouteRule,
+)
+
+_DIGEST_BYTES = 16
+
+
+def digest_key(key: str) -> bytes:
+    """Return the digest under which a caller's key is kept.
+
+    >>> digest_key('a') == digest_key('a'), digest_key('a') == digest_key('b')
+    (True, False)
+    """
+    return blake2b(key.encode(), digest_size=_DIGEST_BYTES).digest()
+
+
+class CatalogIndex:
+    """Finds routes, pools and customers of a catalog.
+
+    >>> wide = RouteRule('wide', 'example', '/a/', ())
+    >>> narrow = RouteRule('narrow', 'example', '/a/b/', ())
+    >>> index = CatalogIndex(Catalog(1, routes=(wide, narrow)))
+    >>> index.match('EXAMPLE:80', '/a/b/c?d').name
+    'narrow'
+    >>> index.match('example', '/b/') is None
+    True
+    """
+
+    def __init__(self, catalog: Catalog) -> None:
+        """Index a catalog."""
+        self.catalog = catalog
+        self.pools = {pool.name: pool for pool in catalog.pools}
+        self.customers = {one.name: one for one in catalog.customers}
+        self._by_key = {
+            digest: one
+            for one in catalog.customers
+            for digest in one.key_digests
+        }
+        self._urgency: dict[str, int] = {}
+        for rule in catalog.routes:
+            for target in rule.targets:
+                known = self._urgency.get(target.pool, rule.priority)
+                self._urgency[target.pool] = min(known, rule.priority)
+        self._by_host: dict[str, tuple[RouteRule, ...]] = {}
+        for route in sorted(catalog.routes, key=_sort_by_prefix):
+            host = route.host.lower()
+            self._by_host[host] = (*self._by_host.get(host, ()), route)
+
+    @property
+    def has_customers(self) -> bool:
+        """Tell whether routes that are not public need a key."""
+        return bool(self.customers)
+
+    def match(self, host: str, target: str) -> RouteRule | None:
+        """Return the route of the longest prefix, None without one.
+
+        :param host: value of the Host header.
+        :param target: path and query, as they came.
+        """
+        path = target.partition('?')[0]
+        name = host.partition(':')[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_customer(self, key: str) -> CustomerRule | None:
+        """Return the customer that holds a key, None for an unknown key."""
+        return self._by_key.get(digest_key(key))
+
+    def find_least_urgency(self, pool: str) -> int:
+        """Return the priority of the most urgent route to a pool."""
+        return self._urgency.get(pool, 0)
+
+    def find_pool(self, name: str) -> PoolRule:
+        """Return a pool's rule, defaults for one that is not listed."""
+        return self.pools.get(name) or PoolRule(name)
+
+
+def _sort_by_prefix(route: RouteRule) -> tuple[int, str]:
+    return (-len(route.prefix), route.name)
--- a/crocusshunt/core/__init__.py
+++ b/crocusshunt/core/__init__.py
@@ -2,7 +2,11 @@
 
 from crocusshunt.core._clock import Clock, ManualClock, SystemClock
 from crocusshunt.core._errors import CrocusError, Fault, InvalidAddressError
-from crocusshunt.core._hashing import rank_by_rendezvous
+from crocusshunt.core._hashing import (
+    draw_uniform,
+    rank_by_rendezvous,
+    score_rendezvous,
+)
 from crocusshunt.core._identity import HostIdentity, Identifiers
 from crocusshunt.core._network import (
     IPAddress,
@@ -25,7 +29,9 @@
     'Source',
     'SystemClock',
     'convert_fields',
+    'draw_uniform',
     'parse_address',
     'parse_network',
     'rank_by_rendezvous',
+    'score_rendezvous',
 )
--- a/crocusshunt/core/_hashing.py
+++ b/crocusshunt/core/_hashing.py
@@ -1,9 +1,11 @@
 """Rendezvous hashing."""
 
+import math
 from collections.abc import Iterable
 from hashlib import blake2b
 
 _DIGEST_BYTES = 8
+_DIGEST_RANGE = 256**_DIGEST_BYTES
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> tuple[str, ...]:
@@ -28,6 +30,33 @@
     )
 
 
+def score_rendezvous(key: str, name: str, weight: float) -> float:
+    """Return the weighted rendezvous score of a name for a key.
+
+    Over many keys, a name scores highest for a share of them in proportion
+    to its weight; a change of one weight moves only keys to or from it.
+
+    :param weight: share of the name relative to the others, above 0.
+
+    >>> score_rendezvous('7', 's1', 2) == 2 * score_rendezvous('7', 's1', 1)
+    True
+
+    Reference: C. Schindelhauer, G. Schomaker, "Weighted distributed hash
+    tables", SPAA 2005.
+    """
+    return -weight / math.log(draw_uniform(key, name))
+
+
+def draw_uniform(key: str, name: str) -> float:
+    """Return a number in (0, 1) that two texts determine.
+
+    >>> draw_uniform('7', 's1') == draw_uniform('7', 's1')
+    True
+    """
+    drawn = int.from_bytes(_weigh(key, name), 'big')
+    return (drawn + 1) / (_DIGEST_RANGE + 2)
+
+
 def _weigh(key: str, name: str) -> bytes:
     text = f'{key}\0{name}'.encode()
     return blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/crocusshunt/delivery/_headers.py
+++ b/crocusshunt/delivery/_headers.py
@@ -17,7 +17,7 @@
 _COOKIE = 'Cookie'
 _BEARER = 'bearer '
 _COOKIE_SEPARATOR = ';'
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     (
         'connection',
         'keep-alive',
@@ -93,7 +93,7 @@
     :param added: headers that the gateway sets.
     :param keys: the keys that the request carries.
     """
-    dropped = _HOP_BY_HOP | _REPLACED | _named_by_connection(headers)
+    dropped = HOP_BY_HOP | _REPLACED | find_connection_names(headers)
     shown = tuple(key for key in keys if len(key) >= _SHORTEST_KEY)
     kept = CIMultiDict(_select(headers, dropped, shown))
     cookies = [
@@ -109,7 +109,7 @@
 
 def prepare_answer_headers(headers: Headers) -> CIMultiDict[str]:
     """Return a backend server's headers without hop-by-hop ones."""
-    dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    dropped = HOP_BY_HOP | find_connection_names(headers)
     return CIMultiDict(
         (name, text)
         for name, text in headers.items()
@@ -117,14 +117,18 @@
     )
 
 
-def _named_by_connection(headers: Headers) -> frozenset[str]:
+def find_connection_names(headers: Headers) -> frozenset[str]:
+    """Return the folded names that the Connection header lists."""
     line = ','.join(headers.getall('Connection', ()))
     names = line.replace(' ', '').replace('\t', '').split(',')
-    return frozenset(map(_fold, names)) - _KEPT
+    return frozenset(map(fold_name, names)) - _KEPT
 
 
-def _fold(name: str) -> str:
-    # Some servers read underscores in header names as hyphens.
+def fold_name(name: str) -> str:
+    """Return a header name as servers may compare it.
+
+    Some servers read underscores in header names as hyphens.
+    """
     return name.lower().replace('_', '-')
 
 
@@ -134,7 +138,7 @@
     keys: tuple[str, ...],
 ) -> Iterator[tuple[str, str]]:
     for name, text in headers.items():
-        if _fold(name) not in dropped and not _repeats_key(text, keys):
+        if fold_name(name) not in dropped and not _repeats_key(text, keys):
             yield name, text
 
 
--- /dev/null
+++ b/crocusshunt/feeds/__init__.py
@@ -0,0 +1,27 @@
+"""Tables of a store, followed as they change."""
+
+from crocusshunt.feeds._errors import (
+    FeedError,
+    FeedMalformedError,
+    FeedRefusedError,
+    FeedUnreachableError,
+    HistoryLostError,
+)
+from crocusshunt.feeds._follower import Follower, FollowerSettings
+from crocusshunt.feeds._image import TableImage
+from crocusshunt.feeds._values import Changes, FeedStore, Row, RowWrite
+
+__all__ = (
+    'Changes',
+    'FeedError',
+    'FeedMalformedError',
+    'FeedRefusedError',
+    'FeedStore',
+    'FeedUnreachableError',
+    'Follower',
+    'FollowerSettings',
+    'HistoryLostError',
+    'Row',
+    'RowWrite',
+    'TableImage',
+)
--- /dev/null
+++ b/crocusshunt/fleet/_datagrams.py
@@ -0,0 +1,55 @@
+"""Datagrams between hosts."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+from crocusshunt.logs import log_event
+
+Receive = Callable[[bytes], None]
+
+
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """Sends and receives datagrams on one port."""
+
+    def __init__(self, receive: Receive) -> None:
+        """Pass received datagrams on."""
+        self._receive = receive
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, content: bytes, _peer: object) -> None:
+        """Pass a datagram on."""
+        self._receive(content)
+
+    def error_received(self, error: Exception) -> None:
+        """Note that a datagram was refused; the next heartbeat follows."""
+        log_event('datagram refused', logging.DEBUG, error=repr(error))
+
+    def send(self, content: bytes, host: str, port: int) -> None:
+        """Send a datagram; it may be lost."""
+        if self._transport is not None:
+            self._transport.sendto(content, (host, port))
+
+    def close(self) -> None:
+        """Close the port."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def open_datagram_endpoint(
+    host: str,
+    port: int,
+    receive: Receive,
+) -> DatagramEndpoint:
+    """Open a port for datagrams."""
+    loop = asyncio.get_running_loop()
+    _transport, endpoint = await loop.create_datagram_endpoint(
+        lambda: DatagramEndpoint(receive),
+        local_addr=(host, port),
+    )
+    return endpoint
--- /dev/null
+++ b/crocusshunt/front/_exchange.py
@@ -0,0 +1,228 @@
+"""One sending of a request to one backend server."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from crocusshunt.core import Clock
+from crocusshunt.front._knowledge import Knowledge
+from crocusshunt.front._placing import PlacerState, Placing
+from crocusshunt.front._settings import HeaderNames
+from crocusshunt.placement import ServerFailure, TrackedServer, parse_load
+from crocusshunt.upstream import (
+    AnswerBrokenError,
+    Connection,
+    NotConnectedError,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+
+_MILLISECONDS = 1000
+_STATUS_MISDIRECTED = 421
+_STATUS_SERVER_ERROR = 500
+# A server that was unreachable may come back cold before its entry says so.
+_RETURN_COLD_S = 2.5
+
+
+class Verdict(Enum):
+    """What became of one sending."""
+
+    answered = 'answered'
+    failed = 'failed'
+    shed = 'shed'
+    misdirected = 'misdirected'
+    unreachable = 'unreachable'
+    broken = 'broken'
+    timed_out = 'timed-out'
+
+
+_NOT_RUN = frozenset((Verdict.shed, Verdict.misdirected, Verdict.unreachable))
+_FAILURES = {
+    Verdict.failed: ServerFailure.error,
+    Verdict.shed: ServerFailure.shed,
+    Verdict.broken: ServerFailure.broken,
+    Verdict.unreachable: ServerFailure.unreachable,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Result of one sending.
+
+    :param answer: the server's own answer, if a whole one came.
+    """
+
+    verdict: Verdict
+    answer: UpstreamAnswer | None = None
+    detail: str = ''
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the server may have begun to run the request."""
+        return self.verdict not in _NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """The parts of a request that every sending repeats.
+
+    :param headers: without those that depend on the server or the time.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+
+    def build(self, added: list[tuple[str, str]]) -> UpstreamRequest:
+        """Return the request for one server."""
+        headers = [*self.headers, *added]
+        if self.body is not None:
+            headers.append(('Content-Length', str(len(self.body))))
+        return UpstreamRequest(
+            _encode(self.request_id),
+            _encode(self.method),
+            _encode(self.target),
+            tuple((_encode(name), _encode(text)) for name, text in headers),
+            self.body,
+        )
+
+
+class Exchanger:
+    """Sends requests and notes what their servers did."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        state: PlacerState,
+        names: HeaderNames,
+        clock: Clock,
+    ) -> None:
+        """Use the books of a host."""
+        self._knowledge = knowledge
+        self._state = state
+        self._names = names
+        self._clock = clock
+
+    async def run(
+        self,
+        attempt: Attempt,
+        server: TrackedServer,
+        placing: Placing,
+        *,
+        is_preferred: bool,
+    ) -> Outcome:
+        """Send a request and return what became of it."""
+        started_at = self._clock.monotonic()
+        load = self._state.find_load(server.entry.name)
+        load.in_flight += 1
+        try:
+            outcome = await self._try(attempt, server, placing)
+        finally:
+            load.in_flight -= 1
+        self._note(server, outcome)
+        if outcome.verdict is Verdict.answered:
+            route = placing.admission.route
+            self._state.times.note(
+                route.name,
+                route.objective_s,
+                self._clock.monotonic() - started_at,
+                is_preferred=is_preferred,
+            )
+        return outcome
+
+    async def _try(
+        self,
+        attempt: Attempt,
+        server: TrackedServer,
+        placing: Placing,
+    ) -> Outcome:
+        left = placing.final_at - self._clock.monotonic()
+        try:
+            async with asyncio.timeout(left):
+                connection = await self._connect(server)
+                answer = await self._exchange(
+                    attempt,
+                    server,
+                    placing,
+                    connection,
+                )
+        except NotConnectedError as unreachable:
+            return Outcome(Verdict.unreachable, detail=unreachable.detail)
+        except AnswerBrokenError as broken:
+            return Outcome(Verdict.broken, detail=broken.detail)
+        except TimeoutError:
+            return Outcome(Verdict.timed_out, detail='route timeout or deadline')
+        return self._judge(answer)
+
+    async def _connect(self, server: TrackedServer) -> Connection:
+        entry = server.entry
+        connections = self._knowledge.parts.connections
+        kept = connections.take(entry.name, entry.address)
+        return kept or await connections.open(entry.address)
+
+    async def _exchange(
+        self,
+        attempt: Attempt,
+        server: TrackedServer,
+        placing: Placing,
+        connection: Connection,
+    ) -> UpstreamAnswer:
+        entry = server.entry
+        left = placing.final_at - self._clock.monotonic()
+        customer = placing.admission.customer
+        names = self._names
+        added = [
+            (names.deadline_ms, str(max(1, int(left * _MILLISECONDS)))),
+            (names.expected_server, entry.name),
+        ]
+        if customer is not None:
+            added.append((names.customer, customer.name))
+        answer = await connection.exchange(attempt.build(added))
+        self._knowledge.parts.connections.give_back(
+            entry.name,
+            entry.address,
+            connection,
+        )
+        load = answer.find(names.load.lower().encode())
+        report = parse_load(load.decode('latin-1')) if load else None
+        if report is not None:
+            # The answered request still counts as in flight here.
+            now = self._clock.monotonic()
+            self._state.find_load(entry.name).note_report(report, now)
+        return answer
+
+    def _judge(self, answer: UpstreamAnswer) -> Outcome:
+        not_run = answer.find(self._names.not_run.lower().encode())
+        if answer.status == _STATUS_MISDIRECTED:
+            return Outcome(Verdict.misdirected, detail='another server')
+        if not_run is not None:
+            return Outcome(Verdict.shed, detail=f'status {answer.status}')
+        if answer.status >= _STATUS_SERVER_ERROR:
+            detail = f'status {answer.status}'
+            return Outcome(Verdict.failed, answer, detail)
+        signature = answer.find(self._names.signature.lower().encode())
+        if signature is None:
+            return Outcome(Verdict.broken, detail='unsigned answer')
+        return Outcome(Verdict.answered, answer)
+
+    def _note(self, server: TrackedServer, outcome: Outcome) -> None:
+        parts = self._knowledge.parts
+        name = server.entry.name
+        now = self._clock.monotonic()
+        if outcome.verdict is Verdict.answered:
+            if parts.health.note_success(name):
+                parts.servers.cool(name, now + _RETURN_COLD_S)
+        elif outcome.verdict is Verdict.misdirected:
+            # Whoever has the address now, it is not this server.
+            self._knowledge.drop_server(name, 'address has another server')
+        elif outcome.verdict in _FAILURES:
+            failure = _FAILURES[outcome.verdict]
+            if parts.health.note_failure(name, failure, now):
+                self._knowledge.note_ejection(server, outcome.detail)
+
+
+def _encode(text: str) -> bytes:
+    return text.encode('utf-8', 'surrogateescape')
+
--- /dev/null
+++ b/crocusshunt/front/_placing.py
@@ -0,0 +1,223 @@
+"""Backend servers ranked for one request, and the choice among them."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from crocusshunt.core import Clock, rank_by_rendezvous
+from crocusshunt.front._admission import Admission
+from crocusshunt.front._knowledge import Knowledge
+from crocusshunt.placement import (
+    Choice,
+    ChoiceSettings,
+    Locality,
+    Need,
+    Ranked,
+    ServerLoad,
+    ServiceTimes,
+    TrackedServer,
+    choose_server,
+    rank_servers,
+)
+from crocusshunt.sharing import SpacedLimiter
+
+# Two hosts share a cold server's rate, so that one lost host does not leave
+# it without work.
+_COLD_SENDERS = 2
+_RETURN_SPACING_S = 0.5
+_LEAST_COLD_RATE = 0.5
+_BLIND_RETURN_S = 6
+_REMOTE_DISTANCE_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Placing:
+    """A request to place.
+
+    :param key: what it is placed by: its object, or itself.
+    :param tried: servers that it was sent to already.
+    :param final_at: latest moment of its answer, monotonic seconds.
+    :param objective_at: moment at which its latency objective is missed.
+    """
+
+    admission: Admission
+    pool: str
+    key: str
+    objective_at: float
+    final_at: float
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a request goes now.
+
+    :param server: None where no server can take it.
+    :param is_preferred: whether it is the first in the request's ranking.
+    :param wait_s: without a server, until one may have room.
+    """
+
+    server: TrackedServer | None
+    is_preferred: bool = False
+    wait_s: float = 0
+    cause: str = ''
+    finish_s: float = 0
+
+
+@dataclass(slots=True)
+class PlacerState:
+    """What placing depends on besides the configuration."""
+
+    loads: dict[str, ServerLoad] = field(default_factory=dict)
+    times: ServiceTimes = field(default_factory=ServiceTimes)
+    localities: Mapping[str, Locality] = field(default_factory=dict)
+    trickle: SpacedLimiter = field(default_factory=SpacedLimiter)
+
+    def find_load(self, server: str) -> ServerLoad:
+        """Return the load of a server."""
+        return self.loads.setdefault(server, ServerLoad())
+
+
+class Placer:
+    """Places requests by what the host knows."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        state: PlacerState,
+        settings: ChoiceSettings,
+        clock: Clock,
+    ) -> None:
+        """Use the books of a host."""
+        self._knowledge = knowledge
+        self._state = state
+        self._settings = settings
+        self._clock = clock
+
+    def place(self, placing: Placing) -> Placement:
+        """Choose a server for a request, or say when one may have room."""
+        now = self._clock.monotonic()
+        open_servers = self._list_open(placing)
+        if not open_servers:
+            return Placement(None, wait_s=1, cause='no-server')
+        locality = self._state.localities.get(placing.pool, Locality())
+        fleet = self._knowledge.parts.fleet
+        ranked = rank_servers(
+            placing.key,
+            open_servers,
+            fleet.own.region,
+            locality,
+        )
+        warm = [one for one in ranked if self._is_warm(one, now)]
+        if ranked[0] not in warm or not warm:
+            cold = self._find_trickle(ranked, placing, now, has_warm=bool(warm))
+            if cold is not None:
+                return Placement(cold, is_preferred=True)
+        if not warm:
+            return Placement(None, wait_s=1, cause='no-warm-server')
+        return self._choose(placing, warm, now)
+
+    def _list_open(self, placing: Placing) -> list[TrackedServer]:
+        homes = placing.admission.homes
+        servers = self._knowledge.parts.servers.select(placing.pool)
+        return [
+            one
+            for one in servers
+            if one.entry.name not in placing.tried
+            and (homes is None or one.region in homes)
+        ]
+
+    def _is_warm(self, server: TrackedServer, now: float) -> bool:
+        name = server.entry.name
+        health = self._knowledge.parts.health
+        if server.is_cold(now) or health.is_ejected(name, now):
+            return False
+        if not health.is_returning(name):
+            return True
+        return now > health.find(name).ejected_until + _BLIND_RETURN_S
+
+    def _find_trickle(
+        self,
+        ranked: Iterable[TrackedServer],
+        placing: Placing,
+        now: float,
+        *,
+        has_warm: bool,
+    ) -> TrackedServer | None:
+        """Return a cold server that this host may send a request to now.
+
+        Only the preferred one, where others are warm.
+        """
+        health = self._knowledge.parts.health
+        for server in ranked:
+            name = server.entry.name
+            is_returning = health.is_returning(name)
+            is_risky = is_returning and not placing.admission.route.is_idempotent
+            is_barred = is_risky or health.is_ejected(name, now)
+            if not is_barred and self._may_trickle(server, now):
+                return server
+            if has_warm:
+                return None
+        return None
+
+    def _may_trickle(self, server: TrackedServer, now: float) -> bool:
+        fleet = self._knowledge.parts.fleet
+        name = server.entry.name
+        senders = rank_by_rendezvous(name, fleet.names)[:_COLD_SENDERS]
+        if fleet.own.name not in senders:
+            return False
+        apart_s = _RETURN_SPACING_S
+        index = self._knowledge.index
+        if index is not None:
+            rate = index.find_pool(server.entry.pool).cold_rate
+            apart_s = _COLD_SENDERS / max(_LEAST_COLD_RATE, rate)
+        return self._state.trickle.take(name, apart_s, now)
+
+    def _choose(
+        self,
+        placing: Placing,
+        warm: list[TrackedServer],
+        now: float,
+    ) -> Placement:
+        need = self._describe_need(placing, now)
+        ranked = [self._describe(one, now) for one in warm]
+        choice = choose_server(need, ranked, self._settings)
+        return _describe_choice(choice, warm)
+
+    def _describe_need(self, placing: Placing, now: float) -> Need:
+        route = placing.admission.route
+        times = self._state.times
+        return Need(
+            times.expect(route.name, route.objective_s, is_preferred=True),
+            times.expect(route.name, route.objective_s, is_preferred=False),
+            placing.objective_at - now,
+            placing.final_at - now,
+            self._is_urgent(placing),
+        )
+
+    def _is_urgent(self, placing: Placing) -> bool:
+        index = self._knowledge.index
+        if index is None:
+            return True
+        own = placing.admission.route.priority
+        return own <= index.find_least_urgency(placing.pool)
+
+    def _describe(self, server: TrackedServer, now: float) -> Ranked:
+        own_region = self._knowledge.parts.fleet.own.region
+        name = server.entry.name
+        return Ranked(
+            name,
+            server.entry.slots,
+            self._state.find_load(name).estimate(now),
+            0 if server.region == own_region else _REMOTE_DISTANCE_S,
+        )
+
+
+def _describe_choice(choice: Choice, warm: list[TrackedServer]) -> Placement:
+    if choice.index is None:
+        wait_s = choice.finish_s
+        return Placement(None, wait_s=wait_s, cause='no-room')
+    return Placement(
+        warm[choice.index],
+        is_preferred=choice.index == 0,
+        finish_s=choice.finish_s,
+    )
--- /dev/null
+++ b/crocusshunt/front/_trace.py
@@ -0,0 +1,97 @@
+"""What happened to one request, for the log."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from crocusshunt.logs import log_event
+
+if TYPE_CHECKING:
+    from crocusshunt.catalog import CatalogIndex
+    from crocusshunt.front._admission import Admission
+    from crocusshunt.front._exchange import Outcome
+    from crocusshunt.front._placing import Placement
+    from crocusshunt.placement import TrackedServer
+
+
+@dataclass(slots=True)
+class Sending:
+    """One sending, with what decided it."""
+
+    server: str
+    region: str
+    sent_s: float
+    is_preferred: bool
+    expected_s: float
+    verdict: str = ''
+    detail: str = ''
+
+
+@dataclass(slots=True)
+class Trace:
+    """Course of a request.
+
+    :param started_at: monotonic seconds.
+    """
+
+    request_id: str
+    started_at: float
+    route: str = ''
+    pool: str = ''
+    customer: str = ''
+    configuration: int = 0
+    patience_s: float | None = None
+    sendings: list[Sending] = field(default_factory=list)
+
+    def note_admission(
+        self,
+        admission: 'Admission',
+        index: 'CatalogIndex | None',
+    ) -> None:
+        """Note the route and customer, and the configuration they are from."""
+        self.route = admission.route.name
+        if admission.customer is not None:
+            self.customer = admission.customer.name
+        if index is not None:
+            self.configuration = index.catalog.version
+
+    def note_sending(
+        self,
+        server: 'TrackedServer',
+        placement: 'Placement',
+        now: float,
+    ) -> None:
+        """Note that the request goes to a server."""
+        self.sendings.append(
+            Sending(
+                server.entry.name,
+                server.region,
+                round(now - self.started_at, 3),
+                placement.is_preferred,
+                round(placement.finish_s, 3),
+            ),
+        )
+
+    def note_outcome(self, outcome: 'Outcome') -> None:
+        """Note what became of the last sending."""
+        last = self.sendings[-1]
+        last.verdict = outcome.verdict.value
+        last.detail = outcome.detail
+
+    def close(self, now: float, status: int, cause: str) -> None:
+        """Write the one line of a request that ended.
+
+        :param status: status that the caller got, 0 where it left.
+        """
+        log_event(
+            'request ended',
+            request=self.request_id,
+            status=status,
+            cause=cause,
+            took_s=round(now - self.started_at, 3),
+            patience_s=self.patience_s,
+            route=self.route,
+            pool=self.pool,
+            customer=self.customer,
+            configuration=self.configuration,
+            sendings=self.sendings,
+        )
--- /dev/null
+++ b/crocusshunt/placement/_locality.py
@@ -0,0 +1,89 @@
+"""Which part of a region's objects is served in the region itself."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from crocusshunt.core import draw_uniform, score_rendezvous
+from crocusshunt.placement._book import TrackedServer
+
+_SPILL = 'spill'
+# Below this utilization requests hardly queue at a server.
+_COMFORTABLE_UTILIZATION = 0.65
+
+
+@dataclass(frozen=True, slots=True)
+class RegionRoom:
+    """Slots of a pool in a region, and slots that its callers keep busy."""
+
+    slots: float
+    demand: float
+
+
+@dataclass(frozen=True, slots=True)
+class Locality:
+    """Where a region's requests for one pool go.
+
+    :param local_share: share of objects served in the region itself.
+    :param spare: weight of each other region for the remaining objects.
+    """
+
+    local_share: float = 1
+    spare: Mapping[str, float] | None = None
+
+
+def plan_locality(
+    region: str,
+    rooms: Mapping[str, RegionRoom],
+) -> Locality:
+    """Return how a region's objects are divided.
+
+    A region may use its own slots up to a comfortable utilization, or up to
+    the utilization of all regions together where that is higher. What does
+    not fit goes to regions that have room left by the same measure.
+
+    >>> rooms = {'a': RegionRoom(10, 13), 'b': RegionRoom(30, 7)}
+    >>> plan_locality('a', rooms).local_share
+    0.5
+    """
+    slots = sum(room.slots for room in rooms.values())
+    demand = sum(room.demand for room in rooms.values())
+    utilization = demand / slots if slots else 0
+    usable = max(_COMFORTABLE_UTILIZATION, utilization)
+    spare = {
+        name: max(0, usable * room.slots - room.demand)
+        for name, room in rooms.items()
+        if name != region
+    }
+    own = rooms.get(region, RegionRoom(0, 0))
+    if own.slots <= 0:
+        return Locality(0, spare)
+    if own.demand <= usable * own.slots:
+        return Locality(1, spare)
+    return Locality(usable * own.slots / own.demand, spare)
+
+
+def rank_servers(
+    key: str,
+    servers: Iterable[TrackedServer],
+    region: str,
+    locality: Locality,
+) -> list[TrackedServer]:
+    """Order servers for an object, the preferred one first.
+
+    All hosts of a region agree on the order without talking to each other.
+    Objects beyond the local share prefer another region's server.
+    """
+    stays = draw_uniform(key, _SPILL) < locality.local_share
+    spare = locality.spare or {}
+    has_spare = any(spare.values())
+
+    def weigh(server: TrackedServer) -> tuple[bool, float]:
+        entry = server.entry
+        is_local = server.region == region
+        weight = float(entry.slots)
+        if not is_local and has_spare:
+            weight *= max(0.01, spare.get(server.region, 0))
+        score = score_rendezvous(key, entry.name, weight)
+        return (is_local == stays, score)
+
+    return sorted(servers, key=weigh, reverse=True)
--- /dev/null
+++ b/crocusshunt/platform/_rows.py
@@ -0,0 +1,225 @@
+"""Client of the platform's store: rows in tables, and their feeds."""
+
+import asyncio
+from base64 import b64decode, b64encode
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from crocusshunt.feeds import (
+    Changes,
+    FeedError,
+    FeedMalformedError,
+    FeedRefusedError,
+    FeedUnreachableError,
+    HistoryLostError,
+    Row,
+    RowWrite,
+)
+
+_STATUS_OK = 200
+_STATUS_GONE = 410
+_MILLISECONDS = 1000
+_PAGE_ROWS = 500
+_END_OF_KEY = '\0'
+_CALL_TIMEOUT_S = 1.5
+# Both services of the store and its feeds are used by a few calls at once.
+_MAX_CONNECTIONS = 8
+_IDLE_S = 20
+
+
+class _WireRow(msgspec.Struct, frozen=True):
+    """A row as the store sends it; ``ver`` counts all its transactions."""
+
+    key: str
+    value: str = ''
+    ver: int = 0
+    deleted: bool = False
+
+
+class _WireAnswer(msgspec.Struct, frozen=True):
+    rows: tuple[_WireRow, ...] = ()
+    ver: int = 0
+    has_more: bool = False
+
+
+class _WireWrite(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    value: str
+    part: str = ''
+
+
+class _WireRemoval(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    part: str = ''
+
+
+class _WireTransaction(msgspec.Struct, frozen=True):
+    expect: tuple[_WireWrite, ...] = ()
+    writes: tuple[_WireWrite, ...] = ()
+    remove: tuple[_WireRemoval, ...] = ()
+
+
+class RowStoreClient:
+    """Speaks to the store over HTTP; owns its connections."""
+
+    def __init__(self, address: str) -> None:
+        """Prepare; connections open on first use.
+
+        :param address: ``ip:port`` of the store.
+        """
+        self._url = f'http://{address}'
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+        """Return all rows of a table.
+
+        Later pages may be newer than the first; the feed, resumed from the
+        first page's version, brings what they miss.
+        """
+        rows: list[Row] = []
+        version = -1
+        start = ''
+        while True:
+            query = {'table': table, 'part': '', 'limit': str(_PAGE_ROWS)}
+            if start:
+                query['from'] = start
+            answer = await self._get('/rows-get', query, _CALL_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            rows.extend(_decode_row(row) for row in page.rows)
+            version = page.ver if version < 0 else version
+            if not page.has_more or not page.rows:
+                return Ok(Changes(tuple(rows), version))
+            start = page.rows[-1].key + _END_OF_KEY
+
+    async def read_changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> Result[Changes, FeedError]:
+        """Return what changed after a version, at the latest after a wait."""
+        query = {
+            'table': table,
+            'after': str(after),
+            'wait_ms': str(round(wait_s * _MILLISECONDS)),
+        }
+        answer = await self._get(
+            '/rows-feed',
+            query,
+            wait_s + _CALL_TIMEOUT_S,
+        )
+        return answer.map(_decode_changes)
+
+    async def write(self, write: RowWrite) -> Result[None, FeedError]:
+        """Write or remove one row, whatever it held."""
+        transaction = (
+            _WireTransaction(remove=(_WireRemoval(write.table, write.key),))
+            if write.content is None
+            else _WireTransaction(
+                writes=(
+                    _WireWrite(
+                        write.table,
+                        write.key,
+                        b64encode(write.content).decode(),
+                    ),
+                ),
+            )
+        )
+        answer = await self._call(
+            'POST',
+            '/rows-tx',
+            _CALL_TIMEOUT_S,
+            body=msgspec.json.encode(transaction),
+        )
+        return answer.map(_ignore)
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+    ) -> Result[_WireAnswer, FeedError]:
+        answer = await self._call('GET', path, timeout_s, query=query)
+        return answer.and_then(_decode_answer)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        query: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Result[bytes, FeedError]:
+        session = self._open_session()
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                session.request(
+                    method,
+                    self._url + path,
+                    params=query,
+                    data=body,
+                    headers={'Content-Type': 'application/json'},
+                ) as response,
+            ):
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(FeedUnreachableError(type(error).__name__))
+        return _check_status(response.status, content)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=_MAX_CONNECTIONS,
+                    keepalive_timeout=_IDLE_S,
+                ),
+                timeout=aiohttp.ClientTimeout(total=None),
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self._session
+
+
+def _check_status(status: int, content: bytes) -> Result[bytes, FeedError]:
+    if status == _STATUS_OK:
+        return Ok(content)
+    detail = f'status {status}'
+    if status == _STATUS_GONE:
+        return Err(HistoryLostError(detail))
+    return Err(FeedRefusedError(detail))
+
+
+def _decode_answer(content: bytes) -> Result[_WireAnswer, FeedError]:
+    try:
+        return Ok(msgspec.json.decode(content, type=_WireAnswer))
+    except (msgspec.DecodeError, UnicodeError) as error:
+        return Err(FeedMalformedError(str(error)))
+
+
+def _decode_changes(answer: _WireAnswer) -> Changes:
+    rows = tuple(_decode_row(row) for row in answer.rows)
+    return Changes(rows, answer.ver)
+
+
+def _decode_row(row: _WireRow) -> Row:
+    """Decode a row; one whose value is not base64 holds no bytes."""
+    try:
+        content = b64decode(row.value, validate=True)
+    except ValueError:
+        content = b''
+    return Row(row.key, content, row.ver, row.deleted)
+
+
+def _ignore(_content: bytes) -> None:
+    """Drop an answer that carries nothing but success."""
--- /dev/null
+++ b/crocusshunt/programs/host.py
@@ -0,0 +1,50 @@
+"""Serves callers on one host of the users' platform.
+
+Usage:
+  crocus-host
+  crocus-host --help
+
+The environment variable CROCUSSHUNT_CONFIG names the settings file that the
+platform writes.
+
+Options:
+  --help  Show this text.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+from docopt import docopt
+from result import Err
+
+from crocusshunt.core import SystemClock
+from crocusshunt.front import FrontService
+from crocusshunt.logs import start_logging
+from crocusshunt.platform import (
+    SETTINGS_VARIABLE,
+    SOURCE,
+    RowStoreClient,
+    read_front_settings,
+)
+from crocusshunt.web import run_services
+
+_EXIT_SETTINGS = 2
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    docopt(__doc__ or '')
+    start_logging()
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    settings = read_front_settings(path)
+    if isinstance(settings, Err):
+        print(settings.err_value.describe(), file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    found = settings.ok_value
+    store = RowStoreClient(found.store_address)
+    run_services(FrontService(found, SOURCE, store, SystemClock()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/crocusshunt/upstream/__init__.py
@@ -0,0 +1,27 @@
+"""Connections to backend servers, and single exchanges on them."""
+
+from crocusshunt.upstream._connection import Connection, open_connection
+from crocusshunt.upstream._errors import (
+    AnswerBrokenError,
+    NotConnectedError,
+    UpstreamError,
+)
+from crocusshunt.upstream._messages import (
+    EchoPolicy,
+    UpstreamAnswer,
+    UpstreamRequest,
+)
+from crocusshunt.upstream._pool import ConnectionPool, PoolSettings
+
+__all__ = (
+    'AnswerBrokenError',
+    'Connection',
+    'ConnectionPool',
+    'EchoPolicy',
+    'NotConnectedError',
+    'PoolSettings',
+    'UpstreamAnswer',
+    'UpstreamError',
+    'UpstreamRequest',
+    'open_connection',
+)
--- /dev/null
+++ b/crocusshunt/upstream/_wire.py
@@ -0,0 +1,124 @@
+"""Bytes of one TCP connection."""
+
+import asyncio
+import socket
+from typing import cast
+
+_READ_AHEAD_BYTES = 262_144
+# A peer that acknowledges nothing for this long is gone, in milliseconds.
+_UNACKNOWLEDGED_MS = 2500
+_SILENCE_BEFORE_PROBE_S = 2
+
+
+class Wire(asyncio.Protocol):
+    """Collects what a peer sends until it is read.
+
+    Bytes or an end that come while nobody waits for an answer make the
+    connection unusable.
+    """
+
+    def __init__(self) -> None:
+        """Start before the connection is made."""
+        self.transport: asyncio.Transport | None = None
+        self.is_idle = True
+        self.is_tainted = False
+        self._received = bytearray()
+        self._is_ended = False
+        self._error: Exception | None = None
+        self._waiter: asyncio.Future[None] | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether bytes can still be sent and received."""
+        if self.transport is None or self._is_ended:
+            return False
+        return not self.transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.Transport, transport)
+        _set_timeouts(transport.get_extra_info('socket'))
+
+    def data_received(self, received: bytes) -> None:
+        """Keep bytes for the reader."""
+        if self.is_idle:
+            self.is_tainted = True
+        self._received += received
+        if len(self._received) > _READ_AHEAD_BYTES and self.transport:
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the end of the peer's bytes."""
+        self._is_ended = True
+        self._wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note the loss of the connection."""
+        self._error = error
+        self._is_ended = True
+        self._wake()
+
+    async def read(self) -> bytes:
+        """Return the next bytes, none at the end.
+
+        :raises ConnectionError: the connection was reset.
+        """
+        if not self._received and not self._is_ended:
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        received = bytes(self._received)
+        self._received.clear()
+        if not received and self._error is not None:
+            raise ConnectionResetError(str(self._error))
+        if self.transport is not None and not self._is_ended:
+            self.transport.resume_reading()
+        return received
+
+    def write(self, content: bytes) -> None:
+        """Send bytes, or queue them while the peer does not read."""
+        assert self.transport is not None  # noqa: S101
+        self.transport.write(content)
+
+    @property
+    def is_flushed(self) -> bool:
+        """Tell whether all written bytes have left the process."""
+        if self.transport is None:
+            return False
+        return self.transport.get_write_buffer_size() == 0
+
+    @property
+    def has_unread(self) -> bool:
+        """Tell whether bytes came that nobody has read."""
+        return bool(self._received)
+
+    def abort(self) -> None:
+        """Close at once, without waiting for queued bytes."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _set_timeouts(sock: socket.socket | None) -> None:
+    if sock is None:
+        return
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _UNACKNOWLEDGED_MS,
+    )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_KEEPIDLE,
+        _SILENCE_BEFORE_PROBE_S,
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
