--- a/crocusshunt/upstream/_wire.py
+++ b/crocusshunt/upstream/_wire.py
@@ -1,6 +1,7 @@
 """Bytes of one TCP connection."""
 
 import asyncio
+import os
 import socket
 from typing import cast
 
@@ -49,14 +50,19 @@
         self._wake()
 
     def eof_received(self) -> bool:
-        """Note the end of the peer's bytes."""
+        """Note the end of the peer's bytes.
+
+        The event loop also reports an end where bytes and a reset arrived
+        together; only the socket tells which of the two it was.
+        """
         self._is_ended = True
+        self._error = self._find_socket_error()
         self._wake()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Note the loss of the connection."""
-        self._error = error
+        self._error = self._error or error
         self._is_ended = True
         self._wake()
 
@@ -101,6 +107,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _find_socket_error(self) -> OSError | None:
+        if self.transport is None:
+            return None
+        sock = self.transport.get_extra_info('socket')
+        if sock is None:
+            return None
+        number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return OSError(number, os.strerror(number)) if number else None
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- /dev/null
+++ b/crocusshunt/upstream/tests/test_connection.py
@@ -0,0 +1,168 @@
+"""Exchanges with servers that answer oddly."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from crocusshunt.upstream import (
+    AnswerBrokenError,
+    Connection,
+    EchoPolicy,
+    NotConnectedError,
+    UpstreamRequest,
+    open_connection,
+)
+
+_ECHO = EchoPolicy(b'x-id', b'x-not-run', frozenset((421,)))
+_RESET = struct.pack('ii', 1, 0)
+
+Answer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def _request(name: str = 'r1', body: bytes | None = None) -> UpstreamRequest:
+    headers = [(b'Host', b'abay'), (b'X-Id', name.encode())]
+    if body is not None:
+        headers.append((b'Content-Length', str(len(body)).encode()))
+    return UpstreamRequest(name.encode(), b'GET', b'/a?b', tuple(headers), body)
+
+
+def _answer(name: str, body: str = 'ok', extra: str = '') -> bytes:
+    head = f'HTTP/1.1 200 OK\r\nX-Id: {name}\r\nContent-Length: {len(body)}\r\n'
+    return f'{head}{extra}\r\n{body}'.encode()
+
+
+@asynccontextmanager
+async def _serve(answer: Answer) -> AsyncIterator[Connection]:
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await open_connection(f'{host}:{port}', _ECHO, 1)
+    try:
+        yield connection
+    finally:
+        connection.close()
+        server.close()
+
+
+def _reply(*contents: bytes) -> Answer:
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for content in contents:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(content)
+            await writer.drain()
+
+    return answer
+
+
+def _reset_after(content: bytes) -> Answer:
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(content)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        writer.transport.abort()
+
+    return answer
+
+
+async def test_whole_answer_keeps_the_connection() -> None:
+    async with _serve(_reply(_answer('r1'), _answer('r2'))) as connection:
+        first = await connection.exchange(_request('r1'))
+        second = await connection.exchange(_request('r2'))
+        assert (first.body, second.find(b'x-id')) == (b'ok', b'r2')
+        assert connection.is_reusable
+
+
+async def test_second_answer_is_skipped_where_the_next_is_due() -> None:
+    late = _answer('r1', 'again') + _answer('r2', 'mine')
+    async with _serve(_reply(_answer('r1'), late)) as connection:
+        await connection.exchange(_request('r1'))
+        answer = await connection.exchange(_request('r2'))
+        assert answer.body == b'mine'
+        assert not connection.is_reusable
+
+
+async def test_second_answer_behind_the_first_ends_the_connection() -> None:
+    both = _answer('r1') + _answer('r1')
+    async with _serve(_reply(both)) as connection:
+        await connection.exchange(_request('r1'))
+        await asyncio.sleep(0.05)
+        assert not connection.is_reusable
+
+
+async def test_answer_without_length_ends_with_its_connection() -> None:
+    head = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n'
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head + b'whole')
+        writer.close()
+
+    async with _serve(answer) as connection:
+        assert (await connection.exchange(_request())).body == b'whole'
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart',
+        b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\npart',
+        b'HTTP/1.1 200 OK\r\nX-Id',
+    ],
+)
+async def test_reset_answer_is_never_whole(content: bytes) -> None:
+    async with _serve(_reset_after(content)) as connection:
+        with pytest.raises(AnswerBrokenError):
+            await connection.exchange(_request())
+
+
+async def test_reset_that_arrives_with_the_data_is_never_whole() -> None:
+    content = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart'
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(content)
+        writer.transport.abort()
+
+    async with _serve(answer) as connection:
+        with pytest.raises(AnswerBrokenError):
+            await connection.exchange(_request())
+
+
+async def test_garbage_is_a_broken_answer() -> None:
+    async with _serve(_reply(b'garbage\r\n\r\n')) as connection:
+        with pytest.raises(AnswerBrokenError):
+            await connection.exchange(_request())
+        assert not connection.is_reusable
+
+
+async def test_cancelled_exchange_closes_the_connection() -> None:
+    async with _serve(_reply(b'')) as connection:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await connection.exchange(_request())
+        assert not connection.is_reusable
+
+
+async def test_refused_connection_sent_nothing() -> None:
+    with pytest.raises(NotConnectedError):
+        await open_connection('127.0.0.1:1', _ECHO, 1)
