--- a/crocusshunt/feeds/_values.py
+++ b/crocusshunt/feeds/_values.py
@@ -55,3 +55,6 @@
 
     async def write(self, write: RowWrite) -> Result[None, FeedError]:
         """Write or remove one row, whatever it held."""
+
+    def redirect(self, address: str) -> None:
+        """Use the store at another address from now on."""
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -19,6 +19,7 @@
 )
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._dispatch import Dispatcher
+from crocusshunt.front._draining import drain_runner
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._handler import (
@@ -29,6 +30,7 @@
 from crocusshunt.front._knowledge import Knowledge, KnowledgeParts
 from crocusshunt.front._placing import Placer, PlacerState
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._reload import ReadSettings, SettingsReload
 from crocusshunt.front._rounds import RoundParts, Rounds
 from crocusshunt.front._settings import FrontSettings, SourceFormat
 from crocusshunt.front._targets import TargetChooser
@@ -57,7 +59,6 @@
 # Callers keep a look-up for about two seconds.
 _LINGER_S = 2.5
 _KILL_MARGIN_S = 0.5
-_DRAIN_POLL_S = 0.05
 # Retries that reach a server a little late still fall into the window.
 _RETRY_MARGIN = 0.8
 
@@ -72,9 +73,14 @@
         settings: FrontSettings,
         source: SourceFormat,
         store: FeedStore,
+        read_settings: ReadSettings,
         clock: Clock,
     ) -> None:
-        """Assemble; nothing is opened yet."""
+        """Assemble; nothing is opened yet.
+
+        :param read_settings: reads the settings anew; they may change while
+            the host runs.
+        """
         super().__init__()
         self.settings = settings
         self._source = source
@@ -93,6 +99,11 @@
             self._followers.has_servers,
         )
         self._rounds = self._create_rounds()
+        self._reload = SettingsReload(settings, read_settings, self._apply)
+
+    def reload(self) -> None:
+        """Read the settings anew, at once."""
+        self._reload.request()
 
     async def start(self) -> None:
         """Listen, follow the tables, register this host."""
@@ -119,29 +130,32 @@
         )
         self._followers.start(self._tasks)
         self._tasks.start(self._register())
+        self._tasks.start(self._reload.run())
         self._tasks.start(self._rounds.run())
         log_event('host started', host=settings.name, region=settings.region)
 
     async def stop(self, exception: Exception | None = None) -> Any:
         """Leave the look-ups, finish what runs, close."""
         log_event('host stopping', in_flight=self._in_flight.count)
-        started_at = self._clock.monotonic()
+        kill_at = self._clock.monotonic() + self.settings.bounds.grace_s
         self._in_flight.is_leaving = True
         self._rounds.send_heartbeats()
         await asyncio.sleep(_LINGER_S)
-        front = self._runners[0]
-        for site in tuple(front.sites):
-            await site.stop()
-        if front.server is not None:
-            front.server.pre_shutdown()
-        grace_s = self.settings.bounds.grace_s - _KILL_MARGIN_S
-        kill_at = started_at + grace_s
-        while self._in_flight.count and self._clock.monotonic() < kill_at:
-            await asyncio.sleep(_DRAIN_POLL_S)
+        await drain_runner(
+            self._runners[0],
+            self._in_flight,
+            kill_at - _KILL_MARGIN_S,
+            self._clock,
+        )
         log_event('host stopped', in_flight=self._in_flight.count)
         await self._tasks.stop()
         await self._followers.close()
 
+    def _apply(self, settings: FrontSettings) -> None:
+        self.settings = settings
+        self._knowledge.parts.servers.set_regions(dict(settings.regions))
+        self._store.redirect(settings.store_address)
+
     def _create_knowledge(self) -> Knowledge:
         settings = self.settings
         names = self._source.headers
--- a/crocusshunt/placement/_book.py
+++ b/crocusshunt/placement/_book.py
@@ -48,6 +48,18 @@
         """Return the names of all pools that have servers."""
         return frozenset(one.entry.pool for one in self._tracked.values())
 
+    def set_regions(self, regions: dict[str, str]) -> None:
+        """Take another division of failure domains into regions."""
+        self._regions = regions
+        self._selected = {}
+        self._tracked = {
+            name: replace(
+                one,
+                region=regions.get(one.entry.failure_domain, ''),
+            )
+            for name, one in self._tracked.items()
+        }
+
     def put(self, entry: ServerEntry, now: float) -> None:
         """Take a server's entry; one that says it is cold counts from now."""
         known = self._tracked.get(entry.name)
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -74,6 +74,10 @@
         self._url = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
 
+    def redirect(self, address: str) -> None:
+        """Use the store at another address from now on."""
+        self._url = f'http://{address}'
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -13,6 +13,7 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 from docopt import docopt
@@ -43,7 +44,14 @@
         sys.exit(_EXIT_SETTINGS)
     found = settings.ok_value
     store = RowStoreClient(found.store_address)
-    run_services(FrontService(found, SOURCE, store, SystemClock()))
+    service = FrontService(
+        found,
+        SOURCE,
+        store,
+        partial(read_front_settings, path),
+        SystemClock(),
+    )
+    run_services(service, reload=service.reload)
 
 
 if __name__ == '__main__':
--- a/crocusshunt/services/_running.py
+++ b/crocusshunt/services/_running.py
@@ -10,6 +10,7 @@
 _IO_URING_SWITCH = 'UV_USE_IO_URING'
 
 Serve = Callable[[asyncio.Event], Awaitable[None]]
+Reload = Callable[[], None]
 
 
 def create_loop() -> asyncio.AbstractEventLoop:
@@ -21,26 +22,29 @@
     return uvloop.new_event_loop()
 
 
-def run_until_signal(serve: Serve) -> None:
+def run_until_signal(serve: Serve, reload: Reload | None = None) -> None:
     """Run a function that serves until its event is set.
 
     SIGTERM or SIGINT sets the event; a second signal ends the process at
     once.
 
     :param serve: serves, and returns after the event was set.
+    :param reload: called at each SIGHUP; without it SIGHUP ends the process.
     """
     with asyncio.Runner(loop_factory=create_loop) as runner:
-        runner.run(_watch(serve))
+        runner.run(_watch(serve, reload))
 
 
-async def _watch(serve: Serve) -> None:
+async def _watch(serve: Serve, reload: Reload | None) -> None:
     stopping = asyncio.Event()
-    _watch_signals(stopping)
+    _watch_signals(stopping, reload)
     await serve(stopping)
 
 
-def _watch_signals(stopping: asyncio.Event) -> None:
+def _watch_signals(stopping: asyncio.Event, reload: Reload | None) -> None:
     loop = asyncio.get_running_loop()
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
 
     def stop(number: signal.Signals) -> None:
         if stopping.is_set():
--- /dev/null
+++ b/crocusshunt/services/tests/test_reload.py
@@ -0,0 +1,20 @@
+"""SIGHUP to a running program."""
+
+import asyncio
+import os
+import signal
+
+from crocusshunt.services import run_until_signal
+
+
+def test_hangup_calls_reload_and_the_program_goes_on() -> None:
+    reloads: list[int] = []
+
+    async def serve(stopping: asyncio.Event) -> None:
+        os.kill(os.getpid(), signal.SIGHUP)
+        await asyncio.sleep(0.05)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await stopping.wait()
+
+    run_until_signal(serve, lambda: reloads.append(1))
+    assert reloads == [1]
--- a/crocusshunt/web/_running.py
+++ b/crocusshunt/web/_running.py
@@ -1,6 +1,7 @@
 """Life of aiomisc services."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiomisc import Service, entrypoint
 
@@ -8,11 +9,15 @@
 
 _SHUTDOWN_TIMEOUT_S = 60
 
+Reload = Callable[[], None]
 
-def run_services(*services: Service) -> None:
+
+def run_services(*services: Service, reload: Reload | None = None) -> None:
     """Run services until SIGTERM or SIGINT, then stop them gracefully.
 
     A second signal ends the process without waiting for the services.
+
+    :param reload: called at each SIGHUP; without it SIGHUP ends the process.
     """
 
     async def serve(stopping: asyncio.Event) -> None:
@@ -24,4 +29,4 @@
         ):
             await stopping.wait()
 
-    run_until_signal(serve)
+    run_until_signal(serve, reload)
