Keep objects at their preferred server, and bound queues by the objective

Change: two replicas an object, the second only where the first would miss the objective and it is clearly earlier; expected times without the wait, by route, pool and server; a request that would end too late is turned away.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -17,9 +17,8 @@
 _MAX_SENDINGS = 4
 _RECHECK_S = 0.03
 # Held longer, a request that ends refused would have been better refused at
-# once; shares of the latency objective.
-_URGENT_HOLD = 0.12
-_PATIENT_HOLD = 0.5
+# once; a share of the latency objective.
+_HOLD = 0.12
 _LEAST_TIME_S = 0.02
 _LEAST_RETRY_AFTER_S = 0.2
 
@@ -92,7 +91,6 @@
             job.attempt,
             server,
             job.placing,
-            is_preferred=placement.is_preferred,
         )
         job.trace.note_outcome(outcome)
         job.last = outcome
@@ -101,9 +99,7 @@
         return outcome
 
     def _find_hold(self, job: Job) -> float:
-        route = job.placing.admission.route
-        share = _URGENT_HOLD if route.priority == 0 else _PATIENT_HOLD
-        return share * route.objective_s
+        return _HOLD * job.placing.admission.route.objective_s
 
     def _refuse(
         self,
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -8,7 +8,12 @@
 from crocusshunt.front._knowledge import Knowledge
 from crocusshunt.front._placing import PlacerState, Placing
 from crocusshunt.front._settings import HeaderNames
-from crocusshunt.placement import ServerFailure, TrackedServer, parse_load
+from crocusshunt.placement import (
+    ServerFailure,
+    Timing,
+    TrackedServer,
+    parse_load,
+)
 from crocusshunt.upstream import (
     AnswerBrokenError,
     Connection,
@@ -110,12 +115,11 @@
         attempt: Attempt,
         server: TrackedServer,
         placing: Placing,
-        *,
-        is_preferred: bool,
     ) -> Outcome:
         """Send a request and return what became of it."""
         started_at = self._clock.monotonic()
         load = self._state.find_load(server.entry.name)
+        load_before = load.estimate(started_at)
         load.in_flight += 1
         try:
             outcome = await self._try(attempt, server, placing)
@@ -123,14 +127,31 @@
             load.in_flight -= 1
         self._note(server, outcome)
         if outcome.verdict is Verdict.answered:
-            route = placing.admission.route
-            self._state.times.note(
+            took_s = self._clock.monotonic() - started_at
+            self._note_time(server, placing, took_s, load_before)
+        return outcome
+
+    def _note_time(
+        self,
+        server: TrackedServer,
+        placing: Placing,
+        took_s: float,
+        load_before: float,
+    ) -> None:
+        route = placing.admission.route
+        entry = server.entry
+        self._state.familiar.note(entry.name, placing.key)
+        self._state.times.note(
+            Timing(
                 route.name,
                 route.objective_s,
-                self._clock.monotonic() - started_at,
-                is_preferred=is_preferred,
-            )
-        return outcome
+                placing.pool,
+                entry.name,
+                took_s,
+                load_before,
+                entry.slots,
+            ),
+        )
 
     async def _try(
         self,
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -32,6 +32,9 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # The final answer leaves a little before the time is over.
 _ANSWER_MARGIN_S = 0.01
+# A host's part of a rate is small, so its tokens come in steps; part of the
+# latency objective that a request may wait for the next one.
+_TOKEN_WAIT = 0.3
 
 
 @dataclass(slots=True)
@@ -115,7 +118,7 @@
             return admitted
         admission = admitted.ok_value
         trace.note_admission(admission, knowledge.index)
-        refused = self._limit(admission)
+        refused = await self._limit(admission)
         if refused is not None:
             return Err(refused)
         read = await self._read_body(request, _find_longest(knowledge))
@@ -130,16 +133,23 @@
         finally:
             self._parts.in_flight.buffered_bytes -= len(body or b'')
 
-    def _limit(self, admission: Admission) -> Refusal | None:
+    async def _limit(self, admission: Admission) -> Refusal | None:
         customer = admission.customer
         if customer is None:
             return None
         now = self._clock.monotonic()
+        limiter = self._parts.limiter
         self._parts.demand.count(customer.name, now)
-        wait_s = self._parts.limiter.take(customer.name, now)
-        if wait_s <= 0:
-            return None
-        return Refusal(Status.too_many, 'over-rate', wait_s)
+        patience_s = _TOKEN_WAIT * admission.route.objective_s
+        grant = limiter.take(customer.name, now, patience_s)
+        if not grant.is_granted:
+            return Refusal(Status.too_many, 'over-rate', grant.wait_s)
+        try:
+            await asyncio.sleep(grant.wait_s)
+        except asyncio.CancelledError:
+            limiter.put_back(customer.name)
+            raise
+        return None
 
     def _prepare(
         self,
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -9,6 +9,7 @@
 from crocusshunt.placement import (
     Choice,
     ChoiceSettings,
+    FamiliarObjects,
     Locality,
     Need,
     Ranked,
@@ -70,6 +71,7 @@
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     times: ServiceTimes = field(default_factory=ServiceTimes)
     localities: Mapping[str, Locality] = field(default_factory=dict)
+    familiar: FamiliarObjects = field(default_factory=FamiliarObjects)
     trickle: SpacedLimiter = field(default_factory=SpacedLimiter)
 
     def find_load(self, server: str) -> ServerLoad:
@@ -178,21 +180,15 @@
         warm: list[TrackedServer],
         now: float,
     ) -> Placement:
-        need = self._describe_need(placing, now)
-        ranked = [self._describe(one, now) for one in warm]
-        choice = choose_server(need, ranked, self._settings)
-        return _describe_choice(choice, warm)
-
-    def _describe_need(self, placing: Placing, now: float) -> Need:
-        route = placing.admission.route
-        times = self._state.times
-        return Need(
-            times.expect(route.name, route.objective_s, is_preferred=True),
-            times.expect(route.name, route.objective_s, is_preferred=False),
+        need = Need(
             placing.objective_at - now,
             placing.final_at - now,
             self._is_urgent(placing),
         )
+        replicas = warm[: self._settings.replicas]
+        ranked = [self._describe(one, placing, now) for one in replicas]
+        choice = choose_server(need, ranked, self._settings)
+        return _describe_choice(choice, warm)
 
     def _is_urgent(self, placing: Placing) -> bool:
         index = self._knowledge.index
@@ -201,21 +197,36 @@
         own = placing.admission.route.priority
         return own <= index.find_least_urgency(placing.pool)
 
-    def _describe(self, server: TrackedServer, now: float) -> Ranked:
+    def _describe(
+        self,
+        server: TrackedServer,
+        placing: Placing,
+        now: float,
+    ) -> Ranked:
         own_region = self._knowledge.parts.fleet.own.region
+        route = placing.admission.route
+        times = self._state.times
         name = server.entry.name
+        objective_s = route.objective_s
         return Ranked(
             name,
             server.entry.slots,
             self._state.find_load(name).estimate(now),
+            times.expect_service(route.name, objective_s, name),
+            times.expect_turn(placing.pool, objective_s, name),
             0 if server.region == own_region else _REMOTE_DISTANCE_S,
+            self._state.familiar.is_familiar(name, placing.key),
         )
 
 
 def _describe_choice(choice: Choice, warm: list[TrackedServer]) -> Placement:
     if choice.index is None:
-        wait_s = choice.finish_s
-        return Placement(None, wait_s=wait_s, cause='no-room')
+        return Placement(
+            None,
+            wait_s=choice.excess_s,
+            cause='no-room',
+            finish_s=choice.finish_s,
+        )
     return Placement(
         warm[choice.index],
         is_preferred=choice.index == 0,
--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -29,6 +29,8 @@
 # A host not heard for this long may be using its whole equal part.
 _DEMAND_AGE_S = 2
 _BUSY_MEMORY = 0.2
+# Demand above this part of a rate leaves no tokens to wait for.
+_PRESSED = 0.95
 # Slower than the share of requests that may change region in two seconds.
 _LOCALITY_STEP = 0.03
 _EXPECTED_UTILIZATION = 0.65
@@ -182,6 +184,9 @@
             part = divide_rate(rule.rate, demands, own)
             burst = rule.burst * part / rule.rate
             self.parts.limiter.resize(name, part, burst, now)
+            asked = sum(one.rate or 0 for one in demands.values())
+            is_pressed = asked >= _PRESSED * rule.rate
+            self.parts.limiter.press(name, is_pressed=is_pressed)
 
     def _find_demands(self, customer: str, now: float) -> dict[str, HostDemand]:
         fleet = self.parts.knowledge.parts.fleet
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -8,6 +8,7 @@
     Ranked,
     choose_server,
 )
+from crocusshunt.placement._familiarity import FamiliarObjects
 from crocusshunt.placement._health import (
     HealthBook,
     HealthSettings,
@@ -22,12 +23,13 @@
     rank_servers,
 )
 from crocusshunt.placement._splits import WeightedSplit
-from crocusshunt.placement._times import ServiceTimes
+from crocusshunt.placement._times import ServiceTimes, Timing
 from crocusshunt.placement._values import ServerEntry
 
 __all__ = (
     'Choice',
     'ChoiceSettings',
+    'FamiliarObjects',
     'HealthBook',
     'HealthSettings',
     'LoadReport',
@@ -41,6 +43,7 @@
     'ServerHealth',
     'ServerLoad',
     'ServiceTimes',
+    'Timing',
     'TrackedServer',
     'WeightedSplit',
     'choose_server',
--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -3,37 +3,38 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-_LATE_COST = 2
-
 
 @dataclass(frozen=True, slots=True)
 class ChoiceSettings:
-    """How far down the ranking a request may go.
-
-    :param considered: servers looked at, best rank first.
-    :param room_per_slot: requests a slot at which a server counts as full
-        for the least urgent requests.
-    :param queue_per_slot: requests a slot that a server takes at most.
+    """How far down the ranking a request may go, and how late it may end.
+
+    :param replicas: servers at which one object may be kept warm.
+    :param unfamiliar: factor on the time at a server that has not handled
+        the object lately.
+    :param gain: a later server must finish within this part of the
+        preferred server's time.
+    :param urgent_overrun: a request is turned away where it would end later
+        than this many times its latency objective.
+    :param overrun: the same for requests that are not the most urgent of
+        their pool.
     """
 
-    considered: int = 4
-    room_per_slot: float = 1.2
-    queue_per_slot: float = 3
+    replicas: int = 2
+    unfamiliar: float = 2
+    gain: float = 0.6
+    urgent_overrun: float = 2
+    overrun: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
 class Need:
     """What one request needs of a server.
 
-    :param preferred_s: expected time at its preferred server, in seconds.
-    :param other_s: expected time at any other server, in seconds.
     :param objective_left_s: until the latency objective is missed.
     :param time_left_s: until the answer is of no use.
     :param is_urgent: whether nothing of its pool is more urgent.
     """
 
-    preferred_s: float
-    other_s: float
     objective_left_s: float
     time_left_s: float
     is_urgent: bool = True
@@ -44,18 +45,30 @@
     """A server in the order of preference.
 
     :param load: requests running or waiting there.
+    :param service_s: expected time of the request in a slot, in seconds.
+    :param turn_s: expected time until a busy slot is free, in seconds.
     :param distance_s: round trip to it, in seconds.
+    :param is_familiar: whether it has handled the object lately.
     """
 
     name: str
     slots: int
     load: float
+    service_s: float
+    turn_s: float
     distance_s: float = 0
+    is_familiar: bool = True
 
-    def wait_s(self, service_s: float) -> float:
+    @property
+    def wait_s(self) -> float:
         """Return the expected wait for a slot, in seconds."""
         behind = max(0, self.load + 1 - self.slots)
-        return behind / self.slots * service_s
+        return behind / self.slots * self.turn_s
+
+    def finish_s(self, unfamiliar: float) -> float:
+        """Return the expected time until the answer, in seconds."""
+        factor = 1 if self.is_familiar else unfamiliar
+        return self.wait_s + self.service_s * factor + self.distance_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +76,13 @@
     """What to do with a request now.
 
     :param index: rank of the server that gets it, None for no server.
-    :param finish_s: expected time until its answer; without a server, until
-        one may have room.
+    :param finish_s: expected time until its answer.
+    :param excess_s: without a server, how much too late it would end.
     """
 
     index: int | None
     finish_s: float
+    excess_s: float = 0
 
 
 def choose_server(
@@ -78,58 +92,33 @@
 ) -> Choice:
     """Return the server that serves a request best.
 
-    The preferred server is about as fast with a short queue as others are
-    without one, and a request costs it less of its slots. So others are
-    chosen only where the preferred one would miss the objective and they
-    would not, or where it would miss the deadline.
+    The preferred server keeps the object warm, so a request costs it least.
+    Another replica is chosen only where the preferred one would miss the
+    objective and the other is clearly earlier. Where even the chosen one
+    would end too late, the request is turned away at once: the slots go to
+    requests that are still in time.
 
-    >>> need = Need(0.2, 0.8, objective_left_s=0.6, time_left_s=4)
-    >>> full, free = Ranked('s1', 4, 5), Ranked('s2', 4, 0)
+    >>> need = Need(objective_left_s=0.6, time_left_s=4)
+    >>> full, free = Ranked('s1', 4, 9, 0.2, 0.3), Ranked('s2', 4, 0, 0.2, 0.3)
     >>> choose_server(need, (full, free), ChoiceSettings()).index
+    1
+    >>> choose_server(need, (free, full), ChoiceSettings()).index
     0
     """
-    best = Choice(None, float('inf'))
-    best_cost = float('inf')
-    soonest = float('inf')
-    for index, server in enumerate(ranked[: settings.considered]):
-        service_s = need.other_s if index else need.preferred_s
-        wait_s = server.wait_s(need.preferred_s)
-        finish_s = wait_s + service_s + server.distance_s
-        soonest = min(soonest, wait_s)
-        if not _has_room(server, need, settings, finish_s):
-            continue
-        cost = _find_cost(need, finish_s, service_s, index)
-        if cost < best_cost:
-            best = Choice(index, finish_s)
-            best_cost = cost
-    if best.index is None:
-        return Choice(None, soonest)
-    return best
-
-
-def _has_room(
-    server: Ranked,
-    need: Need,
-    settings: ChoiceSettings,
-    finish_s: float,
-) -> bool:
-    per_slot = settings.queue_per_slot
-    if not need.is_urgent:
-        per_slot = settings.room_per_slot
-    if server.load >= per_slot * server.slots:
-        return False
-    return finish_s <= need.time_left_s
-
-
-def _find_cost(
-    need: Need,
-    finish_s: float,
-    service_s: float,
-    index: int,
-) -> float:
-    is_late = finish_s > need.objective_left_s
-    cost = finish_s + (_LATE_COST * need.objective_left_s if is_late else 0)
-    if index:
-        # The longer use of another server's slot delays its own requests.
-        cost += service_s - need.preferred_s
-    return cost
+    replicas = ranked[: settings.replicas]
+    times = [one.finish_s(settings.unfamiliar) for one in replicas]
+    chosen = 0
+    if times[0] > need.objective_left_s:
+        soonest = min(range(len(times)), key=times.__getitem__)
+        if times[soonest] < settings.gain * times[0]:
+            chosen = soonest
+    finish_s = times[chosen]
+    latest_s = _find_latest(need, settings)
+    if finish_s > latest_s and replicas[chosen].wait_s > 0:
+        return Choice(None, finish_s, finish_s - latest_s)
+    return Choice(chosen, finish_s)
+
+
+def _find_latest(need: Need, settings: ChoiceSettings) -> float:
+    overrun = settings.urgent_overrun if need.is_urgent else settings.overrun
+    return min(need.time_left_s, overrun * max(0, need.objective_left_s))
--- a/crocusshunt/placement/_loads.py
+++ b/crocusshunt/placement/_loads.py
@@ -5,7 +5,7 @@
 
 _PARTS = 3
 # Reports older than this say little: a slot turns over about once a second.
-_REPORT_DECAY_S = 1.0
+_REPORT_DECAY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/placement/_times.py
+++ b/crocusshunt/placement/_times.py
@@ -1,68 +1,87 @@
-"""How long requests of a route take at backend servers."""
+"""How long requests take at backend servers, without their waits."""
 
 from dataclasses import dataclass, field
 
-_WEIGHT_OF_NEWEST = 0.05
-_PREFERRED_SHARE = 0.4
-_OTHER_SHARE = 1.5
+_NEWEST_IN_ROUTE = 0.05
+_NEWEST_IN_POOL = 0.05
+_NEWEST_AT_SERVER = 0.15
+_GUESS = 0.6
+_SLOWEST_PACE = 20
+_FASTEST_PACE = 0.2
 
 
-@dataclass(slots=True)
-class _Averages:
-    preferred_s: float
-    other_s: float
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """One answered request.
+
+    :param objective_s: the route's latency objective, which serves as a
+        guess before anything was measured.
+    :param took_s: from its sending to its answer, in seconds.
+    :param load: requests at the server when it was sent.
+    """
+
+    route: str
+    objective_s: float
+    pool: str
+    server: str
+    took_s: float
+    load: float
+    slots: int
+
+    @property
+    def service_s(self) -> float:
+        """Return the part of the time that was not spent in a queue."""
+        return self.took_s * self.slots / max(self.slots, self.load + 1)
 
 
 @dataclass(slots=True)
 class ServiceTimes:
-    """Moving averages by route: at the preferred server, and at others.
+    """Moving averages by route and pool, and each server's pace.
+
+    A pace of 2 means that a server takes twice the usual time.
 
     >>> times = ServiceTimes()
-    >>> times.expect('r', 1, is_preferred=True)
-    0.4
-    >>> times.note('r', 1, 0.2, is_preferred=True)
-    >>> round(times.expect('r', 1, is_preferred=True), 3)
-    0.39
+    >>> times.expect_service('r', 1, 's1')
+    0.6
+    >>> times.note(Timing('r', 1, 'p', 's1', took_s=0.2, load=0, slots=4))
+    >>> round(times.expect_service('r', 1, 's2'), 2)
+    0.58
     """
 
-    _by_route: dict[str, _Averages] = field(default_factory=dict)
+    _routes: dict[str, float] = field(default_factory=dict)
+    _pools: dict[str, float] = field(default_factory=dict)
+    _paces: dict[str, float] = field(default_factory=dict)
 
-    def expect(
+    def expect_service(
         self,
         route: str,
         objective_s: float,
-        *,
-        is_preferred: bool,
+        server: str,
     ) -> float:
-        """Return the expected time without a queue, in seconds.
+        """Return the expected time of a request in a slot, in seconds."""
+        usual_s = self._routes.get(route, _GUESS * objective_s)
+        return usual_s * self._paces.get(server, 1)
 
-        :param objective_s: the route's latency objective, which serves as
-            a guess before anything was measured.
-        """
-        known = self._find(route, objective_s)
-        return known.preferred_s if is_preferred else known.other_s
+    def expect_turn(self, pool: str, objective_s: float, server: str) -> float:
+        """Return the expected time until a busy slot is free, in seconds."""
+        usual_s = self._pools.get(pool, _GUESS * objective_s)
+        return usual_s * self._paces.get(server, 1)
 
-    def note(
-        self,
-        route: str,
-        objective_s: float,
-        took_s: float,
-        *,
-        is_preferred: bool,
-    ) -> None:
-        """Take the time of an answer, in seconds."""
-        known = self._find(route, objective_s)
-        if is_preferred:
-            known.preferred_s += _WEIGHT_OF_NEWEST * (
-                took_s - known.preferred_s
-            )
-        else:
-            known.other_s += _WEIGHT_OF_NEWEST * (took_s - known.other_s)
-
-    def _find(self, route: str, objective_s: float) -> _Averages:
-        if route not in self._by_route:
-            self._by_route[route] = _Averages(
-                _PREFERRED_SHARE * objective_s,
-                _OTHER_SHARE * objective_s,
-            )
-        return self._by_route[route]
+    def note(self, timing: Timing) -> None:
+        """Take the time of an answered request."""
+        service_s = timing.service_s
+        usual_s = self._routes.get(timing.route, _GUESS * timing.objective_s)
+        known_pace = self._paces.get(timing.server, 1)
+        pace = max(_FASTEST_PACE, min(_SLOWEST_PACE, service_s / usual_s))
+        self._paces[timing.server] = _blend(known_pace, pace, _NEWEST_AT_SERVER)
+        self._routes[timing.route] = _blend(usual_s, service_s, _NEWEST_IN_ROUTE)
+        pool_s = self._pools.get(timing.pool, usual_s)
+        self._pools[timing.pool] = _blend(pool_s, service_s, _NEWEST_IN_POOL)
+
+    def forget(self, server: str) -> None:
+        """Drop the pace of a server that is gone."""
+        self._paces.pop(server, None)
+
+
+def _blend(known: float, newest: float, weight: float) -> float:
+    return known + weight * (newest - known)
--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -1,6 +1,6 @@
 """Limits that all hosts share, kept without asking another host."""
 
-from crocusshunt.sharing._buckets import CustomerLimiter, TokenBucket
+from crocusshunt.sharing._buckets import CustomerLimiter, Grant, TokenBucket
 from crocusshunt.sharing._demand import DemandMeter
 from crocusshunt.sharing._retries import RetryLimit, RetryLimiter
 from crocusshunt.sharing._shares import HostDemand, divide_rate
@@ -9,6 +9,7 @@
 __all__ = (
     'CustomerLimiter',
     'DemandMeter',
+    'Grant',
     'HostDemand',
     'RetryLimit',
     'RetryLimiter',
--- a/crocusshunt/sharing/_buckets.py
+++ b/crocusshunt/sharing/_buckets.py
@@ -5,19 +5,35 @@
 _LEAST_RATE = 0.001
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Whether a token was taken, and when it may be used.
+
+    :param wait_s: until the token is there, in seconds.
+    """
+
+    is_granted: bool
+    wait_s: float
+
+
 @dataclass(slots=True)
 class TokenBucket:
     """Tokens that refill at a rate up to a capacity; starts without any.
 
+    :param is_pressed: whether more is asked of all hosts than the rate.
+
     >>> bucket = TokenBucket(rate=2, capacity=4, filled_at=0)
-    >>> bucket.take(now=0), bucket.take(now=0.5)
-    (0.5, 0)
+    >>> bucket.take(now=0)
+    Grant(is_granted=False, wait_s=0.5)
+    >>> bucket.take(now=0, patience_s=1), bucket.take(now=0, patience_s=1)
+    (Grant(is_granted=True, wait_s=0.5), Grant(is_granted=True, wait_s=1.0))
     """
 
     rate: float
     capacity: float
     filled_at: float
     tokens: float = 0
+    is_pressed: bool = False
 
     def resize(self, rate: float, capacity: float, now: float) -> None:
         """Change the size; a larger bucket is not fuller at once."""
@@ -26,13 +42,25 @@
         self.capacity = capacity
         self.tokens = min(self.tokens, max(1, capacity))
 
-    def take(self, now: float) -> float:
-        """Take a token, or return the seconds until there is one."""
+    def take(self, now: float, patience_s: float = 0) -> Grant:
+        """Take a token that is there, or will be within a time.
+
+        Requests that wait get the next tokens in the order in which they
+        came; one that is refused takes none. Nobody waits for tokens of a
+        customer that asks for more than its rate: the queue would always be
+        full, and each request late.
+
+        :param patience_s: longest wait for a token, in seconds.
+        """
         self._fill(now)
-        if self.tokens >= 1:
+        if self.is_pressed:
+            patience_s = 0
+        missing = max(0, 1 - self.tokens)
+        wait_s = missing / max(_LEAST_RATE, self.rate)
+        is_granted = wait_s <= patience_s
+        if is_granted:
             self.tokens -= 1
-            return 0
-        return (1 - self.tokens) / max(_LEAST_RATE, self.rate)
+        return Grant(is_granted, wait_s)
 
     def put_back(self) -> None:
         """Return the token of a request that was not sent."""
@@ -50,10 +78,10 @@
 
     >>> limiter = CustomerLimiter()
     >>> limiter.resize('court', rate=1, burst=2, now=0)
-    >>> limiter.take('court', now=0), limiter.take('court', now=1)
-    (1.0, 0)
+    >>> limiter.take('court', now=0)
+    Grant(is_granted=False, wait_s=1.0)
     >>> limiter.take('bar-office', now=0)
-    0
+    Grant(is_granted=True, wait_s=0)
     """
 
     _buckets: dict[str, TokenBucket] = field(default_factory=dict)
@@ -66,14 +94,22 @@
         else:
             bucket.resize(rate, burst, now)
 
+    def press(self, name: str, *, is_pressed: bool) -> None:
+        """Note whether a customer asks for more than its rate."""
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.is_pressed = is_pressed
+
     def release(self, name: str) -> None:
         """Stop limiting a customer."""
         self._buckets.pop(name, None)
 
-    def take(self, name: str, now: float) -> float:
-        """Take a token, or return the seconds until there is one."""
+    def take(self, name: str, now: float, patience_s: float = 0) -> Grant:
+        """Take a token of a customer; one without a limit always gets it."""
         bucket = self._buckets.get(name)
-        return 0 if bucket is None else bucket.take(now)
+        if bucket is None:
+            return Grant(is_granted=True, wait_s=0)
+        return bucket.take(now, patience_s)
 
     def put_back(self, name: str) -> None:
         """Return the token of a request that was not sent."""
--- a/crocusshunt/sharing/_demand.py
+++ b/crocusshunt/sharing/_demand.py
@@ -23,7 +23,7 @@
     True
     """
 
-    memory_s: float = 1
+    memory_s: float = 3
     _meters: dict[str, _Meter] = field(default_factory=dict)
 
     def count(self, name: str, now: float, amount: float = 1) -> None:
