--- a/crocusshunt/front/_draining.py
+++ b/crocusshunt/front/_draining.py
@@ -8,8 +8,8 @@
 from crocusshunt.front._handler import InFlight
 
 _POLL_S = 0.05
-# A request whose bytes are already here is counted within this.
-_QUIET_POLLS = 4
+# A request that was read before is counted within this.
+_SETTLE_S = 0.05
 
 
 async def drain_runner(
@@ -20,8 +20,8 @@
 ) -> None:
     """Stop listening, close idle connections, and let the others finish.
 
-    A connection may just have got a request that is not counted yet, so
-    one quiet moment is not enough.
+    Idle connections are first no longer read, so that no request is read
+    and then dropped: whoever sent one sees that it was not taken.
 
     :param until: latest end, monotonic seconds.
     """
@@ -30,9 +30,20 @@
     server = runner.server
     if server is None:
         return
-    server.pre_shutdown()
-    quiet = 0
-    while quiet < _QUIET_POLLS and clock.monotonic() < until:
+    for connection in _list_idle(server, in_flight):
+        if connection.transport is not None:
+            connection.transport.pause_reading()
+    await asyncio.sleep(_SETTLE_S)
+    for idle in _list_idle(server, in_flight):
+        idle.force_close()
+    while in_flight.count and clock.monotonic() < until:
         await asyncio.sleep(_POLL_S)
-        is_busy = in_flight.count or server.connections
-        quiet = 0 if is_busy else quiet + 1
+    # The last answers leave before the process ends.
+    await asyncio.sleep(_SETTLE_S)
+
+
+def _list_idle(
+    server: 'web.Server[web.BaseRequest]',
+    in_flight: InFlight,
+) -> 'list[web.RequestHandler[web.BaseRequest]]':
+    return [one for one in server.connections if one not in in_flight.busy]
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,7 +1,7 @@
 """Requests of callers, from their first byte to their answer."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -39,12 +39,20 @@
 
 @dataclass(slots=True)
 class InFlight:
-    """Requests under way, and whether the host is stopping."""
+    """Requests under way, and whether the host is stopping.
 
-    count: int = 0
+    :param busy: connections with a request that is not answered yet.
+    """
+
+    busy: set[object] = field(default_factory=set)
     buffered_bytes: int = 0
     is_leaving: bool = False
 
+    @property
+    def count(self) -> int:
+        """Return the number of requests under way."""
+        return len(self.busy)
+
 
 @dataclass(frozen=True, slots=True)
 class HandlerParts:
@@ -78,14 +86,14 @@
         ask = inspect_request(request, self._names)
         trace = Trace(ask.request_id, started_at, patience_s=ask.patience_s)
         in_flight = self._parts.in_flight
-        in_flight.count += 1
+        in_flight.busy.add(request.protocol)
         try:
             response = await self._answer(request, ask, trace)
         except asyncio.CancelledError:
             trace.close(self._clock.monotonic(), 0, _CAUSE_CALLER_LEFT)
             raise
         finally:
-            in_flight.count -= 1
+            in_flight.busy.discard(request.protocol)
         if in_flight.is_leaving:
             response.force_close()
         return response
--- a/crocusshunt/front/tests/test_draining.py
+++ b/crocusshunt/front/tests/test_draining.py
@@ -1,15 +1,19 @@
 """Planned stops under load."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
-from aiohttp import ClientSession, web
+import pytest
+from aiohttp import ClientConnectionError, ClientSession, TCPConnector, web
 
 from crocusshunt.core import SystemClock
 from crocusshunt.front._draining import drain_runner
 from crocusshunt.front._handler import InFlight
 
+Handle = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
-async def _serve(handle: web.RequestHandler) -> tuple[web.ServerRunner, str]:
+
+async def _serve(handle: Handle) -> tuple[web.ServerRunner, str]:
     runner = web.ServerRunner(web.Server(handle))
     await runner.setup()
     site = web.TCPSite(runner, '127.0.0.1', 0)
@@ -18,18 +22,21 @@
     return runner, f'http://{host}:{port}/'
 
 
-async def test_request_that_came_just_before_the_stop_is_answered() -> None:
-    in_flight = InFlight()
-
-    async def handle(_request: web.BaseRequest) -> web.Response:
+def _answer_late(in_flight: InFlight) -> Handle:
+    async def handle(request: web.BaseRequest) -> web.Response:
         # The request is counted a little after its bytes have come.
-        await asyncio.sleep(0.03)
-        in_flight.count += 1
+        await asyncio.sleep(0.02)
+        in_flight.busy.add(request.protocol)
         await asyncio.sleep(0.2)
-        in_flight.count -= 1
+        in_flight.busy.discard(request.protocol)
         return web.Response(text='whole')
 
-    runner, url = await _serve(handle)
+    return handle
+
+
+async def test_request_that_came_just_before_the_stop_is_answered() -> None:
+    in_flight = InFlight()
+    runner, url = await _serve(_answer_late(in_flight))
     async with ClientSession() as session:
         asking = asyncio.create_task(session.get(url))
         await asyncio.sleep(0.02)
@@ -39,8 +46,27 @@
         assert (await (await asking).text()) == 'whole'
 
 
+async def test_idle_connection_is_closed_and_not_left_without_answer() -> None:
+    handled: list[str] = []
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        handled.append(request.path)
+        return web.Response()
+
+    runner, url = await _serve(handle)
+    clock = SystemClock()
+    async with ClientSession(connector=TCPConnector(limit=1)) as session:
+        await session.post(url)
+        await drain_runner(runner, InFlight(), clock.monotonic() + 5, clock)
+        with pytest.raises(ClientConnectionError):
+            async with asyncio.timeout(2):
+                await session.post(url)
+    assert handled == ['/']
+    await runner.cleanup()
+
+
 async def test_stop_ends_in_time_while_a_request_hangs() -> None:
-    in_flight = InFlight(count=1)
+    in_flight = InFlight(busy={'hanging'})
 
     async def handle(_request: web.BaseRequest) -> web.Response:
         return web.Response()
