--- a/crocusshunt/core/_hashing.py
+++ b/crocusshunt/core/_hashing.py
@@ -5,7 +5,8 @@
 from hashlib import blake2b
 
 _DIGEST_BYTES = 8
-_DIGEST_RANGE = 256**_DIGEST_BYTES
+_BITS_PER_BYTE = 8
+_DIGEST_RANGE = 1 << (_DIGEST_BYTES * _BITS_PER_BYTE)
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> tuple[str, ...]:
@@ -44,7 +45,8 @@
     Reference: C. Schindelhauer, G. Schomaker, "Weighted distributed hash
     tables", SPAA 2005.
     """
-    return -weight / math.log(draw_uniform(key, name))
+    score: float = -weight / math.log(draw_uniform(key, name))
+    return score
 
 
 def draw_uniform(key: str, name: str) -> float:
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -62,7 +62,7 @@
         self._answered_at = clock.monotonic()
         self._failing_since: float | None = None
         self._is_cut = False
-        self._settled_at = 0.0
+        self._settled_at: float = 0
         self._put_off: dict[str, Row] = {}
 
     @property
@@ -129,8 +129,8 @@
     def _publish(self, news: tuple[Row, ...]) -> None:
         """Pass news on, and removals only once the store has settled."""
         now = self._clock.monotonic()
-        for row in news:
-            self._put_off.pop(row.key, None)
+        for changed in news:
+            self._put_off.pop(changed.key, None)
         if now < self._settled_at:
             removed = {row.key: row for row in news if row.is_removed}
             self._put_off.update(removed)
--- /dev/null
+++ b/crocusshunt/front/_assembly.py
@@ -0,0 +1,141 @@
+"""The parts of a host, put together."""
+
+from dataclasses import dataclass
+
+from crocusshunt.core import Clock
+from crocusshunt.feeds import FeedStore
+from crocusshunt.fleet import FleetSettings, FleetView, HostRecord
+from crocusshunt.front._dispatch import Dispatcher
+from crocusshunt.front._exchange import Exchanger
+from crocusshunt.front._followers import Followers
+from crocusshunt.front._handler import HandlerParts, RequestHandler
+from crocusshunt.front._knowledge import Books, Knowledge
+from crocusshunt.front._limits import SharedLimits
+from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._placing import Placer, PlacerState
+from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._rounds import Rounds
+from crocusshunt.front._settings import (
+    Bounds,
+    FrontSettings,
+    HeaderNames,
+    SourceFormat,
+)
+from crocusshunt.front._targets import TargetChooser
+from crocusshunt.placement import (
+    ChoiceSettings,
+    HealthBook,
+    HealthSettings,
+    ServerBook,
+)
+from crocusshunt.services import TaskGroup
+from crocusshunt.sharing import RetryLimit, RetryLimiter
+from crocusshunt.upstream import ConnectionPool, EchoPolicy, PoolSettings
+
+_MILLISECONDS = 1000
+_STATUS_MISDIRECTED = 421
+# Retries that reach a server a little late still fall into the window.
+_RETRY_MARGIN = 0.8
+
+
+@dataclass(slots=True)
+class HostParts:
+    """Everything that a host consists of."""
+
+    knowledge: Knowledge
+    followers: Followers
+    readiness: Readiness
+    rounds: Rounds
+    handler: RequestHandler
+
+
+def assemble_host(
+    settings: FrontSettings,
+    source: SourceFormat,
+    store: FeedStore,
+    clock: Clock,
+) -> HostParts:
+    """Put a host together; nothing is opened yet."""
+    knowledge = _create_knowledge(settings, source, clock)
+    state = PlacerState()
+    limits = SharedLimits(
+        knowledge,
+        RetryLimiter(_limit_retries(settings.bounds)),
+    )
+    followers = Followers(store, source.tables, knowledge, clock)
+    handler = _create_handler(knowledge, state, limits, source.headers, clock)
+    readiness = Readiness(knowledge, handler.in_flight, followers.has_servers)
+    rounds = Rounds(
+        knowledge=knowledge,
+        followers=followers,
+        readiness=readiness,
+        planner=LocalityPlanner(knowledge, state),
+        limits=limits,
+        tasks=TaskGroup(),
+        settings=FleetSettings(),
+        clock=clock,
+        started_at=round(clock.wall() * _MILLISECONDS),
+    )
+    return HostParts(knowledge, followers, readiness, rounds, handler)
+
+
+def _create_handler(
+    knowledge: Knowledge,
+    state: PlacerState,
+    limits: SharedLimits,
+    names: HeaderNames,
+    clock: Clock,
+) -> RequestHandler:
+    dispatcher = Dispatcher(
+        Placer(knowledge, state, ChoiceSettings(), clock),
+        Exchanger(knowledge, state, names, clock),
+        limits.retries,
+        clock,
+    )
+    parts = HandlerParts(
+        knowledge=knowledge,
+        limiter=limits.customers,
+        demand=limits.demand,
+        targets=TargetChooser(),
+        dispatcher=dispatcher,
+    )
+    return RequestHandler(parts, names, clock)
+
+
+def _create_knowledge(
+    settings: FrontSettings,
+    source: SourceFormat,
+    clock: Clock,
+) -> Knowledge:
+    own = HostRecord(
+        name=settings.name,
+        ip=settings.ip,
+        internal_port=settings.internal_port,
+        front_address=settings.front_address,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+    )
+    echo = _describe_echo(source.headers)
+    books = Books(
+        ServerBook(dict(settings.regions)),
+        HealthBook(HealthSettings()),
+        FleetView(own, FleetSettings()),
+        ConnectionPool(PoolSettings(), echo, clock),
+    )
+    return Knowledge(books, source, clock)
+
+
+def _describe_echo(names: HeaderNames) -> EchoPolicy:
+    return EchoPolicy(
+        names.request_id.lower().encode(),
+        names.not_run.lower().encode(),
+        frozenset((_STATUS_MISDIRECTED,)),
+    )
+
+
+def _limit_retries(bounds: Bounds) -> RetryLimit:
+    return RetryLimit(
+        bounds.retry_ratio * _RETRY_MARGIN,
+        bounds.retry_extra * _RETRY_MARGIN,
+        bounds.retry_window_s,
+    )
--- a/crocusshunt/front/_draining.py
+++ b/crocusshunt/front/_draining.py
@@ -43,7 +43,7 @@
 
 
 def _list_idle(
-    server: 'web.Server[web.BaseRequest]',
+    server: web.Server,
     in_flight: InFlight,
-) -> 'list[web.RequestHandler[web.BaseRequest]]':
+) -> list[web.RequestHandler]:
     return [one for one in server.connections if one not in in_flight.busy]
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -174,12 +174,14 @@
         except AnswerBrokenError as broken:
             return Outcome(Verdict.broken, detail=broken.detail)
         except TimeoutError:
-            return Outcome(Verdict.timed_out, detail='route timeout or deadline')
+            return Outcome(
+                Verdict.timed_out, detail='route timeout or deadline'
+            )
         return self._judge(answer)
 
     async def _connect(self, server: TrackedServer) -> Connection:
         entry = server.entry
-        connections = self._knowledge.parts.connections
+        connections = self._knowledge.connections
         kept = connections.take(entry.name, entry.address)
         return kept or await connections.open(entry.address)
 
@@ -201,7 +203,7 @@
         if customer is not None:
             added.append((names.customer, customer.name))
         answer = await connection.exchange(attempt.build(added))
-        self._knowledge.parts.connections.give_back(
+        self._knowledge.connections.give_back(
             entry.name,
             entry.address,
             connection,
@@ -229,21 +231,22 @@
         return Outcome(Verdict.answered, answer)
 
     def _note(self, server: TrackedServer, outcome: Outcome) -> None:
-        parts = self._knowledge.parts
+        knowledge = self._knowledge
         name = server.entry.name
         now = self._clock.monotonic()
         if outcome.verdict is Verdict.answered:
-            if parts.health.note_success(name):
-                parts.servers.cool(name, now + _RETURN_COLD_S)
+            if knowledge.health.note_success(name):
+                knowledge.servers.cool(name, now + _RETURN_COLD_S)
         elif outcome.verdict is Verdict.misdirected:
             # Whoever has the address now, it is not this server.
             self._knowledge.drop_server(name, 'address has another server')
-        elif outcome.verdict in _FAILURES:
-            failure = _FAILURES[outcome.verdict]
-            if parts.health.note_failure(name, failure, now):
-                self._knowledge.note_ejection(server, outcome.detail)
+            return
+        failure = _FAILURES.get(outcome.verdict)
+        if failure is None:
+            return
+        if knowledge.health.note_failure(name, failure, now):
+            knowledge.note_ejection(server, outcome.detail)
 
 
 def _encode(text: str) -> bytes:
     return text.encode('utf-8', 'surrogateescape')
-
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -2,9 +2,8 @@
 
 import asyncio
 
-import aiohttp
 import msgspec
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, web
 
 from crocusshunt.core import Clock
 from crocusshunt.feeds import (
@@ -26,6 +25,7 @@
 # The feed brings news at once; a host that lacks them longer asks a peer.
 _BEHIND_S = 0.4
 _FETCH_TIMEOUT_S = 1
+_FETCH_ERRORS = (ClientError, TimeoutError, OSError, msgspec.DecodeError)
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 
@@ -43,7 +43,7 @@
         """Prepare; nothing is read yet."""
         self._clock = clock
         self._behind_since: dict[int, float] = {}
-        self._session: aiohttp.ClientSession | None = None
+        self._session: ClientSession | None = None
         self.configuration = Follower(
             store,
             FollowerSettings(tables.configuration, _NEWS_WAIT_S),
@@ -79,7 +79,7 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Follow all tables in the background."""
-        self._session = aiohttp.ClientSession()
+        self._session = ClientSession()
         for follower in self.all:
             tasks.start(follower.run())
 
@@ -88,7 +88,9 @@
         if self._session is not None:
             await self._session.close()
 
-    async def compare(self, peer: HostRecord, versions: tuple[int, ...]) -> None:
+    async def compare(
+        self, peer: HostRecord, versions: tuple[int, ...]
+    ) -> None:
         """Fetch what a peer has known for a while and this host lacks."""
         now = self._clock.monotonic()
         for place, (follower, version) in enumerate(zip(self.all, versions)):
@@ -114,12 +116,7 @@
         try:
             content = await self._get(url)
             changes = msgspec.msgpack.decode(content, type=Changes)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            msgspec.DecodeError,
-        ) as error:
+        except _FETCH_ERRORS as error:
             log_event(
                 'peer image not fetched',
                 peer=peer.name,
@@ -144,5 +141,5 @@
             self._session.get(url) as response,
         ):
             if response.status != _STATUS_OK:
-                raise aiohttp.ClientError(f'status {response.status}')
+                raise ClientError(f'status {response.status}')
             return await response.read()
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -63,7 +63,6 @@
     demand: DemandMeter
     targets: TargetChooser
     dispatcher: Dispatcher
-    in_flight: InFlight
 
 
 class RequestHandler:
@@ -76,6 +75,7 @@
         clock: Clock,
     ) -> None:
         """Use the parts of a host."""
+        self.in_flight = InFlight()
         self._parts = parts
         self._names = names
         self._clock = clock
@@ -85,7 +85,7 @@
         started_at = self._clock.monotonic()
         ask = inspect_request(request, self._names)
         trace = Trace(ask.request_id, started_at, patience_s=ask.patience_s)
-        in_flight = self._parts.in_flight
+        in_flight = self.in_flight
         in_flight.busy.add(request.protocol)
         try:
             response = await self._answer(request, ask, trace)
@@ -139,7 +139,7 @@
                 self._prepare(ask, admission, trace, attempt),
             )
         finally:
-            self._parts.in_flight.buffered_bytes -= len(body or b'')
+            self.in_flight.buffered_bytes -= len(body or b'')
 
     async def _limit(self, admission: Admission) -> Refusal | None:
         customer = admission.customer
@@ -207,7 +207,7 @@
             return Ok(None)
         if request.headers.get('Expect') and request.transport is not None:
             request.transport.write(_CONTINUE)
-        in_flight = self._parts.in_flight
+        in_flight = self.in_flight
         body = bytearray()
         try:
             async for chunk in request.content.iter_any():
@@ -225,7 +225,7 @@
     def _check_size(self, size: int, longest: int) -> Refusal | None:
         if size > longest:
             return Refusal(Status.too_large, 'body-too-large')
-        if self._parts.in_flight.buffered_bytes > _MAX_BUFFERED_BYTES:
+        if self.in_flight.buffered_bytes > _MAX_BUFFERED_BYTES:
             return refuse_unavailable('buffers-full', _BUFFERS_FULL_RETRY_S)
         return None
 
--- a/crocusshunt/front/_inspection.py
+++ b/crocusshunt/front/_inspection.py
@@ -19,9 +19,17 @@
 class IncomingRequest(Protocol):
     """The part of a request that is read before its body."""
 
-    method: str
-    raw_path: str
-    headers: CIMultiDictProxy[str]
+    @property
+    def method(self) -> str:
+        """Return the method."""
+
+    @property
+    def raw_path(self) -> str:
+        """Return path and query, as they came."""
+
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """Return the headers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/front/_knowledge.py
+++ b/crocusshunt/front/_knowledge.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True)
-class KnowledgeParts:
+class Books:
     """Books that news are written into."""
 
     servers: ServerBook
@@ -35,12 +35,15 @@
 
     def __init__(
         self,
-        parts: KnowledgeParts,
+        books: Books,
         source: SourceFormat,
         clock: Clock,
     ) -> None:
         """Start without a configuration."""
-        self.parts = parts
+        self.servers = books.servers
+        self.health = books.health
+        self.fleet = books.fleet
+        self.connections = books.connections
         self.index: CatalogIndex | None = None
         self._source = source
         self._clock = clock
@@ -76,9 +79,9 @@
         for row in news:
             record = None if row.is_removed else decode_host(row.content)
             if record is None:
-                self.parts.fleet.remove(row.key)
+                self.fleet.remove(row.key)
             else:
-                self.parts.fleet.put(record)
+                self.fleet.put(record)
             log_event(
                 'host record changed',
                 host=row.key,
@@ -86,6 +89,35 @@
                 is_known=record is not None,
             )
 
+    def note_ejection(self, server: TrackedServer, cause: str) -> None:
+        """Log that a server is passed over, and close its connections."""
+        entry = server.entry
+        health = self.health.find(entry.name)
+        self.connections.forget(entry.name, entry.address)
+        log_event(
+            'server passed over',
+            logging.WARNING,
+            server=entry.name,
+            pool=entry.pool,
+            cause=cause,
+            unreachable=health.unreachable,
+            pause_s=round(health.ejected_until - self._clock.monotonic(), 3),
+        )
+
+    def drop_server(self, name: str, cause: str) -> None:
+        """Forget a server until its entry changes."""
+        entry = self.servers.remove(name)
+        self.health.forget(name)
+        if entry is not None:
+            self.connections.forget(name, entry.address)
+            log_event('server dropped', server=name, cause=cause)
+
+    def find_cold_s(self, pool: str) -> float:
+        """Return how long servers of a pool are cold, in seconds."""
+        if self.index is None:
+            return 0
+        return self.index.find_pool(pool).cold_s
+
     def _take_catalog(self, row: Row) -> None:
         if row.is_removed:
             log_event('configuration removed, keeping the last one')
@@ -121,7 +153,7 @@
         )
 
     def _take_emptied(self, row: Row, domain: str) -> None:
-        servers = self.parts.servers
+        servers = self.servers
         log_event(
             'failure domain emptied or restored',
             failure_domain=domain,
@@ -138,20 +170,13 @@
             cold_s = self.find_cold_s(tracked.entry.pool)
             servers.cool(tracked.entry.name, now + cold_s)
 
-    def find_cold_s(self, pool: str) -> float:
-        """Return how long servers of a pool are cold, in seconds."""
-        if self.index is None:
-            return 0
-        return self.index.find_pool(pool).cold_s
-
     def _put_server(self, entry: ServerEntry, version: int) -> None:
-        parts = self.parts
-        known = parts.servers.find(entry.name)
-        parts.servers.put(entry, self._clock.monotonic())
+        known = self.servers.find(entry.name)
+        self.servers.put(entry, self._clock.monotonic())
         if known is None or known.entry.started_ms != entry.started_ms:
-            parts.health.forget(entry.name)
+            self.health.forget(entry.name)
         if known is not None and known.entry.address != entry.address:
-            parts.connections.forget(entry.name, known.entry.address)
+            self.connections.forget(entry.name, known.entry.address)
         log_event(
             'server entry changed',
             server=entry.name,
@@ -161,27 +186,3 @@
             cold_left_s=entry.cold_left_s,
             version=version,
         )
-
-    def note_ejection(self, server: TrackedServer, cause: str) -> None:
-        """Log that a server is passed over, and close its connections."""
-        entry = server.entry
-        health = self.parts.health.find(entry.name)
-        self.parts.connections.forget(entry.name, entry.address)
-        log_event(
-            'server passed over',
-            logging.WARNING,
-            server=entry.name,
-            pool=entry.pool,
-            cause=cause,
-            unreachable=health.unreachable,
-            pause_s=round(health.ejected_until - self._clock.monotonic(), 3),
-        )
-
-    def drop_server(self, name: str, cause: str) -> None:
-        """Forget a server until its entry changes."""
-        parts = self.parts
-        entry = parts.servers.remove(name)
-        parts.health.forget(name)
-        if entry is not None:
-            parts.connections.forget(name, entry.address)
-            log_event('server dropped', server=name, cause=cause)
--- /dev/null
+++ b/crocusshunt/front/_localities.py
@@ -0,0 +1,83 @@
+"""Busy slots by pool, and where a region's objects are served."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from crocusshunt.front._knowledge import Knowledge
+from crocusshunt.front._placing import PlacerState
+from crocusshunt.placement import Locality, RegionRoom, plan_locality
+
+_NEWEST = 0.2
+# Slower than the share of requests that may change region in two seconds.
+_LOCALITY_STEP = 0.03
+_EXPECTED_UTILIZATION = 0.65
+
+
+@dataclass(slots=True)
+class LocalityPlanner:
+    """Plans localities from this host's and the other hosts' busy slots."""
+
+    knowledge: Knowledge
+    state: PlacerState
+    busy: dict[str, float] = field(default_factory=dict)
+
+    def plan(self, now: float) -> None:
+        """Measure, and move each pool's locality by a bounded step."""
+        self._measure()
+        region = self.knowledge.fleet.own.region
+        known = self.state.localities
+        self.state.localities = {
+            pool: _approach(
+                known.get(pool),
+                plan_locality(region, self._find_rooms(pool, now)),
+            )
+            for pool in self.knowledge.servers.pools
+        }
+
+    def _measure(self) -> None:
+        servers = self.knowledge.servers
+        for pool in servers.pools:
+            busy = sum(
+                self.state.find_load(one.entry.name).in_flight
+                for one in servers.select(pool)
+            )
+            known = self.busy.get(pool, 0)
+            self.busy[pool] = known + _NEWEST * (busy - known)
+
+    def _find_rooms(self, pool: str, now: float) -> Mapping[str, RegionRoom]:
+        """Return slots and demand of each region for a pool.
+
+        Until traffic is measured, all regions are taken to want the same.
+        """
+        slots: dict[str, float] = {}
+        for server in self.knowledge.servers.select(pool):
+            found = slots.get(server.region, 0)
+            slots[server.region] = found + server.entry.slots
+        demand = self._find_demand(pool, now)
+        regions = {*slots, *demand}
+        if sum(demand.values()) < 1:
+            expected = _EXPECTED_UTILIZATION * sum(slots.values())
+            demand = dict.fromkeys(regions, expected / len(regions))
+        return {
+            name: RegionRoom(slots.get(name, 0), demand.get(name, 0))
+            for name in regions
+        }
+
+    def _find_demand(self, pool: str, now: float) -> dict[str, float]:
+        fleet = self.knowledge.fleet
+        demand = {fleet.own.region: self.busy.get(pool, 0)}
+        for peer in fleet.list_heard(now):
+            if peer.heartbeat is not None:
+                region = peer.record.region
+                found = demand.get(region, 0)
+                demand[region] = found + peer.heartbeat.busy.get(pool, 0)
+        return demand
+
+
+def _approach(known: Locality | None, plan: Locality) -> Locality:
+    """Move towards a plan by a bounded step."""
+    if known is None:
+        return plan
+    step = plan.local_share - known.local_share
+    bounded = max(-_LOCALITY_STEP, min(_LOCALITY_STEP, step))
+    return Locality(known.local_share + bounded, plan.spare)
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -102,7 +102,7 @@
         if not open_servers:
             return Placement(None, wait_s=1, cause='no-server')
         locality = self._state.localities.get(placing.pool, Locality())
-        fleet = self._knowledge.parts.fleet
+        fleet = self._knowledge.fleet
         ranked = rank_servers(
             placing.key,
             open_servers,
@@ -120,7 +120,7 @@
 
     def _list_open(self, placing: Placing) -> list[TrackedServer]:
         homes = placing.admission.homes
-        servers = self._knowledge.parts.servers.select(placing.pool)
+        servers = self._knowledge.servers.select(placing.pool)
         return [
             one
             for one in servers
@@ -130,7 +130,7 @@
 
     def _is_warm(self, server: TrackedServer, now: float) -> bool:
         name = server.entry.name
-        health = self._knowledge.parts.health
+        health = self._knowledge.health
         if server.is_cold(now) or health.is_ejected(name, now):
             return False
         if not health.is_returning(name):
@@ -149,11 +149,13 @@
 
         Only the preferred one, where others are warm.
         """
-        health = self._knowledge.parts.health
+        health = self._knowledge.health
         for server in ranked:
             name = server.entry.name
             is_returning = health.is_returning(name)
-            is_risky = is_returning and not placing.admission.route.is_idempotent
+            is_risky = (
+                is_returning and not placing.admission.route.is_idempotent
+            )
             is_barred = is_risky or health.is_ejected(name, now)
             if not is_barred and self._may_trickle(server, now):
                 return server
@@ -162,7 +164,7 @@
         return None
 
     def _may_trickle(self, server: TrackedServer, now: float) -> bool:
-        fleet = self._knowledge.parts.fleet
+        fleet = self._knowledge.fleet
         name = server.entry.name
         senders = rank_by_rendezvous(name, fleet.names)[:_COLD_SENDERS]
         if fleet.own.name not in senders:
@@ -203,7 +205,7 @@
         placing: Placing,
         now: float,
     ) -> Ranked:
-        own_region = self._knowledge.parts.fleet.own.region
+        own_region = self._knowledge.fleet.own.region
         route = placing.admission.route
         times = self._state.times
         name = server.entry.name
--- a/crocusshunt/placement/_book.py
+++ b/crocusshunt/placement/_book.py
@@ -48,7 +48,7 @@
         """Return the names of all pools that have servers."""
         return frozenset(one.entry.pool for one in self._tracked.values())
 
-    def set_regions(self, regions: dict[str, str]) -> None:
+    def divide(self, regions: dict[str, str]) -> None:
         """Take another division of failure domains into regions."""
         self._regions = regions
         self._selected = {}
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -9,6 +9,8 @@
 _SPILL = 'spill'
 # Below this utilization requests hardly queue at a server.
 _COMFORTABLE_UTILIZATION = 0.65
+# Slots; keeps a full region last in the order instead of out of it.
+_LEAST_SPARE = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +84,7 @@
         is_local = server.region == region
         weight = float(entry.slots)
         if not is_local and has_spare:
-            weight *= max(0.01, spare.get(server.region, 0))
+            weight *= max(_LEAST_SPARE, spare.get(server.region, 0))
         score = score_rendezvous(key, entry.name, weight)
         return (is_local == stays, score)
 
--- a/crocusshunt/placement/_splits.py
+++ b/crocusshunt/placement/_splits.py
@@ -17,7 +17,7 @@
         """Start a round."""
         self.targets = targets
         self._total = sum(target.weight for target in targets)
-        self._credits = {target.pool: 0.0 for target in targets}
+        self._credits: dict[str, float] = {target.pool: 0 for target in targets}
 
     def choose(self) -> str:
         """Return the pool of the next request."""
--- a/crocusshunt/placement/_times.py
+++ b/crocusshunt/placement/_times.py
@@ -74,7 +74,9 @@
         known_pace = self._paces.get(timing.server, 1)
         pace = max(_FASTEST_PACE, min(_SLOWEST_PACE, service_s / usual_s))
         self._paces[timing.server] = _blend(known_pace, pace, _NEWEST_AT_SERVER)
-        self._routes[timing.route] = _blend(usual_s, service_s, _NEWEST_IN_ROUTE)
+        self._routes[timing.route] = _blend(
+            usual_s, service_s, _NEWEST_IN_ROUTE
+        )
         pool_s = self._pools.get(timing.pool, usual_s)
         self._pools[timing.pool] = _blend(pool_s, service_s, _NEWEST_IN_POOL)
 
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -177,10 +177,9 @@
                     headers={'Content-Type': 'application/json'},
                 ) as response,
             ):
-                content = await response.read()
+                return _check_status(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(FeedUnreachableError(type(error).__name__))
-        return _check_status(response.status, content)
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/crocusshunt/platform/_servers.py
+++ b/crocusshunt/platform/_servers.py
@@ -10,7 +10,7 @@
 _DRAINING = 'draining'
 
 
-class _Info(msgspec.Struct, frozen=True):
+class _About(msgspec.Struct, frozen=True):
     service: str
     zone: str
     slots: int
@@ -25,7 +25,7 @@
 
 class _Entry(msgspec.Struct, frozen=True):
     address: str
-    info: _Info
+    about: _About = msgspec.field(name='info')
     status: _Status
     # Unix time of the server's start in milliseconds, new with each start.
     born: int = 0
@@ -43,18 +43,18 @@
         entry = msgspec.json.decode(content, type=_Entry)
     except (msgspec.DecodeError, UnicodeError) as error:
         return Err(MalformedSourceError(f'server {name}', str(error)))
-    if entry.status.state not in {_READY, _DRAINING} or entry.info.slots < 1:
-        problem = f'state {entry.status.state}, slots {entry.info.slots}'
+    if entry.status.state not in {_READY, _DRAINING} or entry.about.slots < 1:
+        problem = f'state {entry.status.state}, slots {entry.about.slots}'
         return Err(MalformedSourceError(f'server {name}', problem))
     if not _is_address(entry.address):
         return Err(MalformedSourceError(f'server {name}', entry.address))
     return Ok(
         ServerEntry(
             name=name,
-            pool=entry.info.service,
+            pool=entry.about.service,
             address=entry.address,
-            failure_domain=entry.info.zone,
-            slots=entry.info.slots,
+            failure_domain=entry.about.zone,
+            slots=entry.about.slots,
             is_draining=entry.status.state == _DRAINING,
             cold_left_s=entry.status.cold_left_s,
             started_ms=entry.born,
--- a/crocusshunt/platform/_settings.py
+++ b/crocusshunt/platform/_settings.py
@@ -9,8 +9,10 @@
 
 SETTINGS_VARIABLE = 'CROCUSSHUNT_CONFIG'
 
+_READ_ERRORS = (OSError, msgspec.DecodeError, ValueError, LookupError)
 
-class _Self(msgspec.Struct, frozen=True):
+
+class _Place(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
     zone: str
@@ -50,8 +52,8 @@
     bounds: _Bounds = _Bounds()
 
 
-class _File(msgspec.Struct, frozen=True):
-    self: _Self
+class _Document(msgspec.Struct, frozen=True):
+    me: _Place = msgspec.field(name='self')
     network: _Network
     platform: _Platform
     terms: _Terms = _Terms()
@@ -63,13 +65,13 @@
     """Return the settings of this process, or what is wrong with them."""
     try:
         return Ok(_decode(path.read_bytes()))
-    except (OSError, msgspec.DecodeError, ValueError, LookupError) as error:
+    except _READ_ERRORS as error:
         return Err(MalformedSourceError(f'settings {path}', str(error)))
 
 
 def _decode(content: bytes) -> FrontSettings:
-    decoded = msgspec.json.decode(content, type=_File)
-    me = decoded.self
+    decoded = msgspec.json.decode(content, type=_Document)
+    me = decoded.me
     network = decoded.network
     bounds = decoded.terms.bounds
     return FrontSettings(
--- a/crocusshunt/sharing/_demand.py
+++ b/crocusshunt/sharing/_demand.py
@@ -46,5 +46,6 @@
         return {name: rate for name, rate in found.items() if rate >= least}
 
     def _decay(self, meter: _Meter, now: float) -> None:
-        meter.rate *= math.exp(-max(0, now - meter.at) / self.memory_s)
+        age_s = max(0, now - meter.at)
+        meter.rate *= math.exp(-age_s / self.memory_s)
         meter.at = now
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -18,7 +18,6 @@
 # then would be lost.
 _IDLE_MARGIN_S = 1
 _IDLE_WITHOUT_HINT_S = 0.5
-_MAX_FOREIGN_ANSWERS = 3
 _END = (h11.EndOfMessage, h11.ConnectionClosed)
 
 
@@ -78,13 +77,12 @@
         except h11.LocalProtocolError as error:
             raise NotConnectedError(f'invalid request: {error}') from error
         self._wire.write(encoded)
-        for _turn in range(_MAX_FOREIGN_ANSWERS):
-            answer = await self._read_answer()
-            if self._belongs(answer, request):
-                return answer
+        answer = await self._read_answer()
+        while not self._belongs(answer, request):
             self._is_kept = False
             self._skip_foreign(request)
-        raise AnswerBrokenError('answers of other requests', is_silent=False)
+            answer = await self._read_answer()
+        return answer
 
     async def _read_answer(self) -> UpstreamAnswer:
         head = await self._next_event()
@@ -99,7 +97,9 @@
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise AnswerBrokenError('closed within the answer', is_silent=False)
-        headers = tuple((bytes(name), bytes(text)) for name, text in head.headers)
+        headers = tuple(
+            (bytes(name), bytes(text)) for name, text in head.headers
+        )
         return UpstreamAnswer(
             head.status_code,
             bytes(head.reason),
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -53,7 +53,7 @@
         self.opened = 0
 
     def take(self, name: str, address: str) -> Connection | None:
-        """Return the connection that was used last, None without a fresh one."""
+        """Return the connection used last, None without a fresh one."""
         kept = self._kept.get((name, address))
         now = self._clock.monotonic()
         while kept:
--- a/crocusshunt/upstream/tests/test_connection.py
+++ b/crocusshunt/upstream/tests/test_connection.py
@@ -30,9 +30,9 @@
     return UpstreamRequest(name.encode(), b'GET', b'/a?b', tuple(headers), body)
 
 
-def _answer(name: str, body: str = 'ok', extra: str = '') -> bytes:
+def _answer(name: str, body: str = 'ok', rest: bytes = b'') -> bytes:
     head = f'HTTP/1.1 200 OK\r\nX-Id: {name}\r\nContent-Length: {len(body)}\r\n'
-    return f'{head}{extra}\r\n{body}'.encode()
+    return b''.join((f'{head}\r\n{body}'.encode(), rest))
 
 
 @asynccontextmanager
@@ -85,7 +85,7 @@
 
 
 async def test_second_answer_is_skipped_where_the_next_is_due() -> None:
-    late = _answer('r1', 'again') + _answer('r2', 'mine')
+    late = _answer('r1', 'again', rest=_answer('r2', 'mine'))
     async with _serve(_reply(_answer('r1'), late)) as connection:
         await connection.exchange(_request('r1'))
         answer = await connection.exchange(_request('r2'))
@@ -94,7 +94,7 @@
 
 
 async def test_second_answer_behind_the_first_ends_the_connection() -> None:
-    both = _answer('r1') + _answer('r1')
+    both = _answer('r1', rest=_answer('r1'))
     async with _serve(_reply(both)) as connection:
         await connection.exchange(_request('r1'))
         await asyncio.sleep(0.05)
