Admit by urgency: one replica an object, room for the less urgent

Cause: expected times alone turned away urgent requests as readily as others, and a second replica made servers meet more objects than they keep warm. Change: the most urgent requests of a pool need only time; the others need a server below 1.2 requests a slot; one replica; newer load reports weigh more; times learn faster and from the larger of the loads seen.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -113,6 +113,7 @@
             return _conclude(job, job.last)
         if placement.cause == 'no-room' and now < held_until:
             return None
+        job.trace.note_refusal(placement)
         wait_s = max(_LEAST_RETRY_AFTER_S, placement.wait_s)
         return Err(refuse_unavailable(placement.cause, wait_s))
 
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -140,6 +140,7 @@
     ) -> None:
         route = placing.admission.route
         entry = server.entry
+        load = self._state.find_load(entry.name)
         self._state.familiar.note(entry.name, placing.key)
         self._state.times.note(
             Timing(
@@ -148,7 +149,7 @@
                 placing.pool,
                 entry.name,
                 took_s,
-                load_before,
+                max(load_before, load.reported),
                 entry.slots,
             ),
         )
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -55,6 +55,8 @@
     :param server: None where no server can take it.
     :param is_preferred: whether it is the first in the request's ranking.
     :param wait_s: without a server, until one may have room.
+    :param finish_s: expected time until its answer.
+    :param considered: the servers that the decision was among.
     """
 
     server: TrackedServer | None
@@ -62,6 +64,7 @@
     wait_s: float = 0
     cause: str = ''
     finish_s: float = 0
+    considered: tuple[Ranked, ...] = ()
 
 
 @dataclass(slots=True)
@@ -190,7 +193,7 @@
         replicas = warm[: self._settings.replicas]
         ranked = [self._describe(one, placing, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
-        return _describe_choice(choice, warm)
+        return _describe_choice(choice, warm, tuple(ranked))
 
     def _is_urgent(self, placing: Placing) -> bool:
         index = self._knowledge.index
@@ -221,13 +224,18 @@
         )
 
 
-def _describe_choice(choice: Choice, warm: list[TrackedServer]) -> Placement:
+def _describe_choice(
+    choice: Choice,
+    warm: list[TrackedServer],
+    considered: tuple[Ranked, ...],
+) -> Placement:
     if choice.index is None:
         return Placement(
             None,
             wait_s=choice.excess_s,
             cause='no-room',
             finish_s=choice.finish_s,
+            considered=considered,
         )
     return Placement(
         warm[choice.index],
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -26,6 +26,17 @@
     detail: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Considered:
+    """A server that was not chosen, with what was known of it."""
+
+    server: str
+    load: float
+    slots: int
+    wait_s: float
+    service_s: float
+
+
 @dataclass(slots=True)
 class Trace:
     """Course of a request.
@@ -40,7 +51,9 @@
     customer: str = ''
     configuration: int = 0
     patience_s: float | None = None
+    expected_s: float | None = None
     sendings: list[Sending] = field(default_factory=list)
+    considered: list[Considered] = field(default_factory=list)
 
     def note_admission(
         self,
@@ -71,6 +84,20 @@
             ),
         )
 
+    def note_refusal(self, placement: 'Placement') -> None:
+        """Note the servers that had no room, as this host saw them."""
+        self.expected_s = round(placement.finish_s, 3)
+        self.considered = [
+            Considered(
+                one.name,
+                round(one.load, 1),
+                one.slots,
+                round(one.wait_s, 3),
+                round(one.service_s, 3),
+            )
+            for one in placement.considered
+        ]
+
     def note_outcome(self, outcome: 'Outcome') -> None:
         """Note what became of the last sending."""
         last = self.sendings[-1]
@@ -93,5 +120,7 @@
             pool=self.pool,
             customer=self.customer,
             configuration=self.configuration,
+            expected_s=self.expected_s,
             sendings=self.sendings,
+            considered=self.considered,
         )
--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -13,17 +13,14 @@
         the object lately.
     :param gain: a later server must finish within this part of the
         preferred server's time.
-    :param urgent_overrun: a request is turned away where it would end later
-        than this many times its latency objective.
-    :param overrun: the same for requests that are not the most urgent of
-        their pool.
+    :param room_per_slot: requests a slot above which a server takes only
+        the most urgent requests of its pool.
     """
 
-    replicas: int = 2
+    replicas: int = 1
     unfamiliar: float = 2
     gain: float = 0.6
-    urgent_overrun: float = 2
-    overrun: float = 1.5
+    room_per_slot: float = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +62,12 @@
         behind = max(0, self.load + 1 - self.slots)
         return behind / self.slots * self.turn_s
 
+    @property
+    def excess_s(self) -> float:
+        """Return the expected time until one more slot is free, in seconds."""
+        behind = max(1, self.load + 1 - self.slots)
+        return behind / self.slots * self.turn_s
+
     def finish_s(self, unfamiliar: float) -> float:
         """Return the expected time until the answer, in seconds."""
         factor = 1 if self.is_familiar else unfamiliar
@@ -77,7 +80,7 @@
 
     :param index: rank of the server that gets it, None for no server.
     :param finish_s: expected time until its answer.
-    :param excess_s: without a server, how much too late it would end.
+    :param excess_s: without a server, until one may have room.
     """
 
     index: int | None
@@ -94,9 +97,9 @@
 
     The preferred server keeps the object warm, so a request costs it least.
     Another replica is chosen only where the preferred one would miss the
-    objective and the other is clearly earlier. Where even the chosen one
-    would end too late, the request is turned away at once: the slots go to
-    requests that are still in time.
+    objective and the other is clearly earlier, or has room where the
+    preferred one has none. A request that no replica has room for is turned
+    away at once: what runs beyond the room would make all others late.
 
     >>> need = Need(objective_left_s=0.6, time_left_s=4)
     >>> full, free = Ranked('s1', 4, 9, 0.2, 0.3), Ranked('s2', 4, 0, 0.2, 0.3)
@@ -105,20 +108,26 @@
     >>> choose_server(need, (free, full), ChoiceSettings()).index
     0
     """
-    replicas = ranked[: settings.replicas]
-    times = [one.finish_s(settings.unfamiliar) for one in replicas]
-    chosen = 0
+    times = [one.finish_s(settings.unfamiliar) for one in ranked]
+    order = [0]
     if times[0] > need.objective_left_s:
-        soonest = min(range(len(times)), key=times.__getitem__)
-        if times[soonest] < settings.gain * times[0]:
-            chosen = soonest
-    finish_s = times[chosen]
-    latest_s = _find_latest(need, settings)
-    if finish_s > latest_s and replicas[chosen].wait_s > 0:
-        return Choice(None, finish_s, finish_s - latest_s)
-    return Choice(chosen, finish_s)
-
-
-def _find_latest(need: Need, settings: ChoiceSettings) -> float:
-    overrun = settings.urgent_overrun if need.is_urgent else settings.overrun
-    return min(need.time_left_s, overrun * max(0, need.objective_left_s))
+        order = sorted(range(len(ranked)), key=times.__getitem__)
+        if times[order[0]] > settings.gain * times[0]:
+            order = list(range(len(ranked)))
+    for index in order:
+        if _has_room(need, ranked[index], times[index], settings):
+            return Choice(index, times[index])
+    return Choice(None, times[0], min(one.excess_s for one in ranked))
+
+
+def _has_room(
+    need: Need,
+    server: Ranked,
+    finish_s: float,
+    settings: ChoiceSettings,
+) -> bool:
+    if finish_s > need.time_left_s:
+        return False
+    if need.is_urgent:
+        return True
+    return server.load < settings.room_per_slot * server.slots
--- a/crocusshunt/placement/_loads.py
+++ b/crocusshunt/placement/_loads.py
@@ -5,7 +5,7 @@
 
 _PARTS = 3
 # Reports older than this say little: a slot turns over about once a second.
-_REPORT_DECAY_S = 2.0
+_REPORT_DECAY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,13 +42,14 @@
     """
 
     in_flight: int = 0
+    reported: int = 0
     _others: float = 0
     _reported_at: float = 0
 
     def note_report(self, report: LoadReport, now: float) -> None:
         """Take the report of an answer that has just come."""
-        total = report.running + report.waiting
-        self._others = max(0, total - self.in_flight)
+        self.reported = report.running + report.waiting
+        self._others = max(0, self.reported - self.in_flight)
         self._reported_at = now
 
     def estimate(self, now: float) -> float:
--- a/crocusshunt/placement/_times.py
+++ b/crocusshunt/placement/_times.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 
-_NEWEST_IN_ROUTE = 0.05
-_NEWEST_IN_POOL = 0.05
+_NEWEST_IN_ROUTE = 0.1
+_NEWEST_IN_POOL = 0.1
 _NEWEST_AT_SERVER = 0.15
-_GUESS = 0.6
+_GUESS = 0.45
 _SLOWEST_PACE = 20
 _FASTEST_PACE = 0.2
 
@@ -17,7 +17,7 @@
     :param objective_s: the route's latency objective, which serves as a
         guess before anything was measured.
     :param took_s: from its sending to its answer, in seconds.
-    :param load: requests at the server when it was sent.
+    :param load: most requests at the server that were seen meanwhile.
     """
 
     route: str
@@ -42,10 +42,10 @@
 
     >>> times = ServiceTimes()
     >>> times.expect_service('r', 1, 's1')
-    0.6
+    0.45
     >>> times.note(Timing('r', 1, 'p', 's1', took_s=0.2, load=0, slots=4))
     >>> round(times.expect_service('r', 1, 's2'), 2)
-    0.58
+    0.42
     """
 
     _routes: dict[str, float] = field(default_factory=dict)
