--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -22,6 +22,7 @@
     SourceFormat,
 )
 from crocusshunt.front._targets import TargetChooser
+from crocusshunt.metrics import MetricsSettings, RequestMetrics
 from crocusshunt.placement import (
     ChoiceSettings,
     HealthBook,
@@ -47,6 +48,7 @@
     readiness: Readiness
     rounds: Rounds
     handler: RequestHandler
+    metrics: RequestMetrics
 
 
 def assemble_host(
@@ -63,7 +65,15 @@
         RetryLimiter(_limit_retries(settings.bounds)),
     )
     followers = Followers(store, source.tables, knowledge, clock)
-    handler = _create_handler(knowledge, state, limits, source.headers, clock)
+    metrics = RequestMetrics(MetricsSettings())
+    handler = _create_handler(
+        knowledge,
+        state,
+        limits,
+        source.headers,
+        metrics,
+        clock,
+    )
     readiness = Readiness(knowledge, handler.in_flight, followers.has_servers)
     rounds = Rounds(
         knowledge=knowledge,
@@ -76,7 +86,14 @@
         clock=clock,
         started_at=round(clock.wall() * _MILLISECONDS),
     )
-    return HostParts(knowledge, followers, readiness, rounds, handler)
+    return HostParts(
+        knowledge,
+        followers,
+        readiness,
+        rounds,
+        handler,
+        metrics,
+    )
 
 
 def _create_handler(
@@ -84,6 +101,7 @@
     state: PlacerState,
     limits: SharedLimits,
     names: HeaderNames,
+    metrics: RequestMetrics,
     clock: Clock,
 ) -> RequestHandler:
     dispatcher = Dispatcher(
@@ -98,6 +116,7 @@
         demand=limits.demand,
         targets=TargetChooser(),
         dispatcher=dispatcher,
+        recorder=metrics,
     )
     return RequestHandler(parts, names, clock)
 
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -23,6 +23,7 @@
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
 from crocusshunt.front._trace import Trace
+from crocusshunt.metrics import OutcomeKind, Recorder
 from crocusshunt.sharing import CustomerLimiter, DemandMeter
 from crocusshunt.upstream import UpstreamAnswer
 
@@ -63,6 +64,7 @@
     demand: DemandMeter
     targets: TargetChooser
     dispatcher: Dispatcher
+    recorder: Recorder
 
 
 class RequestHandler:
@@ -82,19 +84,23 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the answer to one request."""
-        started_at = self._clock.monotonic()
         ask = inspect_request(request, self._names)
-        trace = Trace(ask.request_id, started_at, patience_s=ask.patience_s)
-        in_flight = self.in_flight
-        in_flight.busy.add(request.protocol)
+        trace = Trace(
+            ask.request_id,
+            self._clock.monotonic(),
+            self._clock.wall(),
+            self._parts.knowledge.fleet.own,
+            patience_s=ask.patience_s,
+        )
+        self.in_flight.busy.add(request.protocol)
         try:
             response = await self._answer(request, ask, trace)
         except asyncio.CancelledError:
-            trace.close(self._clock.monotonic(), 0, _CAUSE_CALLER_LEFT)
+            self._end(trace, 0, OutcomeKind.cancelled, _CAUSE_CALLER_LEFT)
             raise
         finally:
-            in_flight.busy.discard(request.protocol)
-        if in_flight.is_leaving:
+            self.in_flight.busy.discard(request.protocol)
+        if self.in_flight.is_leaving:
             response.force_close()
         return response
 
@@ -105,15 +111,26 @@
         trace: Trace,
     ) -> web.Response:
         ending = await self._serve(request, ask, trace)
-        now = self._clock.monotonic()
         if isinstance(ending, Err):
             refusal = ending.err_value
-            trace.close(now, refusal.status, refusal.cause)
+            trace.retry_after_s = refusal.retry_after_s
+            self._end(trace, refusal.status, refusal.kind, refusal.cause)
             return self._respond_refusal(refusal, ask)
         answer = ending.ok_value
-        trace.close(now, answer.status, 'answered')
+        self._end(trace, answer.status, OutcomeKind.answered, '')
         return _respond_answer(answer)
 
+    def _end(
+        self,
+        trace: Trace,
+        status: int,
+        outcome: OutcomeKind,
+        code: str,
+    ) -> None:
+        now = self._clock.monotonic()
+        ended = trace.end(now, status, outcome, code)
+        self._parts.recorder.record(ended)
+
     async def _serve(
         self,
         request: web.BaseRequest,
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -4,6 +4,7 @@
 
 from crocusshunt.catalog import CustomerRule
 from crocusshunt.front._knowledge import Knowledge
+from crocusshunt.logs import log_event
 from crocusshunt.sharing import (
     CustomerLimiter,
     DemandMeter,
@@ -27,6 +28,7 @@
     customers: CustomerLimiter = field(default_factory=CustomerLimiter)
     demand: DemandMeter = field(default_factory=DemandMeter)
     _limited: frozenset[str] = frozenset()
+    _pressed: frozenset[str] = frozenset()
 
     def divide(self, now: float) -> None:
         """Size this host's parts by what is known of the others."""
@@ -51,6 +53,27 @@
         asked = sum(one.rate or 0 for one in demands.values())
         is_pressed = asked >= _PRESSED * rule.rate
         self.customers.press(rule.name, is_pressed=is_pressed)
+        self._note_pressure(rule, part, asked, is_pressed=is_pressed)
+
+    def _note_pressure(
+        self,
+        rule: CustomerRule,
+        part: float,
+        asked: float,
+        *,
+        is_pressed: bool,
+    ) -> None:
+        if is_pressed == (rule.name in self._pressed):
+            return
+        self._pressed ^= {rule.name}
+        log_event(
+            'customer over its rate' if is_pressed else 'customer in its rate',
+            customer=rule.name,
+            rate=rule.rate,
+            asked=round(asked, 1),
+            own_part=round(part, 2),
+            hosts=len(self.knowledge.fleet.names),
+        )
 
     def _find_demands(self, customer: str, now: float) -> dict[str, HostDemand]:
         fleet = self.knowledge.fleet
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from crocusshunt.metrics import OutcomeKind
+
 _LEAST_RETRY_AFTER_S = 0.1
 _LONGEST_RETRY_AFTER_S = 30
 
@@ -36,6 +38,13 @@
     cause: str
     retry_after_s: float | None = None
 
+    @property
+    def kind(self) -> OutcomeKind:
+        """Return what is known about the request."""
+        if self.status in _PROMISES_NOTHING:
+            return OutcomeKind.unknown
+        return OutcomeKind.not_run
+
     @property
     def retry_after(self) -> str | None:
         """Return the value of the Retry-After header, in seconds."""
@@ -45,6 +54,9 @@
         return f'{max(_LEAST_RETRY_AFTER_S, bounded):.2f}'
 
 
+_PROMISES_NOTHING = frozenset((Status.bad_gateway, Status.timeout))
+
+
 def refuse_unavailable(cause: str, retry_after_s: float) -> Refusal:
     """Return the refusal of a request that did not run."""
     return Refusal(Status.unavailable, cause, retry_after_s)
--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -1,6 +1,7 @@
 """What a host does about once a second, and what it tells the others."""
 
 import asyncio
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
 
 _DIGITS = 2
@@ -40,6 +42,7 @@
     started_at: int
     endpoint: DatagramEndpoint | None = None
     _sequence: int = 0
+    _heard: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Run a round each heartbeat interval, until cancelled."""
@@ -53,6 +56,7 @@
         self.planner.plan(now)
         self.limits.divide(now)
         self.send_heartbeats()
+        self._note_hosts(now)
         self.knowledge.connections.expire()
 
     def send_heartbeats(self) -> None:
@@ -75,6 +79,16 @@
             compare = self.followers.compare
             self.tasks.start(compare(peer.record, heartbeat.versions))
 
+    def _note_hosts(self, now: float) -> None:
+        """Log hosts that fell silent or are heard again."""
+        fleet = self.knowledge.fleet
+        heard = frozenset(one.record.name for one in fleet.list_heard(now))
+        for silent in sorted(self._heard - heard):
+            log_event('host silent', logging.WARNING, host=silent)
+        for found in sorted(heard - self._heard):
+            log_event('host heard', host=found)
+        self._heard = heard
+
     def _create_heartbeat(self) -> Heartbeat:
         demand = self.limits.demand.rates(self.clock.monotonic())
         return Heartbeat(
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -15,6 +15,7 @@
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runner
+from crocusshunt.front._exposure import MetricsExposure
 from crocusshunt.front._reload import ReadSettings, SettingsReload
 from crocusshunt.front._settings import FrontSettings, SourceFormat
 from crocusshunt.logs import log_event
@@ -113,6 +114,8 @@
         await self._listen(settings.directory_address, directory.handle)
         await self._listen(settings.ready_address, ready.handle)
         await self._listen(internal, parts.followers.serve_image)
+        metrics = f'{settings.ip}:{settings.internal_port + 1}'
+        await self._listen(metrics, MetricsExposure(parts).handle)
 
     async def _listen(self, address: str, handle: Handle) -> None:
         host, _separator, port = address.rpartition(':')
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from crocusshunt.logs import log_event
+from crocusshunt.fleet import HostRecord
+from crocusshunt.metrics import EndedRequest, OutcomeKind, log_request
 
 if TYPE_CHECKING:
     from crocusshunt.catalog import CatalogIndex
@@ -13,6 +14,9 @@
     from crocusshunt.placement import TrackedServer
 
 
+_MILLISECONDS = 1000
+
+
 @dataclass(slots=True)
 class Sending:
     """One sending, with what decided it."""
@@ -42,15 +46,21 @@
     """Course of a request.
 
     :param started_at: monotonic seconds.
+    :param arrived: the same moment in seconds since the Unix epoch.
+    :param expected_s: time to its answer when it was refused for lack of
+        room.
     """
 
     request_id: str
     started_at: float
+    arrived: float
+    own: HostRecord
     route: str = ''
     pool: str = ''
     customer: str = ''
     configuration: int = 0
     patience_s: float | None = None
+    retry_after_s: float | None = None
     expected_s: float | None = None
     sendings: list[Sending] = field(default_factory=list)
     considered: list[Considered] = field(default_factory=list)
@@ -104,23 +114,41 @@
         last.verdict = outcome.verdict.value
         last.detail = outcome.detail
 
-    def close(self, now: float, status: int, cause: str) -> None:
-        """Write the one line of a request that ended.
+    def end(
+        self,
+        now: float,
+        status: int,
+        outcome: OutcomeKind,
+        code: str,
+    ) -> EndedRequest:
+        """Return the record of the request's end, and write its log line.
 
+        :param now: monotonic seconds.
         :param status: status that the caller got, 0 where it left.
+        :param code: why, empty for the answer of a backend server.
         """
-        log_event(
-            'request ended',
-            request=self.request_id,
+        ended = EndedRequest(
+            request_id=self.request_id,
+            time=self.arrived,
+            duration_ms=round((now - self.started_at) * _MILLISECONDS, 1),
+            region=self.own.region,
+            host=self.own.name,
+            outcome=outcome,
             status=status,
-            cause=cause,
-            took_s=round(now - self.started_at, 3),
-            patience_s=self.patience_s,
             route=self.route,
-            pool=self.pool,
             customer=self.customer,
+            pool=self.pool,
+            server=self.sendings[-1].server if self.sendings else '',
+            attempts=len(self.sendings),
+            code=code,
+        )
+        log_request(
+            ended,
             configuration=self.configuration,
+            patience_s=self.patience_s,
             expected_s=self.expected_s,
+            retry_after_s=self.retry_after_s,
             sendings=self.sendings,
             considered=self.considered,
         )
+        return ended
--- a/crocusshunt/logs/_journal.py
+++ b/crocusshunt/logs/_journal.py
@@ -2,6 +2,7 @@
 
 import logging as standard_logging
 import sys
+from typing import Protocol
 
 import msgspec
 from absl import flags, logging
@@ -23,10 +24,24 @@
         return msgspec.json.encode(entry, enc_hook=str).decode()
 
 
-def start_logging(verbosity: int = standard_logging.INFO) -> None:
-    """Send the logs of this process to standard error as JSON lines.
+class LogStream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Hand over what was taken."""
+
+
+def start_logging(
+    verbosity: int = standard_logging.INFO,
+    stream: LogStream | None = None,
+) -> None:
+    """Send the logs of this process to a stream as JSON lines.
 
     :param verbosity: least level shown, of the standard library's logging.
+    :param stream: standard error without one.
     """
     if not flags.FLAGS.is_parsed():
         # Otherwise absl writes a warning, which is no JSON, before the first
@@ -34,7 +49,7 @@
         flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(_JsonFormatter())
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     logging.use_absl_handler()
     logging.get_absl_logger().setLevel(verbosity)
 
--- /dev/null
+++ b/crocusshunt/logs/tests/test_sink.py
@@ -0,0 +1,52 @@
+"""Logs whose reader is slow, and logs under load."""
+
+import json
+import os
+
+import pytest
+
+from crocusshunt.core import ManualClock
+from crocusshunt.logs import LineSink
+
+_PADDING = 'x' * 500
+_LINE = f'{{"event": "{_PADDING}"}}\n'
+
+
+@pytest.fixture
+def pipe() -> tuple[int, int]:
+    return os.pipe()
+
+
+def test_full_pipe_drops_lines_and_never_blocks(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    clock = ManualClock()
+    sink = LineSink(writer, clock.monotonic)
+    for _ in range(600):
+        sink.write(_LINE)
+    assert sink.dropped > 0
+    taken = os.read(reader, 1 << 20)
+    sink.write(_LINE)
+    lines = (taken + os.read(reader, 1 << 20)).decode().splitlines()
+    events = [json.loads(line) for line in lines]
+    notices = [one for one in events if one['event'] == 'log lines dropped']
+    assert [one['lines'] for one in notices] == [sink.dropped]
+
+
+def test_rate_of_lines_is_bounded(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    clock = ManualClock()
+    sink = LineSink(writer, clock.monotonic)
+    for _ in range(900):
+        sink.write('{}\n')
+    assert sink.dropped == 100
+    clock.advance(1)
+    sink.write('{}\n')
+    assert b'"lines":100' in os.read(reader, 1 << 20)
+
+
+def test_reader_that_is_gone_is_no_error(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    os.close(reader)
+    sink = LineSink(writer, ManualClock().monotonic)
+    sink.write('{}\n')
+    assert sink.dropped == 1
--- a/crocusshunt/metrics/_exposition.py
+++ b/crocusshunt/metrics/_exposition.py
@@ -96,9 +96,14 @@
         yield family
 
 
-def render_metrics(metrics: RequestMetrics) -> bytes:
+def render_metrics(
+    metrics: RequestMetrics,
+    *collectors: Collector,
+) -> bytes:
     """Return the metrics in the Prometheus text format.
 
+    :param collectors: of other metrics of the process.
+
     >>> from crocusshunt.metrics import MetricsSettings
     >>> text = render_metrics(RequestMetrics(MetricsSettings()))
     >>> text.splitlines()[1]
@@ -106,4 +111,6 @@
     """
     registry = CollectorRegistry()
     registry.register(_RequestCollector(metrics))
+    for collector in collectors:
+        registry.register(collector)
     return generate_latest(registry)
--- a/crocusshunt/metrics/_records.py
+++ b/crocusshunt/metrics/_records.py
@@ -81,11 +81,14 @@
     event: str
 
 
-def log_request(ended: EndedRequest) -> None:
-    """Write a request to the logs, from which it can be parsed again."""
+def log_request(ended: EndedRequest, **inputs: Any) -> None:
+    """Write a request to the logs, from which it can be parsed again.
+
+    :param inputs: what decided its course, for whoever reads the line.
+    """
     fields = msgspec.to_builtins(ended)
     arrived = fields.pop('time')
-    log_event(_EVENT, arrived=arrived, **fields)
+    log_event(_EVENT, arrived=arrived, **fields, **inputs)
 
 
 def parse_request(line: str) -> EndedRequest | None:
--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -21,7 +21,7 @@
 
 from crocusshunt.core import SystemClock
 from crocusshunt.front import FrontService
-from crocusshunt.logs import start_logging
+from crocusshunt.logs import LineSink, start_logging
 from crocusshunt.platform import (
     SETTINGS_VARIABLE,
     SOURCE,
@@ -36,7 +36,7 @@
 def main() -> None:
     """Run until SIGTERM."""
     docopt(__doc__ or '')
-    start_logging()
+    start_logging(stream=LineSink(sys.stdout.fileno()))
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     settings = read_front_settings(path)
     if isinstance(settings, Err):
--- a/crocusshunt/sharing/_buckets.py
+++ b/crocusshunt/sharing/_buckets.py
@@ -86,6 +86,11 @@
 
     _buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
+    @property
+    def rates(self) -> dict[str, float]:
+        """Return this host's part of each limited customer's rate."""
+        return {name: one.rate for name, one in self._buckets.items()}
+
     def resize(self, name: str, rate: float, burst: float, now: float) -> None:
         """Set this host's part of a customer's rate and burst."""
         bucket = self._buckets.get(name)
--- a/crocusshunt/upstream/tests/test_connection.py
+++ b/crocusshunt/upstream/tests/test_connection.py
@@ -102,14 +102,14 @@
 
 
 async def test_answer_without_length_ends_with_its_connection() -> None:
-    head = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n'
+    content = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nwhole'
 
     async def answer(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(head + b'whole')
+        writer.write(content)
         writer.close()
 
     async with _serve(answer) as connection:
