--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -79,13 +79,19 @@
         """Follow until cancelled."""
         pause = _FIRST_PAUSE_S
         while True:
-            answer = await self._call()
-            if isinstance(answer, Err):
-                self._note_failure(answer.err_value)
-                await asyncio.sleep(pause * (1 + _JITTER * random.random()))
-                pause = min(_LONGEST_PAUSE_S, pause * _PAUSE_GROWTH)
-            else:
+            if await self.poll():
                 pause = _FIRST_PAUSE_S
+                continue
+            await asyncio.sleep(pause * (1 + _JITTER * random.random()))
+            pause = min(_LONGEST_PAUSE_S, pause * _PAUSE_GROWTH)
+
+    async def poll(self) -> bool:
+        """Call the store once; return whether it answered."""
+        answer = await self._call()
+        if isinstance(answer, Err):
+            self._note_failure(answer.err_value)
+            return False
+        return True
 
     def take_from_peer(self, changes: Changes) -> bool:
         """Take a peer's newer image; return whether it was newer."""
--- /dev/null
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -0,0 +1,117 @@
+"""A follower through outages, lost history and peers."""
+
+from dataclasses import dataclass, field
+
+from crocusshunt.core import ManualClock
+from crocusshunt.feeds import Changes, Follower, FollowerSettings, Row
+from crocusshunt.standin import MemoryFeedStore
+
+_TABLE = 'servers'
+_SETTLE_S = 2
+
+
+@dataclass(slots=True)
+class _Scene:
+    """A follower that is polled by hand, and the news it passed on."""
+
+    store: MemoryFeedStore = field(default_factory=MemoryFeedStore)
+    clock: ManualClock = field(default_factory=ManualClock)
+    news: list[tuple[str, bool]] = field(default_factory=list)
+
+    def create_follower(self) -> Follower:
+        """Return a follower that never waits for news."""
+        settings = FollowerSettings(_TABLE, 0, _SETTLE_S, outage_s=1)
+        return Follower(self.store, settings, self.clock, self.take)
+
+    def take(self, rows: tuple[Row, ...]) -> None:
+        """Keep what a follower passes on."""
+        self.news.extend((row.key, row.is_removed) for row in rows)
+
+    async def fail_for(self, follower: Follower, seconds: float) -> None:
+        """Let the store be down for a time."""
+        self.store.faults.is_down = True
+        assert not await follower.poll()
+        self.clock.advance(seconds)
+        assert not await follower.poll()
+        self.store.faults.is_down = False
+
+
+async def test_rows_and_news_reach_the_sink_in_order() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    scene.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    scene.store.put(_TABLE, 'b', b'')
+    await follower.poll()
+    scene.store.remove(_TABLE, 'a')
+    await follower.poll()
+    assert scene.news == [('a', False), ('b', False), ('a', True)]
+
+
+async def test_lost_history_is_made_up_by_reading_the_table() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    scene.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    scene.store.remove(_TABLE, 'a')
+    scene.store.put(_TABLE, 'b', b'')
+    scene.store.forget_history()
+    await follower.poll()
+    assert sorted(scene.news[1:]) == [('a', True), ('b', False)]
+
+
+async def test_removals_after_an_outage_wait_for_entries_to_come_back() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    for name in ('back', 'gone'):
+        scene.store.put(_TABLE, name, b'')
+    await follower.poll()
+    await scene.fail_for(follower, seconds=3)
+    scene.store.remove(_TABLE, 'back')
+    scene.store.remove(_TABLE, 'gone')
+    await follower.poll()
+    scene.clock.advance(_SETTLE_S / 2)
+    await follower.poll()
+    assert ('gone', True) not in scene.news
+    scene.store.put(_TABLE, 'back', b'')
+    await follower.poll()
+    scene.clock.advance(_SETTLE_S)
+    await follower.poll()
+    assert ('gone', True) in scene.news
+    assert ('back', True) not in scene.news
+
+
+async def test_removal_without_an_outage_counts_at_once() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    scene.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    await scene.fail_for(follower, seconds=0.5)
+    scene.store.remove(_TABLE, 'a')
+    await follower.poll()
+    assert scene.news[-1] == ('a', True)
+
+
+async def test_age_grows_while_the_store_is_away() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    await follower.poll()
+    await scene.fail_for(follower, seconds=3)
+    assert (follower.is_failing, follower.age_s) == (True, 3)
+    await follower.poll()
+    assert (follower.is_failing, follower.age_s) == (False, 0)
+
+
+async def test_image_of_a_peer_counts_only_if_it_is_newer() -> None:
+    scene = _Scene()
+    follower = scene.create_follower()
+    scene.store.put(_TABLE, 'a', b'')
+    scene.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    stale = Changes((Row('a', b'old', 1),), 1)
+    newer = Changes((Row('c', b'new', 9),), 9)
+    assert not follower.take_from_peer(stale)
+    assert follower.take_from_peer(newer)
+    assert scene.news[-2:] == [('c', False), ('a', True)]
+    await follower.poll()
+    assert follower.image.rows.keys() == {'c'}
--- /dev/null
+++ b/crocusshunt/front/tests/_deployment.py
@@ -0,0 +1,199 @@
+"""A host with a store and backend servers, on the loopback address."""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import ClientResponse, ClientSession, web
+from result import Ok
+
+from crocusshunt.core import SystemClock
+from crocusshunt.front import FrontService, FrontSettings
+from crocusshunt.platform import SOURCE
+from crocusshunt.standin import MemoryFeedStore
+
+NAMES = SOURCE.headers
+KEY = 'key-of-court'
+_HOST = '127.0.0.1'
+
+Behave = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Backend:
+    """A backend server that keeps what it received.
+
+    :param behave: answers in place of the usual answer, if it returns one.
+    """
+
+    name: str
+    address: str = ''
+    received: list[web.Request] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    behave: Behave | None = None
+    runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.runner = web.ServerRunner(web.Server(self._handle))
+        await self.runner.setup()
+        await web.TCPSite(self.runner, _HOST, 0).start()
+        host, port = self.runner.addresses[0]
+        self.address = f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def _handle(self, request: Any) -> web.StreamResponse:
+        self.received.append(request)
+        self.bodies.append(await request.read())
+        if self.behave is not None:
+            answer = await self.behave(request)
+            if answer is not None:
+                return answer
+        return sign(request, web.Response(text=self.name))
+
+
+def sign(request: web.Request, response: web.Response) -> web.Response:
+    """Add what marks an answer as the server's own."""
+    response.headers[NAMES.request_id] = request.headers[NAMES.request_id]
+    response.headers[NAMES.signature] = 'signed'
+    return response
+
+
+def describe_route(**changes: Any) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    spec = {
+        'host': 'a.example',
+        'prefix': '/a/',
+        'kind': 'idempotent',
+        'timeout_s': 1.0,
+        'target_latency_s': 0.5,
+        'priority': 0,
+        'service': 'pool',
+        'max_attempts': 2,
+        'public': False,
+        'sticky': True,
+        'home_regions': [],
+    }
+    return {**spec, **changes}
+
+
+@dataclass(slots=True)
+class Deployment:
+    """One host, its store and its backend servers."""
+
+    store: MemoryFeedStore
+    service: FrontService
+    session: ClientSession
+    backends: list[Backend]
+    _version: int = 0
+    _requests: int = 0
+
+    def configure(
+        self,
+        *routes: dict[str, Any],
+        rate: float = 0,
+        keys: tuple[str, ...] = (KEY,),
+    ) -> None:
+        """Put a newer configuration into the store."""
+        self._version += 1
+        named = [
+            ('routes', f'r{number}', spec) for number, spec in enumerate(routes)
+        ]
+        customer = {'api_keys': keys, 'rate_per_s': rate, 'burst': rate}
+        named.append(('tenants', 'court', customer))
+        resources = [
+            {'resource_kind': kind, 'metadata': {'name': name}, 'spec': spec}
+            for kind, name, spec in named
+        ]
+        document = {'version': f'{self._version:08x}', 'resources': resources}
+        self.store.put('op', 'config', json.dumps(document).encode())
+
+    def announce(self, backend: Backend, state: str = 'ready') -> None:
+        """Write the entry of a backend server."""
+        entry = {
+            'address': backend.address,
+            'born': 1,
+            'info': {'service': 'pool', 'zone': 'a1', 'slots': 4},
+            'status': {'state': state, 'cold_left_s': 0},
+        }
+        content = json.dumps(entry).encode()
+        self.store.put('servers', backend.name, content)
+
+    async def ask(
+        self,
+        path: str = '/a/x',
+        method: str = 'GET',
+        key: str | None = KEY,
+        **headers: str,
+    ) -> tuple[int, str, ClientResponse]:
+        """Send a request; return status, body and response."""
+        self._requests += 1
+        sent = {
+            'Host': 'a.example',
+            NAMES.request_id: f'req-{self._requests}',
+            NAMES.deadline_ms: '3000',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        if key is not None:
+            sent['Authorization'] = f'Token {key}'
+        url = f'http://{self.service.settings.front_address}{path}'
+        async with self.session.request(method, url, headers=sent) as response:
+            return response.status, await response.text(), response
+
+    async def settle(self, seconds: float = 0.1) -> None:
+        """Let news spread."""
+        await asyncio.sleep(seconds)
+
+
+@asynccontextmanager
+async def deploy(*names: str) -> AsyncIterator[Deployment]:
+    """Run a host with backend servers of some names."""
+    store = MemoryFeedStore()
+    settings = FrontSettings(
+        name='h1',
+        ip=_HOST,
+        region='a',
+        failure_domain='a1',
+        front_address=f'{_HOST}:{_find_port()}',
+        ready_address=f'{_HOST}:{_find_port()}',
+        directory_address=f'{_HOST}:{_find_port()}',
+        internal_port=_find_port(),
+        regions={'a1': 'a', 'b1': 'b'},
+        store_address='',
+    )
+    service = FrontService(
+        settings,
+        SOURCE,
+        store,
+        lambda: Ok(settings),
+        SystemClock(),
+    )
+    backends = [Backend(name) for name in names]
+    async with ClientSession() as session:
+        deployment = Deployment(store, service, session, backends)
+        deployment.configure(describe_route())
+        for backend in backends:
+            await backend.start()
+            deployment.announce(backend)
+        await service.start()
+        await deployment.settle()
+        try:
+            yield deployment
+        finally:
+            await service.stop()
+            for backend in backends:
+                await backend.stop()
--- /dev/null
+++ b/crocusshunt/platform/tests/test_decoding.py
@@ -0,0 +1,168 @@
+"""Settings, configuration and entries, good and bad."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from crocusshunt.catalog import CatalogIndex, Target
+from crocusshunt.platform import (
+    decode_catalog,
+    decode_server,
+    read_front_settings,
+)
+
+_CONFIGURATION = {
+    'version': '0000001f',
+    'resources': [
+        {
+            'resource_kind': 'routes',
+            'metadata': {'name': 'r1'},
+            'spec': {
+                'host': 'a.example',
+                'prefix': '/a/',
+                'kind': 'idempotent',
+                'timeout_s': 2.5,
+                'target_latency_s': 0.6,
+                'priority': 2,
+                'split': [{'service': 's1', 'weight': 90}, {'service': 's2'}],
+                'max_attempts': 2,
+                'public': False,
+                'sticky': True,
+                'home_regions': ['dire'],
+            },
+        },
+        {
+            'resource_kind': 'services',
+            'metadata': {'name': 's1'},
+            'spec': {'cold_start_s': 3.0, 'cold_per_s': 4.2, 'new': [1]},
+        },
+        {
+            'resource_kind': 'tenants',
+            'metadata': {'name': 't1'},
+            'spec': {'api_keys': ['key-1'], 'rate_per_s': 10, 'burst': 5},
+        },
+        {
+            'resource_kind': 'limits',
+            'metadata': {},
+            'spec': {'max_body_bytes': 77, 'idle_timeout_s': 15},
+        },
+        {'resource_kind': 'unheard-of', 'metadata': {}, 'spec': {}},
+    ],
+}
+_ENTRY = {
+    'address': '10.0.0.1:80',
+    'born': 17,
+    'info': {'service': 's1', 'version': 'v1', 'zone': 'z', 'slots': 5},
+    'status': {'state': 'ready', 'sequence': 4, 'cold_left_s': 1.5},
+}
+_SETTINGS = {
+    'self': {
+        'node_name': 'h1',
+        'ip': '10.0.0.1',
+        'zone': 'z',
+        'region': 'r',
+        'new': 1,
+    },
+    'network': {
+        'listen': {
+            'front': '10.0.0.1:1',
+            'ready': '10.0.0.1:2',
+            'directory': '10.0.0.1:3',
+        },
+        'internal_ports': [7600, 7615],
+        'zones': {'z': 'r'},
+    },
+    'platform': {'platform': {'address': '10.9.0.1:80'}},
+    'terms': {'bounds': {'grace_s': 7}},
+}
+
+
+def _encode(content: object) -> bytes:
+    return json.dumps(content).encode()
+
+
+def test_configuration_is_decoded_once_into_a_catalog() -> None:
+    catalog = decode_catalog(_encode(_CONFIGURATION)).unwrap()
+    index = CatalogIndex(catalog)
+    route = index.match('a.example', '/a/b')
+    assert route is not None
+    assert catalog.version == 31
+    assert route.targets == (Target('s1', 90), Target('s2'))
+    assert (route.is_idempotent, route.homes) == (True, frozenset(('dire',)))
+    assert index.find_pool('s1').cold_rate == pytest.approx(4.2)
+    customer = index.find_customer('key-1')
+    assert customer is not None
+    assert (customer.name, customer.rate, customer.burst) == ('t1', 10, 5)
+    assert catalog.limits.body_bytes == 77
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'\xff',
+        b'[]',
+        _encode({'version': 'not-hexadecimal', 'resources': []}),
+        _encode({'version': 7, 'resources': []}),
+        _encode(
+            {
+                'version': '01',
+                'resources': [{'resource_kind': 'routes', 'spec': {'host': 1}}],
+            },
+        ),
+    ],
+)
+def test_unreadable_configuration_is_a_typed_error(content: bytes) -> None:
+    assert decode_catalog(content).unwrap_err().subject == 'configuration'
+
+
+def test_entry_of_a_server() -> None:
+    entry = decode_server('i-1', _encode(_ENTRY)).unwrap()
+    assert (entry.name, entry.pool, entry.slots) == ('i-1', 's1', 5)
+    assert (entry.started_ms, entry.cold_left_s) == (17, 1.5)
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'address': 'nowhere'},
+        {'address': 5},
+        {'info': {'service': 's1', 'zone': 'z', 'slots': 0}},
+        {'info': {'zone': 'z', 'slots': 5}},
+        {'status': {'state': 'dreaming'}},
+        {'status': None},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(
+    changed: dict[str, object],
+) -> None:
+    decoded = decode_server('i-1', _encode({**_ENTRY, **changed}))
+    assert decoded.unwrap_err().subject == 'server i-1'
+
+
+def test_settings_file(tmp_path: Path) -> None:
+    path = tmp_path / 'node.json'
+    path.write_bytes(_encode(_SETTINGS))
+    settings = read_front_settings(path).unwrap()
+    assert settings.front_address == '10.0.0.1:1'
+    assert settings.internal_port == 7600
+    assert settings.bounds.grace_s == 7
+    assert settings.bounds.drain_s == pytest.approx(2.5)
+
+
+@pytest.mark.parametrize('missing', ['self', 'network', 'platform'])
+def test_incomplete_settings_are_a_typed_error(
+    tmp_path: Path,
+    missing: str,
+) -> None:
+    path = tmp_path / 'node.json'
+    kept = {name: one for name, one in _SETTINGS.items() if name != missing}
+    path.write_bytes(_encode(kept))
+    error = read_front_settings(path).unwrap_err()
+    assert missing in error.problem
+
+
+def test_missing_settings_file_is_a_typed_error(tmp_path: Path) -> None:
+    error = read_front_settings(tmp_path / 'none.json').unwrap_err()
+    assert 'No such file' in error.problem
--- /dev/null
+++ b/crocusshunt/platform/tests/test_rows.py
@@ -0,0 +1,95 @@
+"""The client of the store, against the stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp import web
+
+from crocusshunt.feeds import (
+    FeedRefusedError,
+    FeedUnreachableError,
+    HistoryLostError,
+    RowWrite,
+)
+from crocusshunt.platform import RowStoreClient
+from crocusshunt.standin import FeedStoreApplication, MemoryFeedStore
+
+Served = tuple[MemoryFeedStore, RowStoreClient]
+
+
+@pytest.fixture
+async def served() -> AsyncIterator[Served]:
+    store = MemoryFeedStore()
+    runner = web.AppRunner(FeedStoreApplication(store).create())
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0]
+    client = RowStoreClient(f'{host}:{port}')
+    yield store, client
+    await client.close()
+    await runner.cleanup()
+
+
+async def test_table_of_several_pages_is_read_whole(served: Served) -> None:
+    store, client = served
+    for number in range(1100):
+        store.put('servers', f's{number:04}', b'x')
+    store.put('op', 'config', b'y')
+    changes = (await client.read_table('servers')).unwrap()
+    assert len(changes.rows) == 1100
+    assert changes.version == 1101
+
+
+async def test_feed_answers_as_soon_as_a_row_changes(served: Served) -> None:
+    store, client = served
+    asking = asyncio.create_task(client.read_changes('op', 0, wait_s=5))
+    await asyncio.sleep(0.05)
+    store.put('op', 'config', b'y')
+    changes = (await asking).unwrap()
+    assert [(row.key, row.content) for row in changes.rows] == [
+        ('config', b'y')
+    ]
+
+
+async def test_removed_row_is_marked(served: Served) -> None:
+    store, client = served
+    store.put('op', 'a', b'')
+    store.remove('op', 'a')
+    changes = (await client.read_changes('op', 1, wait_s=0)).unwrap()
+    assert changes.rows[0].is_removed
+
+
+async def test_write_and_removal(served: Served) -> None:
+    store, client = served
+    (await client.write(RowWrite('hosts', 'h1', b'here'))).unwrap()
+    changes = (await store.read_table('hosts')).unwrap()
+    assert changes.rows[0].content == b'here'
+    (await client.write(RowWrite('hosts', 'h1'))).unwrap()
+    assert not (await store.read_table('hosts')).unwrap().rows
+
+
+async def test_lost_history_is_told_from_a_refusal(served: Served) -> None:
+    store, client = served
+    store.put('op', 'a', b'')
+    store.forget_history()
+    lost = await client.read_changes('op', 0, wait_s=0)
+    assert isinstance(lost.unwrap_err(), HistoryLostError)
+    store.faults.is_down = True
+    refused = await client.read_changes('op', 1, wait_s=0)
+    assert isinstance(refused.unwrap_err(), FeedRefusedError)
+
+
+async def test_silent_store_ends_a_call_in_time(served: Served) -> None:
+    store, client = served
+    store.faults.is_silent = True
+    async with asyncio.timeout(3):
+        answer = await client.read_changes('op', 0, wait_s=0.1)
+    assert isinstance(answer.unwrap_err(), FeedUnreachableError)
+
+
+async def test_store_that_is_not_there_is_unreachable() -> None:
+    client = RowStoreClient('127.0.0.1:1')
+    answer = await client.read_table('op')
+    assert isinstance(answer.unwrap_err(), FeedUnreachableError)
+    await client.close()
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -8,6 +8,11 @@
     RunCounter,
     create_backends,
 )
+from crocusshunt.standin._feeds import (
+    FeedFaults,
+    FeedStoreApplication,
+    MemoryFeedStore,
+)
 from crocusshunt.standin._memory import MemoryPlatform, Switches
 from crocusshunt.standin._platform import PlatformService
 from crocusshunt.standin._settings import StandinSection, StandinSettings
@@ -16,6 +21,9 @@
     'BackendService',
     'BackendSwitches',
     'Fault',
+    'FeedFaults',
+    'FeedStoreApplication',
+    'MemoryFeedStore',
     'MemoryPlatform',
     'PlatformService',
     'ReceivedRequest',
--- /dev/null
+++ b/crocusshunt/standin/_feeds.py
@@ -0,0 +1,228 @@
+"""Stand-in of a store with rows and feeds, in memory and over HTTP."""
+
+import asyncio
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok, Result
+
+from crocusshunt.feeds import (
+    Changes,
+    FeedError,
+    FeedRefusedError,
+    FeedUnreachableError,
+    HistoryLostError,
+    Row,
+    RowWrite,
+)
+from crocusshunt.web import json_response
+
+_STATUS_GONE = 410
+_STATUS_UNAVAILABLE = 503
+_MILLISECONDS = 1000
+_DEFAULT_LIMIT = 500
+_SLOW_S = 30
+
+
+@dataclass(slots=True)
+class FeedFaults:
+    """Switches of the stand-in.
+
+    :param is_down: calls are refused; nothing is done.
+    :param is_silent: calls get no answer.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class MemoryFeedStore:
+    """Rows in tables with one count of versions, and the last changes.
+
+    >>> store = MemoryFeedStore()
+    >>> store.put('op', 'config', b'{}')
+    >>> store.version
+    1
+    """
+
+    version: int = 0
+    faults: FeedFaults = field(default_factory=FeedFaults)
+    address: str = ''
+    _rows: dict[tuple[str, str], Row] = field(default_factory=dict)
+    _history: list[tuple[str, Row]] = field(default_factory=list)
+    _forgotten: int = 0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, table: str, key: str, content: bytes) -> None:
+        """Write a row."""
+        self.version += 1
+        row = Row(key, content, self.version)
+        self._rows[table, key] = row
+        self._note(table, row)
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.version += 1
+        self._rows.pop((table, key), None)
+        self._note(table, Row(key, b'', self.version, is_removed=True))
+
+    def forget_history(self) -> None:
+        """Drop all changes; feeds must read their tables anew."""
+        self._forgotten = self.version
+        self._history = []
+
+    def redirect(self, address: str) -> None:
+        """Note the address that is used from now on."""
+        self.address = address
+
+    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+        """Return all rows of a table."""
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        rows = (
+            row for (found, _key), row in self._rows.items() if found == table
+        )
+        ordered = sorted(rows, key=lambda row: row.key)
+        return Ok(Changes(tuple(ordered), self.version))
+
+    async def read_changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> Result[Changes, FeedError]:
+        """Return what changed after a version, at the latest after a wait."""
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        if after < self._forgotten:
+            return Err(HistoryLostError('forgotten'))
+        rows = self._select(table, after)
+        if not rows and wait_s > 0:
+            await self._wait(wait_s)
+            rows = self._select(table, after)
+        return Ok(Changes(rows, self.version))
+
+    async def write(self, write: RowWrite) -> Result[None, FeedError]:
+        """Write or remove one row, whatever it held."""
+        failure = await self._fail()
+        if failure is not None:
+            return Err(failure)
+        if write.content is None:
+            self.remove(write.table, write.key)
+        else:
+            self.put(write.table, write.key, write.content)
+        return Ok(None)
+
+    async def _fail(self) -> FeedError | None:
+        if self.faults.is_silent:
+            await asyncio.sleep(_SLOW_S)
+            return FeedUnreachableError('silent')
+        return FeedRefusedError('down') if self.faults.is_down else None
+
+    async def _wait(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _select(self, table: str, after: int) -> tuple[Row, ...]:
+        return tuple(
+            row
+            for found, row in self._history
+            if found == table and row.version > after
+        )
+
+    def _note(self, table: str, row: Row) -> None:
+        self._history.append((table, row))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class _Write(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    value: str = ''
+
+
+class _Transaction(msgspec.Struct, frozen=True):
+    writes: tuple[_Write, ...] = ()
+    remove: tuple[_Write, ...] = ()
+
+
+class FeedStoreApplication:
+    """Speaks the store's protocol over HTTP for a memory store."""
+
+    def __init__(self, store: MemoryFeedStore) -> None:
+        """Serve a store."""
+        self._store = store
+
+    def create(self) -> web.Application:
+        """Return the application."""
+        application = web.Application()
+        application.router.add_get('/rows-get', self._get)
+        application.router.add_get('/rows-feed', self._feed)
+        application.router.add_post('/rows-tx', self._transact)
+        return application
+
+    async def _get(self, request: web.Request) -> web.Response:
+        answer = await self._store.read_table(request.query['table'])
+        if isinstance(answer, Err):
+            return _refuse(answer.err_value)
+        limit = int(request.query.get('limit', _DEFAULT_LIMIT))
+        start = request.query.get('from', '')
+        changes = answer.ok_value
+        rows = [row for row in changes.rows if row.key >= start]
+        page = Changes(tuple(rows[:limit]), changes.version)
+        return _respond(page, has_more=len(rows) > limit)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        answer = await self._store.read_changes(
+            request.query['table'],
+            int(request.query['after']),
+            int(request.query['wait_ms']) / _MILLISECONDS,
+        )
+        if isinstance(answer, Err):
+            return _refuse(answer.err_value)
+        return _respond(answer.ok_value, has_more=False)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        transaction = msgspec.json.decode(body, type=_Transaction)
+        writes = [
+            RowWrite(one.table, one.key, b64decode(one.value))
+            for one in transaction.writes
+        ]
+        writes.extend(
+            RowWrite(one.table, one.key) for one in transaction.remove
+        )
+        for write in writes:
+            done = await self._store.write(write)
+            if isinstance(done, Err):
+                return _refuse(done.err_value)
+        return json_response({'ver': self._store.version})
+
+
+def _refuse(error: FeedError) -> web.Response:
+    is_gone = isinstance(error, HistoryLostError)
+    return web.Response(status=_STATUS_GONE if is_gone else _STATUS_UNAVAILABLE)
+
+
+def _respond(changes: Changes, *, has_more: bool) -> web.Response:
+    rows = [
+        {
+            'key': row.key,
+            'value': b64encode(row.content).decode(),
+            'ver': row.version,
+            'deleted': row.is_removed,
+        }
+        for row in changes.rows
+    ]
+    return json_response(
+        {'rows': rows, 'ver': changes.version, 'has_more': has_more},
+    )
