--- a/crocusshunt/sharing/_buckets.py
+++ b/crocusshunt/sharing/_buckets.py
@@ -59,7 +59,9 @@
             patience_s = 0
         missing = max(0, 1 - self.tokens)
         wait_s = missing / max(_LEAST_RATE, self.rate)
-        is_granted = wait_s <= patience_s + _ROUNDING_S
+        if wait_s < _ROUNDING_S:
+            wait_s = 0
+        is_granted = wait_s <= patience_s
         if is_granted:
             self.tokens -= 1
         return Grant(is_granted, wait_s)
