--- /dev/null
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -0,0 +1,126 @@
+"""From the id of a failed request to its cause, by the log alone."""
+
+import asyncio
+import io
+
+import pytest
+from aiohttp import web
+
+from crocusshunt.front.tests._deployment import (
+    Deployment,
+    deploy,
+    describe_route,
+)
+from crocusshunt.logs import start_logging
+from crocusshunt.reports import explain_request
+
+
+@pytest.fixture(autouse=True)
+def _stop_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr('crocusshunt.front._service._LINGER_S', 0)
+
+
+@pytest.fixture
+def log() -> io.StringIO:
+    stream = io.StringIO()
+    start_logging(stream=stream)
+    return stream
+
+
+def _explain(log: io.StringIO, request_id: str) -> str:
+    lines = log.getvalue().splitlines()
+    return '\n'.join(explain_request(request_id, lines).unwrap().describe())
+
+
+async def _ask_until(deployment: Deployment, status: int) -> str:
+    """Send requests until one ends with a status; return its id."""
+    for _ in range(20):
+        found, _body, response = await deployment.ask(method='POST')
+        if found == status:
+            return response.request_info.headers['X-Crocusshunt-Attempt-Id']
+    raise AssertionError(f'no request ended with status {status}')
+
+
+async def test_refused_over_the_rate(log: io.StringIO) -> None:
+    async with deploy('s1') as deployment:
+        deployment.configure(describe_route(target_latency_s=0.01), rate=2)
+        await deployment.settle(1.6)
+        refused = await _ask_until(deployment, 429)
+        for _ in range(20):
+            await deployment.ask()
+        # The logs show what was asked of all hosts.
+        await deployment.settle(0.8)
+    explained = _explain(log, refused)
+    assert 'over-rate: the customer was over its rate' in explained
+    assert 'ran   no backend server ran it' in explained
+    assert 'by    configuration 2' in explained
+    assert (
+        '"event":"customer over its rate","customer":"court"' in log.getvalue()
+    )
+
+
+async def test_failed_after_it_was_sent(log: io.StringIO) -> None:
+    async def reset(request: web.Request) -> None:
+        assert request.transport is not None
+        request.transport.abort()
+
+    async with deploy('s1') as deployment:
+        deployment.configure(describe_route(kind='non_idempotent'))
+        await deployment.settle()
+        deployment.backends[0].behave = reset
+        failed = await _ask_until(deployment, 502)
+    explained = _explain(log, failed)
+    assert 'ran   a backend server may have run it' in explained
+    assert 'to s1 in a after' in explained
+    assert 'server-broken' in explained
+
+
+async def test_late_answer_shows_the_slow_server(log: io.StringIO) -> None:
+    async def answer_late(request: web.Request) -> None:
+        await asyncio.sleep(3)
+
+    async with deploy('s1') as deployment:
+        deployment.backends[0].behave = answer_late
+        late = await _ask_until(deployment, 504)
+    explained = _explain(log, late)
+    assert 'timeout: the timeout of the route' in explained
+    assert 'timed-out' in explained
+
+
+async def test_refused_for_lack_of_room_shows_what_was_believed(
+    log: io.StringIO,
+) -> None:
+    async def hang(request: web.Request) -> None:
+        await asyncio.sleep(2)
+
+    urgent = describe_route(prefix='/u/', priority=0)
+    patient = describe_route(prefix='/a/', priority=1, kind='non_idempotent')
+    async with deploy('s1') as deployment:
+        deployment.configure(urgent, patient)
+        await deployment.settle()
+        deployment.backends[0].behave = hang
+        asking = [
+            asyncio.create_task(deployment.ask(method='POST')) for _ in range(8)
+        ]
+        ended = await asyncio.gather(*asking)
+        refused = [one[2] for one in ended if one[0] == 503]
+        name = refused[0].request_info.headers['X-Crocusshunt-Attempt-Id']
+    explained = _explain(log, name)
+    assert 'no-room' in explained
+    assert 's1 had 5.0 requests for 4 slots' in explained
+    assert 'back  after' in explained
+
+
+async def test_lost_and_regained_store_are_one_line_each(
+    log: io.StringIO,
+) -> None:
+    async with deploy('s1') as deployment:
+        deployment.store.faults.is_down = True
+        deployment.store.put('op', 'other', b'')
+        deployment.store.put('servers', 'other', b'')
+        await deployment.settle(0.5)
+        deployment.store.faults.is_down = False
+        await deployment.settle(1.5)
+    text = log.getvalue()
+    assert text.count('"event":"store lost"') == 3
+    assert text.count('"event":"store regained"') == 3
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -7,6 +7,7 @@
 
 from crocusshunt.core import CrocusError
 from crocusshunt.metrics import EndedRequest, OutcomeKind, parse_request
+from crocusshunt.reports._inputs import RequestInputs, parse_inputs
 
 _REASONS: Mapping[str, tuple[str, str]] = {
     'rate-exceeded': (
@@ -52,6 +53,59 @@
         'the store could not take the claim that keeps it from running twice',
         'read docs/operators/store-outage.md',
     ),
+    'over-rate': (
+        'the customer was over its rate, counted over all hosts',
+        'look for "customer over its rate" in the logs, with what was asked',
+    ),
+    'unknown-key': (
+        'no customer of the configuration holds this key',
+        'compare the configuration version with the time of the withdrawal',
+    ),
+    'no-configuration': (
+        'this host had not read the configuration yet',
+        'look for "store lost" in the logs of this host',
+    ),
+    'no-server': (
+        'no backend server of the pool was open for this request',
+        'look for "server entry changed", "server dropped" and emptied domains',
+    ),
+    'no-warm-server': (
+        'all open backend servers of the pool were cold or passed over',
+        'look for "server passed over" and cold_left_s in the logs',
+    ),
+    'not-run-shed': (
+        'a backend server rejected it and said that it did not run it',
+        'see the load of the named server; look for others that shed',
+    ),
+    'not-run-unreachable': (
+        'no backend server could be reached',
+        'look for "server passed over" with the same cause on other hosts',
+    ),
+    'not-run-misdirected': (
+        'the address of the server belongs to another one now',
+        'look for the entry of the named server after this time',
+    ),
+    'server-broken': (
+        'the connection broke after the request was sent',
+        'the outcome is unknown; ask the service by the request id',
+    ),
+    'server-failed': (
+        'the backend server answered with a failure of its own',
+        'give the request id to the owner of the service',
+    ),
+    'timeout': (
+        'the timeout of the route or the deadline of the caller passed',
+        'compare the expected time of the sending; look for slow servers',
+    ),
+    'caller-left': ('the caller closed its connection', 'ask the caller'),
+    'body-too-large': (
+        'the body was larger than the configuration allows',
+        'compare with the limits of the configuration',
+    ),
+    'buffers-full': (
+        'this host held too many bytes of request bodies',
+        'see crocus_requests_in_flight; look for slow callers',
+    ),
     'request-quarantined': (
         'the same request had crashed backend servers before',
         'give the request id to the owner of the service',
@@ -82,12 +136,14 @@
     :param ran: what is known about its run.
     :param reason: why it was refused or failed, empty if answered.
     :param next_step: what to do, empty if nothing.
+    :param inputs: what decided its course.
     """
 
     request: EndedRequest
     ran: str
     reason: str
     next_step: str
+    inputs: RequestInputs = RequestInputs()
 
     def describe(self) -> tuple[str, ...]:
         """Return lines for operators."""
@@ -100,6 +156,7 @@
             f'  route {ended.route or "none"}{_describe_target(ended)}',
             f'  ran   {self.ran}',
         ]
+        lines.extend(self.inputs.describe())
         if self.reason:
             lines.append(f'  why   {ended.code}: {self.reason}')
         if self.next_step:
@@ -124,15 +181,16 @@
             continue
         ended = parse_request(line)
         if ended is not None and ended.request_id == request_id:
-            return Ok(_explain(ended))
+            return Ok(_explain(ended, parse_inputs(line)))
     return Err(UnknownRequestError(request_id))
 
 
-def _explain(ended: EndedRequest) -> Explanation:
+def _explain(ended: EndedRequest, inputs: RequestInputs) -> Explanation:
     reason, next_step = '', ''
     if ended.code:
         reason, next_step = _REASONS.get(ended.code, _UNLISTED)
-    return Explanation(ended, _RAN[ended.outcome], reason, next_step)
+    ran = _RAN[ended.outcome]
+    return Explanation(ended, ran, reason, next_step, inputs)
 
 
 def _describe_target(ended: EndedRequest) -> str:
