Let regions share their load evenly from half utilization on

Change: 0.5 in place of 0.65; the share moves by 0.04 a second, not 0.03. The example of plan_locality shows the new figure.

--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -9,8 +9,8 @@
 
 _NEWEST = 0.2
 # Slower than the share of requests that may change region in two seconds.
-_LOCALITY_STEP = 0.03
-_EXPECTED_UTILIZATION = 0.65
+_LOCALITY_STEP = 0.04
+_EXPECTED_UTILIZATION = 0.5
 
 
 @dataclass(slots=True)
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -8,7 +8,7 @@
 
 _SPILL = 'spill'
 # Below this utilization requests hardly queue at a server.
-_COMFORTABLE_UTILIZATION = 0.65
+_COMFORTABLE_UTILIZATION = 0.5
 # Slots; keeps a full region last in the order instead of out of it.
 _LEAST_SPARE = 0.01
 
@@ -45,7 +45,7 @@
 
     >>> rooms = {'a': RegionRoom(10, 13), 'b': RegionRoom(30, 7)}
     >>> plan_locality('a', rooms).local_share
-    0.5
+    0.38461538461538464
     """
     slots = sum(room.slots for room in rooms.values())
     demand = sum(room.demand for room in rooms.values())
