--- a/crocusshunt/feeds/_image.py
+++ b/crocusshunt/feeds/_image.py
@@ -42,8 +42,16 @@
         return (*changed, *gone)
 
     def merge(self, changes: Changes) -> tuple[Row, ...]:
-        """Take changes in order; return those that are news."""
-        news = tuple(row for row in changes.rows if self._is_news(row))
+        """Take changes in order; return those that are news.
+
+        An answer may have been under way while a newer image came: what it
+        tells of rows that are gone by now must not bring them back.
+        """
+        news = tuple(
+            row
+            for row in changes.rows
+            if row.version > self.version and self._is_news(row)
+        )
         for row in news:
             if row.is_removed:
                 self.rows.pop(row.key, None)
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass, field
 
 from crocusshunt.core import ManualClock
-from crocusshunt.feeds import Changes, Follower, FollowerSettings, Row
+from crocusshunt.feeds import (
+    Changes,
+    Follower,
+    FollowerSettings,
+    Row,
+    TableImage,
+)
 from crocusshunt.standin import MemoryFeedStore
 
 _TABLE = 'servers'
@@ -115,3 +121,15 @@
     assert scene.news[-2:] == [('c', False), ('a', True)]
     await follower.poll()
     assert follower.image.rows.keys() == {'c'}
+
+
+def test_answer_under_way_while_a_newer_image_came_brings_nothing_back() -> (
+    None
+):
+    image = TableImage()
+    image.replace(Changes((Row('a', b'', 3),), 3))
+    image.replace(Changes((Row('b', b'', 8),), 8))
+    late = Changes((Row('a', b'', 5), Row('b', b'', 6)), 7)
+    assert not image.merge(late)
+    assert image.rows.keys() == {'b'}
+    assert image.merge(Changes((Row('a', b'', 9),), 9))
