--- a/crocusshunt/api/_service.py
+++ b/crocusshunt/api/_service.py
@@ -17,7 +17,7 @@
     Replier,
     RequesterPool,
 )
-from crocusshunt.platform import HttpPlatform
+from crocusshunt.storeclient import HttpPlatform
 from crocusshunt.relay import register_relay
 from crocusshunt.replication import (
     Archive,
--- a/crocusshunt/api/_settings.py
+++ b/crocusshunt/api/_settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import HostIdentity
-from crocusshunt.platform import PlatformSettings
+from crocusshunt.storeclient import PlatformSettings
 from crocusshunt.settings import HostAddress, OptionalDigest, Port, TcpAddress
 
 
--- a/crocusshunt/api/tests/test_endpoints.py
+++ b/crocusshunt/api/tests/test_endpoints.py
@@ -13,7 +13,7 @@
 from crocusshunt.core import HostIdentity, ManualClock
 from crocusshunt.keys import digest_key
 from crocusshunt.operators import Operator, Role
-from crocusshunt.platform import PlatformSettings
+from crocusshunt.storeclient import PlatformSettings
 from crocusshunt.routing import Pool, Row, name_table
 from crocusshunt.standin import PlatformService
 from crocusshunt.witnesses import Witness
--- a/crocusshunt/demo/_fleet.py
+++ b/crocusshunt/demo/_fleet.py
@@ -20,7 +20,7 @@
 from crocusshunt.gateway import GatewaySection, GatewayService, GatewaySettings
 from crocusshunt.keys import Key, create_key, digest_key
 from crocusshunt.locator import LocatorSection, LocatorService, LocatorSettings
-from crocusshunt.platform import PlatformSettings
+from crocusshunt.storeclient import PlatformSettings
 from crocusshunt.routing import Customer, FailureDomain, Server, Tables
 from crocusshunt.standin import BackendService, PlatformService, RunCounter
 from crocusshunt.store import HostEntry
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -26,7 +26,9 @@
 _COLD_SENDERS = 2
 _RETURN_SPACING_S = 0.5
 _LEAST_COLD_RATE = 0.5
+# By then its entry tells whether it is cold, and any host may try it.
 _BLIND_RETURN_S = 6
+# A round trip between distant regions; the choice only orders by it.
 _REMOTE_DISTANCE_S = 0.1
 
 
--- a/crocusshunt/gateway/_service.py
+++ b/crocusshunt/gateway/_service.py
@@ -22,7 +22,7 @@
 from crocusshunt.gateway._tracing import Tracer
 from crocusshunt.messages import RequesterPool
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
-from crocusshunt.platform import HttpPlatform
+from crocusshunt.storeclient import HttpPlatform
 from crocusshunt.replication import Feed, Follower, FollowerSettings
 from crocusshunt.services import TaskGroup
 from crocusshunt.web import HttpService
--- a/crocusshunt/gateway/_settings.py
+++ b/crocusshunt/gateway/_settings.py
@@ -7,7 +7,7 @@
 
 from crocusshunt.core import HostIdentity
 from crocusshunt.delivery import BudgetSettings, EjectionSettings, QueueSettings
-from crocusshunt.platform import PlatformSettings
+from crocusshunt.storeclient import PlatformSettings
 from crocusshunt.settings import Duration, HostAddress, Port, TcpAddress
 
 # A withdrawn key must stop working within 5 s.
--- a/crocusshunt/gateway/tests/site.py
+++ b/crocusshunt/gateway/tests/site.py
@@ -21,7 +21,7 @@
 from crocusshunt.gateway._refusals import LimitError
 from crocusshunt.keys import Key, digest_key
 from crocusshunt.messages import RequesterPool, SnapshotFeed
-from crocusshunt.platform import PlatformSettings
+from crocusshunt.storeclient import PlatformSettings
 from crocusshunt.routing import (
     Access,
     Customer,
--- a/crocusshunt/platform/__init__.py
+++ b/crocusshunt/platform/__init__.py
@@ -1,9 +1,7 @@
 """The users' platform: its names, formats and calls."""
 
-from crocusshunt.platform._client import HttpPlatform, PlatformSettings
 from crocusshunt.platform._configuration import decode_catalog
 from crocusshunt.platform._names import SOURCE
-from crocusshunt.platform._policy import CallPolicy, CircuitState, Tally
 from crocusshunt.platform._rows import RowStoreClient
 from crocusshunt.platform._servers import decode_server
 from crocusshunt.platform._settings import (
@@ -14,12 +12,7 @@
 __all__ = (
     'SETTINGS_VARIABLE',
     'SOURCE',
-    'CallPolicy',
-    'CircuitState',
-    'HttpPlatform',
-    'PlatformSettings',
     'RowStoreClient',
-    'Tally',
     'decode_catalog',
     'decode_server',
     'read_front_settings',
--- a/crocusshunt/platform/_client.py
+++ b/crocusshunt/storeclient/_client.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock, SystemClock
-from crocusshunt.platform._policy import CallPolicy
+from crocusshunt.storeclient._policy import CallPolicy
 from crocusshunt.settings import BaseUrl, Duration
 from crocusshunt.store._errors import (
     StoreConflictError,
--- a/crocusshunt/store/tests/test_client.py
+++ b/crocusshunt/storeclient/tests/test_client.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from crocusshunt.core import ManualClock
-from crocusshunt.platform import (
+from crocusshunt.storeclient import (
     CallPolicy,
     CircuitState,
     HttpPlatform,
