Draw all ports of a test host at once; wait for the store's version, not a time

A cause that fits, but was not shown for that run: ports were drawn one by one, and the metrics port was taken for granted; of 3,000 draws 3 collided. Ports are now held together until all are known, and tests wait for what the host knows instead of a fixed time.

--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -4,7 +4,7 @@
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -19,14 +19,27 @@
 NAMES = SOURCE.headers
 KEY = 'key-of-court'
 _HOST = '127.0.0.1'
+_CATCH_UP_S = 10
+_POLL_S = 0.02
 
 Behave = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
 
 
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return int(probe.getsockname()[1])
+def _find_ports(count: int) -> list[int]:
+    """Return free ports, the last of which is followed by a free one."""
+    while True:
+        with ExitStack() as stack:
+            probes = [
+                stack.enter_context(socket.socket()) for _ in range(count + 1)
+            ]
+            for probe in probes[:count]:
+                probe.bind((_HOST, 0))
+            ports = [int(one.getsockname()[1]) for one in probes[:count]]
+            try:
+                probes[count].bind((_HOST, ports[-1] + 1))
+            except OSError:
+                continue
+            return ports
 
 
 @dataclass(slots=True)
@@ -154,24 +167,40 @@
         async with self.session.request(method, url, headers=sent) as response:
             return response.status, await response.text(), response
 
-    async def settle(self, seconds: float = 0.6) -> None:
-        """Let news spread."""
+    async def settle(self, seconds: float = 0) -> None:
+        """Wait until the host knows the store's newest version.
+
+        :param seconds: time to wait besides.
+        """
         await asyncio.sleep(seconds)
+        async with asyncio.timeout(_CATCH_UP_S):
+            while not self._has_caught_up():
+                await asyncio.sleep(_POLL_S)
+
+    def _has_caught_up(self) -> bool:
+        if self.store.faults.is_down or self.store.faults.is_silent:
+            return True
+        followers = self.service._parts.followers.all  # noqa: SLF001
+        return all(
+            one.image.version >= self.store.last_change(one.settings.table)
+            for one in followers
+        )
 
 
 @asynccontextmanager
 async def deploy(*names: str) -> AsyncIterator[Deployment]:
     """Run a host with backend servers of some names."""
     store = MemoryFeedStore()
+    front, ready, directory, internal = _find_ports(4)
     settings = FrontSettings(
         name='h1',
         ip=_HOST,
         region='a',
         failure_domain='a1',
-        front_address=f'{_HOST}:{_find_port()}',
-        ready_address=f'{_HOST}:{_find_port()}',
-        directory_address=f'{_HOST}:{_find_port()}',
-        internal_port=_find_port(),
+        front_address=f'{_HOST}:{front}',
+        ready_address=f'{_HOST}:{ready}',
+        directory_address=f'{_HOST}:{directory}',
+        internal_port=internal,
         regions={'a1': 'a', 'b1': 'b'},
         store_address='',
     )
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -69,6 +69,13 @@
         self._rows.pop((table, key), None)
         self._note(table, Row(key, b'', self.version, is_removed=True))
 
+    def last_change(self, table: str) -> int:
+        """Return the version of the newest change of a table."""
+        versions = (
+            row.version for found, row in self._history if found == table
+        )
+        return max(versions, default=0)
+
     def forget_history(self) -> None:
         """Drop all changes; feeds must read their tables anew."""
         self._forgotten = self.version
