Apply the changes of one answer one after the other

Cause: since feeds gather news, one answer may write a row and remove it; the removal was judged by what was known before the answer, where the row was not known yet, and was dropped. Change: each change is judged by what those before it left. The test failed before.

--- a/crocusshunt/feeds/_image.py
+++ b/crocusshunt/feeds/_image.py
@@ -50,13 +50,8 @@
         news = tuple(
             row
             for row in changes.rows
-            if row.version > self.version and self._is_news(row)
+            if row.version > self.version and self._apply(row)
         )
-        for row in news:
-            if row.is_removed:
-                self.rows.pop(row.key, None)
-            else:
-                self.rows[row.key] = row
         self._advance(changes.version, news)
         return news
 
@@ -64,6 +59,20 @@
         """Return the whole table, for another process."""
         return Changes(tuple(self.rows.values()), self.changed_at)
 
+    def _apply(self, row: Row) -> bool:
+        """Apply one change; return whether it was news.
+
+        One answer may write a row and remove it again, so each change is
+        judged by what those before it left.
+        """
+        if not self._is_news(row):
+            return False
+        if row.is_removed:
+            self.rows.pop(row.key)
+        else:
+            self.rows[row.key] = row
+        return True
+
     def _is_news(self, row: Row) -> bool:
         known = self.rows.get(row.key)
         if known is None:
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -133,3 +133,12 @@
     assert not image.merge(late)
     assert image.rows.keys() == {'b'}
     assert image.merge(Changes((Row('a', b'', 9),), 9))
+
+
+def test_row_written_and_removed_within_one_answer_is_gone() -> None:
+    image = TableImage()
+    image.replace(Changes((), 3))
+    rows = (Row('a', b'', 5), Row('a', b'', 6, is_removed=True))
+    news = image.merge(Changes(rows, 7))
+    assert news == rows
+    assert not image.rows
