--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -30,6 +30,8 @@
 _BLIND_RETURN_S = 6
 # A round trip between distant regions; the choice only orders by it.
 _REMOTE_DISTANCE_S = 0.1
+# Entries and health of servers change within about this.
+_CLOSED_WAIT_S = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +107,7 @@
         now = self._clock.monotonic()
         open_servers = self._list_open(placing)
         if not open_servers:
-            return Placement(None, wait_s=1, cause='no-server')
+            return Placement(None, wait_s=_CLOSED_WAIT_S, cause='no-server')
         locality = self._state.localities.get(placing.pool, Locality())
         fleet = self._knowledge.fleet
         ranked = rank_servers(
@@ -120,7 +122,11 @@
             if cold is not None:
                 return Placement(cold, is_preferred=True)
         if not warm:
-            return Placement(None, wait_s=1, cause='no-warm-server')
+            return Placement(
+                None,
+                wait_s=_CLOSED_WAIT_S,
+                cause='no-warm-server',
+            )
         return self._choose(placing, warm, now)
 
     def _list_open(self, placing: Placing) -> list[TrackedServer]:
--- a/crocusshunt/front/_settings.py
+++ b/crocusshunt/front/_settings.py
@@ -14,26 +14,18 @@
 class Bounds:
     """Times and figures that the deployment must keep.
 
-    :param configuration_s: until a new configuration is in force.
-    :param drain_s: until a leaving server gets nothing more.
     :param grace_s: from SIGTERM until the process is killed.
     :param retry_ratio: retries for each request, over all hosts.
     :param retry_extra: retries in a window beyond the ratio.
     :param retry_window_s: length of that window.
     :param max_lookup_ttl_s: longest time a caller may keep a look-up.
-    :param cold_excess: factor on a cold server's rate that it still bears.
-    :param cold_slack: requests beyond that.
     """
 
-    configuration_s: float = 2.5
-    drain_s: float = 2.5
     grace_s: float = 6
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_extra: float = 60
     max_lookup_ttl_s: float = 5
-    cold_excess: float = 1.5
-    cold_slack: float = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/placement/_health.py
+++ b/crocusshunt/placement/_health.py
@@ -11,7 +11,6 @@
     broken = 'broken'
     error = 'error'
     shed = 'shed'
-    timeout = 'timeout'
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/platform/_settings.py
+++ b/crocusshunt/platform/_settings.py
@@ -36,16 +36,12 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    config_apply_s: float = 2.5
-    drain_s: float = 2.5
     grace_s: float = 6
     budget_ratio: float = 0.2
     budget_window_s: float = 10
     # Retries over all machines in a window, beyond the ratio.
     budget_extra: float = 60
     ttl_max_s: float = 5
-    cold_excess: float = 1.5
-    cold_slack: float = 5
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -86,14 +82,10 @@
         regions=network.zones,
         store_address=decoded.platform.platform.address,
         bounds=Bounds(
-            configuration_s=bounds.config_apply_s,
-            drain_s=bounds.drain_s,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.budget_extra,
             max_lookup_ttl_s=bounds.ttl_max_s,
-            cold_excess=bounds.cold_excess,
-            cold_slack=bounds.cold_slack,
         ),
     )
--- a/crocusshunt/platform/tests/test_decoding.py
+++ b/crocusshunt/platform/tests/test_decoding.py
@@ -148,7 +148,7 @@
     assert settings.front_address == '10.0.0.1:1'
     assert settings.internal_port == 7600
     assert settings.bounds.grace_s == 7
-    assert settings.bounds.drain_s == pytest.approx(2.5)
+    assert settings.bounds.retry_ratio == pytest.approx(0.2)
 
 
 @pytest.mark.parametrize('missing', ['self', 'network', 'platform'])
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -34,7 +34,6 @@
         self._echo = echo
         self._http = _create_parser()
         self._is_kept = True
-        self.uses = 0
         self.idle_limit_s = _IDLE_WITHOUT_HINT_S
 
     @property
@@ -51,7 +50,6 @@
 
         :raises AnswerBrokenError: no whole answer came.
         """
-        self.uses += 1
         self._wire.is_idle = False
         is_whole = False
         try:
@@ -59,7 +57,7 @@
             is_whole = True
         except (h11.RemoteProtocolError, OSError) as error:
             detail = f'{type(error).__name__}: {error}'
-            raise AnswerBrokenError(detail, self._is_silent()) from error
+            raise AnswerBrokenError(detail) from error
         finally:
             if not is_whole:
                 self.close()
@@ -88,7 +86,7 @@
         head = await self._next_event()
         while not isinstance(head, h11.Response):
             if isinstance(head, _END):
-                raise AnswerBrokenError('closed', self._is_silent())
+                raise AnswerBrokenError('closed')
             head = await self._next_event()
         body = bytearray()
         event = await self._next_event()
@@ -96,7 +94,7 @@
             body += event.data
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
-            raise AnswerBrokenError('closed within the answer', is_silent=False)
+            raise AnswerBrokenError('closed within the answer')
         headers = tuple(
             (bytes(name), bytes(text)) for name, text in head.headers
         )
@@ -137,10 +135,6 @@
         if rest:
             self._http.receive_data(rest)
 
-    def _is_silent(self) -> bool:
-        rest, _is_closed = self._http.trailing_data
-        return self._http.their_state is h11.SEND_RESPONSE and not rest
-
     def _finish(self, answer: UpstreamAnswer) -> None:
         self._wire.is_idle = True
         self._is_kept = self._is_kept and self._is_clean()
--- a/crocusshunt/upstream/_errors.py
+++ b/crocusshunt/upstream/_errors.py
@@ -26,11 +26,6 @@
 
 @dataclass(unsafe_hash=True)
 class AnswerBrokenError(UpstreamError):
-    """The answer is missing, incomplete or no HTTP; the request may have run.
-
-    :param is_silent: whether no byte of an answer came.
-    """
+    """No whole answer came, or none in HTTP; the request may have run."""
 
     code = 'answer-broken'
-
-    is_silent: bool = True
