Keep tokens of small customers at one host a region; divide rates once a round

Change: one ready host a region, by rendezvous hashing, keeps a customer's tokens where its rate is under 5 a second a host; others ask it by datagram and live on an equal part while it is silent. The demand of all hosts is observed once a round.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -65,7 +65,37 @@
     busy: dict[str, float] = {}
 
 
-Message = Heartbeat | RegionSummary
+class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
+    """Asks the host that keeps a customer's tokens for one.
+
+    :param name: the host that asks.
+    :param number: tells the answers to one host's asks apart.
+    :param patience_s: how long the request may wait for it.
+    """
+
+    name: str
+    number: int
+    customer: str
+    patience_s: float
+
+
+class TokenGrant(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
+    """Answers an ask.
+
+    :param name: the host that answers.
+    :param keeper: the host that keeps the tokens, as the answerer sees it.
+    :param wait_s: until the token is there.
+    """
+
+    name: str
+    number: int
+    keeper: str
+    is_granted: bool = False
+    wait_s: float = 0
+
+
+News = Heartbeat | RegionSummary
+Message = News | TokenAsk | TokenGrant
 
 
 def encode(message: msgspec.Struct) -> bytes:
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -6,7 +6,7 @@
 from crocusshunt.fleet._messages import (
     Heartbeat,
     HostRecord,
-    Message,
+    News,
     RegionSummary,
 )
 
@@ -110,7 +110,7 @@
         heard = (peer.record.name for peer in self.list_heard(now))
         return all(self.own.name < name for name in heard)
 
-    def hear(self, message: Message, now: float) -> Peer | None:
+    def hear(self, message: News, now: float) -> Peer | None:
         """Take a message; return its host, None for an unknown or old one."""
         peer = self.peers.get(message.name)
         if peer is None:
@@ -134,6 +134,14 @@
             if peer.is_heard(now, limit)
         )
 
+    def list_ready(self, now: float) -> tuple[HostRecord, ...]:
+        """Return the other hosts of this region that take requests."""
+        return tuple(
+            peer.record
+            for peer in self.list_heard(now)
+            if peer.heartbeat is not None and peer.heartbeat.is_ready
+        )
+
     def list_summaries(self, now: float) -> tuple[RegionSummary, ...]:
         """Return the summaries of other regions that came lately."""
         limit = self._settings.silent_after_s
@@ -159,11 +167,7 @@
 
         :param is_ready: whether this host is ready itself.
         """
-        ready = [
-            peer.record
-            for peer in self.list_heard(now)
-            if peer.heartbeat is not None and peer.heartbeat.is_ready
-        ]
+        ready = list(self.list_ready(now))
         if is_ready:
             ready.append(self.own)
         domain = _select_domain(ready, failure_domain)
--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -12,6 +12,7 @@
 from crocusshunt.front._knowledge import Books, Knowledge
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placing import Placer, PlacerState
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._rounds import Rounds
@@ -22,6 +23,7 @@
     SourceFormat,
 )
 from crocusshunt.front._targets import TargetChooser
+from crocusshunt.front._tokens import TokenDesk
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
 from crocusshunt.placement import (
     ChoiceSettings,
@@ -60,16 +62,18 @@
     """Put a host together; nothing is opened yet."""
     knowledge = _create_knowledge(settings, source, clock)
     state = PlacerState()
-    limits = SharedLimits(
-        knowledge,
-        RetryLimiter(_limit_retries(settings.bounds)),
-    )
     followers = Followers(store, source.tables, knowledge, clock)
     metrics = RequestMetrics(MetricsSettings())
+    outbox = Outbox(knowledge.fleet)
+    tokens = TokenDesk(
+        SharedLimits(knowledge, RetryLimiter(_limit_retries(settings.bounds))),
+        clock,
+        outbox.send_to,
+    )
     handler = _create_handler(
         knowledge,
         state,
-        limits,
+        tokens,
         source.headers,
         metrics,
         clock,
@@ -80,7 +84,8 @@
         followers=followers,
         readiness=readiness,
         planner=LocalityPlanner(knowledge, state),
-        limits=limits,
+        tokens=tokens,
+        outbox=outbox,
         tasks=TaskGroup(),
         settings=FleetSettings(),
         clock=clock,
@@ -99,7 +104,7 @@
 def _create_handler(
     knowledge: Knowledge,
     state: PlacerState,
-    limits: SharedLimits,
+    tokens: TokenDesk,
     names: HeaderNames,
     metrics: RequestMetrics,
     clock: Clock,
@@ -107,13 +112,13 @@
     dispatcher = Dispatcher(
         Placer(knowledge, state, ChoiceSettings(), clock),
         Exchanger(knowledge, state, names, clock),
-        limits.retries,
+        tokens.limits.retries,
         clock,
     )
     parts = HandlerParts(
         knowledge=knowledge,
-        limiter=limits.customers,
-        demand=limits.demand,
+        tokens=tokens,
+        demand=tokens.limits.demand,
         targets=TargetChooser(),
         dispatcher=dispatcher,
         recorder=metrics,
--- a/crocusshunt/front/_exposure.py
+++ b/crocusshunt/front/_exposure.py
@@ -83,7 +83,7 @@
             'Requests a second of a customer that this host admits.',
             labels=('customer',),
         )
-        limiter = self._parts.rounds.limits.customers
-        for customer, rate in sorted(limiter.rates.items()):
+        limits = self._parts.rounds.tokens.limits
+        for customer, rate in sorted(limits.customers.rates.items()):
             family.add_metric((customer,), rate)
         return family
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -22,9 +22,10 @@
 from crocusshunt.front._placing import Placing
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
+from crocusshunt.front._tokens import TokenDesk
 from crocusshunt.front._trace import Trace
 from crocusshunt.metrics import OutcomeKind, Recorder
-from crocusshunt.sharing import CustomerLimiter, DemandMeter
+from crocusshunt.sharing import DemandMeter
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
@@ -60,7 +61,7 @@
     """What every request passes through."""
 
     knowledge: Knowledge
-    limiter: CustomerLimiter
+    tokens: TokenDesk
     demand: DemandMeter
     targets: TargetChooser
     dispatcher: Dispatcher
@@ -163,16 +164,16 @@
         if customer is None:
             return None
         now = self._clock.monotonic()
-        limiter = self._parts.limiter
+        tokens = self._parts.tokens
         self._parts.demand.count(customer.name, now)
         patience_s = _TOKEN_WAIT * admission.route.objective_s
-        grant = limiter.take(customer.name, now, patience_s)
+        grant = await tokens.take(customer, patience_s)
         if not grant.is_granted:
             return Refusal(Status.too_many, 'over-rate', grant.wait_s)
         try:
             await asyncio.sleep(grant.wait_s)
         except asyncio.CancelledError:
-            limiter.put_back(customer.name)
+            tokens.put_back(customer.name)
             raise
         return None
 
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass, field
 
 from crocusshunt.catalog import CustomerRule
+from crocusshunt.front._demands import FleetDemand, observe_demand
 from crocusshunt.front._knowledge import Knowledge
 from crocusshunt.logs import log_event
 from crocusshunt.sharing import (
     CustomerLimiter,
+    CustomerPart,
     DemandMeter,
-    GroupDemand,
     RetryLimiter,
+    choose_keeper,
     divide_rate,
 )
 
-# Stands for hosts of any region that may be using their equal parts.
-_SILENT = ''
 # Demand above this part of a rate leaves no tokens to wait for.
 _PRESSED = 0.95
 
@@ -27,12 +27,22 @@
     retries: RetryLimiter
     customers: CustomerLimiter = field(default_factory=CustomerLimiter)
     demand: DemandMeter = field(default_factory=DemandMeter)
+    parts: dict[str, CustomerPart] = field(default_factory=dict)
     _limited: frozenset[str] = frozenset()
     _pressed: frozenset[str] = frozenset()
 
-    def divide(self, now: float) -> None:
-        """Size this host's parts by what is known of the others."""
-        self.retries.resize(len(self.knowledge.fleet.names))
+    @property
+    def own_name(self) -> str:
+        """Return the name of this host."""
+        return self.knowledge.fleet.own.name
+
+    def divide(self, now: float, *, is_ready: bool) -> None:
+        """Size this host's parts by what is known of the others.
+
+        :param is_ready: whether this host takes requests.
+        """
+        demand = self.observe(now)
+        self.retries.resize(demand.registered)
         index = self.knowledge.index
         if index is None:
             return
@@ -40,77 +50,71 @@
         names = frozenset(one.name for one in limited)
         for gone in self._limited - names:
             self.customers.release(gone)
+            self.parts.pop(gone, None)
         self._limited = names
+        fleet = self.knowledge.fleet
+        ready = [record.name for record in fleet.list_ready(now)]
+        if is_ready:
+            ready.append(fleet.own.name)
         for rule in limited:
-            self._divide_rate(rule, now)
+            self._divide_rate(rule, demand, ready, now)
 
-    def sum_demand(self, now: float) -> dict[str, float]:
-        """Return what is offered to this region's hosts, by customer."""
-        total = self.demand.rates(now)
-        for peer in self.knowledge.fleet.list_heard(now):
-            heard = {} if peer.heartbeat is None else peer.heartbeat.demand
-            for customer, rate in heard.items():
-                total[customer] = total.get(customer, 0) + rate
-        return total
+    def observe(self, now: float) -> FleetDemand:
+        """Return what is asked of all hosts, as far as it was heard."""
+        return observe_demand(self.knowledge.fleet, self.demand, now)
 
-    def _divide_rate(self, rule: CustomerRule, now: float) -> None:
+    def _divide_rate(
+        self,
+        rule: CustomerRule,
+        demand: FleetDemand,
+        ready: list[str],
+        now: float,
+    ) -> None:
         """Divide a rate among regions, then among this region's hosts.
 
         Every host divides it among the regions by the same sums, so the
-        parts of all regions add up to the rate.
+        parts of all regions add up to the rate. A region's part of a small
+        rate is kept whole by one of its hosts.
         """
-        fleet = self.knowledge.fleet
-        regions = self._group_regions(rule.name, now)
-        own_region = divide_rate(rule.rate, regions)[fleet.own.region]
-        hosts = self._group_hosts(rule.name, now)
-        part = divide_rate(own_region, hosts)[fleet.own.name]
-        burst = rule.burst * part / rule.rate
-        self.customers.resize(rule.name, part, burst, now)
+        regions = demand.group_regions(rule.name)
+        parts = divide_rate(rule.rate, regions)
+        region_part = parts[self.knowledge.fleet.own.region]
+        keeper = choose_keeper(rule.name, rule.rate, demand.registered, ready)
+        if keeper == self.own_name:
+            part = region_part
+        elif keeper:
+            part = region_part / len(demand.hosts)
+        else:
+            hosts = demand.group_hosts(rule.name)
+            part = divide_rate(region_part, hosts)[self.own_name]
+        self._take_part(rule, keeper, part, now)
         asked = sum(one.rate or 0 for one in regions.values())
-        is_pressed = asked >= _PRESSED * rule.rate
-        self.customers.press(rule.name, is_pressed=is_pressed)
-        self._note_pressure(rule, part, asked, is_pressed=is_pressed)
-
-    def _group_hosts(self, customer: str, now: float) -> dict[str, GroupDemand]:
-        fleet = self.knowledge.fleet
-        found = {
-            fleet.own.name: GroupDemand(self.demand.rate(customer, now)),
-        }
-        for peer in fleet.list_heard(now):
-            if peer.heartbeat is not None:
-                rate = peer.heartbeat.demand.get(customer, 0)
-                found[peer.record.name] = GroupDemand(rate)
-        return found
+        self._note_pressure(rule, part, asked, demand.registered)
 
-    def _group_regions(
+    def _take_part(
         self,
-        customer: str,
+        rule: CustomerRule,
+        keeper: str,
+        part: float,
         now: float,
-    ) -> dict[str, GroupDemand]:
-        """Return each region's heard hosts, and all that are not heard."""
-        fleet = self.knowledge.fleet
-        own_hosts = len(fleet.list_heard(now)) + 1
-        own_rate = self.sum_demand(now).get(customer, 0)
-        found = {fleet.own.region: GroupDemand(own_rate, own_hosts)}
-        for summary in fleet.list_summaries(now):
-            hosts = min(summary.hosts, fleet.count_hosts(summary.region))
-            if hosts:
-                rate = summary.demand.get(customer, 0)
-                found[summary.region] = GroupDemand(rate, hosts)
-        heard = sum(group.hosts for group in found.values())
-        silent = len(fleet.names) - heard
-        if silent > 0:
-            found[_SILENT] = GroupDemand(None, silent)
-        return found
+    ) -> None:
+        burst = rule.burst * part / rule.rate
+        self.parts[rule.name] = CustomerPart(keeper, part, burst)
+        if keeper in {'', self.own_name}:
+            self.customers.resize(rule.name, part, burst, now)
+        else:
+            # Tokens kept from earlier would be spent beside the keeper's.
+            self.customers.release(rule.name)
 
     def _note_pressure(
         self,
         rule: CustomerRule,
         part: float,
         asked: float,
-        *,
-        is_pressed: bool,
+        hosts: int,
     ) -> None:
+        is_pressed = asked >= _PRESSED * rule.rate
+        self.customers.press(rule.name, is_pressed=is_pressed)
         if is_pressed == (rule.name in self._pressed):
             return
         self._pressed ^= {rule.name}
@@ -120,5 +124,5 @@
             rate=rule.rate,
             asked=round(asked, 1),
             own_part=round(part, 2),
-            hosts=len(self.knowledge.fleet.names),
+            hosts=hosts,
         )
--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -2,25 +2,25 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from crocusshunt.core import Clock
 from crocusshunt.fleet import (
-    DatagramEndpoint,
     FleetSettings,
     Heartbeat,
-    HostRecord,
-    Message,
+    News,
     RegionSummary,
+    TokenAsk,
+    TokenGrant,
     decode_message,
-    encode,
 )
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._knowledge import Knowledge
-from crocusshunt.front._limits import SharedLimits
 from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._tokens import TokenDesk
 from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
 
@@ -38,12 +38,12 @@
     followers: Followers
     readiness: Readiness
     planner: LocalityPlanner
-    limits: SharedLimits
+    tokens: TokenDesk
+    outbox: Outbox
     tasks: TaskGroup
     settings: FleetSettings
     clock: Clock
     started_at: int
-    endpoint: DatagramEndpoint | None = None
     _sequence: int = 0
     _heard: frozenset[str] = frozenset()
 
@@ -57,7 +57,7 @@
         """Measure, divide limits anew, and tell the other hosts."""
         now = self.clock.monotonic()
         self.planner.plan(now)
-        self.limits.divide(now)
+        self.tokens.limits.divide(now, is_ready=self.readiness.is_ready)
         self.send_heartbeats()
         self._note_hosts(now)
         self.knowledge.connections.expire()
@@ -67,27 +67,28 @@
         now = self.clock.monotonic()
         fleet = self.knowledge.fleet
         self._sequence += 1
-        self._send(self._create_heartbeat(now), fleet.neighbours)
+        self.outbox.send(self._create_heartbeat(now), fleet.neighbours)
         if fleet.speaks_for_region(now):
-            self._send(self._create_summary(now), fleet.strangers)
+            self.outbox.send(self._create_summary(now), fleet.strangers)
 
     def receive(self, content: bytes) -> None:
         """Take a datagram of another host."""
         message = decode_message(content)
         if message is None:
-            return
+            log_event('datagram ignored', logging.WARNING, size=len(content))
+        elif isinstance(message, TokenAsk):
+            self.tokens.answer(message)
+        elif isinstance(message, TokenGrant):
+            self.tokens.receive(message)
+        else:
+            self._hear(message)
+
+    def _hear(self, message: News) -> None:
         peer = self.knowledge.fleet.hear(message, self.clock.monotonic())
         if peer is not None:
             compare = self.followers.compare
             self.tasks.start(compare(peer.record, message.versions))
 
-    def _send(self, message: Message, records: Iterable[HostRecord]) -> None:
-        if self.endpoint is None:
-            return
-        content = encode(message)
-        for record in records:
-            self.endpoint.send(content, record.ip, record.internal_port)
-
     def _note_hosts(self, now: float) -> None:
         """Log hosts that fell silent or are heard again."""
         fleet = self.knowledge.fleet
@@ -105,20 +106,21 @@
             sequence=self._sequence,
             is_ready=self.readiness.is_ready,
             versions=self.followers.versions,
-            demand=_round_all(self.limits.demand.rates(now)),
+            demand=_round_all(self.tokens.limits.demand.rates(now)),
             busy=_round_all(self.planner.busy),
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
         fleet = self.knowledge.fleet
+        region = self.tokens.limits.observe(now).regions[fleet.own.region]
         return RegionSummary(
             name=fleet.own.name,
             started_at=self.started_at,
             sequence=self._sequence,
             region=fleet.own.region,
-            hosts=len(fleet.list_heard(now)) + 1,
+            hosts=region.hosts,
             versions=self.followers.versions,
-            demand=_round_all(self.limits.sum_demand(now)),
+            demand=_round_all(region.rates),
             busy=_round_all(self.planner.sum_busy(now)),
         )
 
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -65,7 +65,7 @@
         await self._listen_all()
         settings = self.settings
         parts = self._parts
-        parts.rounds.endpoint = await open_datagram_endpoint(
+        parts.rounds.outbox.endpoint = await open_datagram_endpoint(
             settings.ip,
             settings.internal_port,
             parts.rounds.receive,
--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -2,12 +2,14 @@
 
 from crocusshunt.sharing._buckets import CustomerLimiter, Grant, TokenBucket
 from crocusshunt.sharing._demand import DemandMeter
+from crocusshunt.sharing._keepers import CustomerPart, choose_keeper
 from crocusshunt.sharing._retries import RetryLimit, RetryLimiter
 from crocusshunt.sharing._shares import GroupDemand, divide_rate
 from crocusshunt.sharing._spacing import SpacedLimiter
 
 __all__ = (
     'CustomerLimiter',
+    'CustomerPart',
     'DemandMeter',
     'Grant',
     'GroupDemand',
@@ -15,5 +17,6 @@
     'RetryLimiter',
     'SpacedLimiter',
     'TokenBucket',
+    'choose_keeper',
     'divide_rate',
 )
