--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -15,7 +15,7 @@
 from crocusshunt.logs import log_event
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 0.6
+_LONGEST_PAUSE_S = 1
 _PAUSE_GROWTH = 2
 _JITTER = 0.3
 
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import chain, islice
 
 from crocusshunt.core import Clock, rank_by_rendezvous
 from crocusshunt.front._admission import Admission
@@ -116,18 +117,15 @@
             fleet.own.region,
             locality,
         )
-        warm = [one for one in ranked if self._is_warm(one, now)]
-        if ranked[0] not in warm or not warm:
-            cold = self._find_trickle(ranked, placing, now, has_warm=bool(warm))
-            if cold is not None:
-                return Placement(cold, is_preferred=True)
-        if not warm:
-            return Placement(
-                None,
-                wait_s=_CLOSED_WAIT_S,
-                cause='no-warm-server',
-            )
-        return self._choose(placing, warm, now)
+        preferred = next(ranked)
+        if self._may_try_cold(preferred, placing, now):
+            return Placement(preferred, is_preferred=True)
+        every = chain((preferred,), ranked)
+        warm = (one for one in every if self._is_warm(one, now))
+        replicas = list(islice(warm, self._settings.replicas))
+        if replicas:
+            return self._choose(placing, replicas, now)
+        return self._find_cold(open_servers, placing, now)
 
     def _list_open(self, placing: Placing) -> list[TrackedServer]:
         homes = placing.admission.homes
@@ -148,31 +146,34 @@
             return True
         return now > health.find(name).ejected_until + _BLIND_RETURN_S
 
-    def _find_trickle(
+    def _may_try_cold(
         self,
-        ranked: Iterable[TrackedServer],
+        server: TrackedServer,
         placing: Placing,
         now: float,
-        *,
-        has_warm: bool,
-    ) -> TrackedServer | None:
-        """Return a cold server that this host may send a request to now.
-
-        Only the preferred one, where others are warm.
-        """
+    ) -> bool:
+        """Tell whether a server is cold and may get this request now."""
+        if self._is_warm(server, now):
+            return False
         health = self._knowledge.health
-        for server in ranked:
-            name = server.entry.name
-            is_returning = health.is_returning(name)
-            is_risky = (
-                is_returning and not placing.admission.route.is_idempotent
-            )
-            is_barred = is_risky or health.is_ejected(name, now)
-            if not is_barred and self._may_trickle(server, now):
-                return server
-            if has_warm:
-                return None
-        return None
+        name = server.entry.name
+        is_returning = health.is_returning(name)
+        is_risky = is_returning and not placing.admission.route.is_idempotent
+        if is_risky or health.is_ejected(name, now):
+            return False
+        return self._may_trickle(server, now)
+
+    def _find_cold(
+        self,
+        servers: Iterable[TrackedServer],
+        placing: Placing,
+        now: float,
+    ) -> Placement:
+        """Return a cold server that may get a request, where none is warm."""
+        for server in servers:
+            if self._may_try_cold(server, placing, now):
+                return Placement(server)
+        return Placement(None, wait_s=_CLOSED_WAIT_S, cause='no-warm-server')
 
     def _may_trickle(self, server: TrackedServer, now: float) -> bool:
         fleet = self._knowledge.fleet
@@ -190,7 +191,7 @@
     def _choose(
         self,
         placing: Placing,
-        warm: list[TrackedServer],
+        replicas: list[TrackedServer],
         now: float,
     ) -> Placement:
         need = Need(
@@ -198,10 +199,9 @@
             placing.final_at - now,
             self._is_urgent(placing),
         )
-        replicas = warm[: self._settings.replicas]
         ranked = [self._describe(one, placing, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
-        return _describe_choice(choice, warm, tuple(ranked))
+        return _describe_choice(choice, replicas, tuple(ranked))
 
     def _is_urgent(self, placing: Placing) -> bool:
         index = self._knowledge.index
@@ -234,7 +234,7 @@
 
 def _describe_choice(
     choice: Choice,
-    warm: list[TrackedServer],
+    replicas: list[TrackedServer],
     considered: tuple[Ranked, ...],
 ) -> Placement:
     if choice.index is None:
@@ -246,7 +246,7 @@
             considered=considered,
         )
     return Placement(
-        warm[choice.index],
+        replicas[choice.index],
         is_preferred=choice.index == 0,
         finish_s=choice.finish_s,
     )
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -15,6 +15,9 @@
 from crocusshunt.reports import explain_request
 
 
+_GIVE_UP_S = 15
+
+
 @pytest.fixture(autouse=True)
 def _stop_soon(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr('crocusshunt.front._service._LINGER_S', 0)
@@ -111,6 +114,12 @@
     assert 'back  after' in explained
 
 
+async def _await_lines(log: io.StringIO, part: str, count: int) -> None:
+    async with asyncio.timeout(_GIVE_UP_S):
+        while log.getvalue().count(part) < count:
+            await asyncio.sleep(0.02)
+
+
 async def test_lost_and_regained_store_are_one_line_each(
     log: io.StringIO,
 ) -> None:
@@ -119,9 +128,9 @@
         deployment.store.put('op', 'other', b'')
         deployment.store.put('servers', 'other', b'')
         deployment.store.put('hosts', 'other', b'')
-        await deployment.settle(1.5)
+        await _await_lines(log, '"event":"store lost"', 3)
         deployment.store.faults.is_down = False
-        await deployment.settle(1.5)
+        await _await_lines(log, '"event":"store regained"', 3)
     text = log.getvalue()
     assert text.count('"event":"store lost"') == 3
     assert text.count('"event":"store regained"') == 3
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -1,6 +1,6 @@
 """Which part of a region's objects is served in the region itself."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from crocusshunt.core import draw_uniform, score_rendezvous
@@ -69,23 +69,27 @@
     servers: Iterable[TrackedServer],
     region: str,
     locality: Locality,
-) -> list[TrackedServer]:
+) -> Iterator[TrackedServer]:
     """Order servers for an object, the preferred one first.
 
     All hosts of a region agree on the order without talking to each other.
-    Objects beyond the local share prefer another region's server.
+    Objects beyond the local share prefer another region's server. The less
+    preferred part is ordered only when it is asked for.
     """
+    local: list[TrackedServer] = []
+    remote: list[TrackedServer] = []
+    for server in servers:
+        (local if server.region == region else remote).append(server)
     stays = draw_uniform(key, _SPILL) < locality.local_share
     spare = locality.spare or {}
     has_spare = any(spare.values())
 
-    def weigh(server: TrackedServer) -> tuple[bool, float]:
+    def score(server: TrackedServer) -> float:
         entry = server.entry
-        is_local = server.region == region
         weight = float(entry.slots)
-        if not is_local and has_spare:
+        if has_spare and server.region != region:
             weight *= max(_LEAST_SPARE, spare.get(server.region, 0))
-        score = score_rendezvous(key, entry.name, weight)
-        return (is_local == stays, score)
+        return score_rendezvous(key, entry.name, weight)
 
-    return sorted(servers, key=weigh, reverse=True)
+    for part in (local, remote) if stays else (remote, local):
+        yield from sorted(part, key=score, reverse=True)
--- a/crocusshunt/placement/tests/test_overload.py
+++ b/crocusshunt/placement/tests/test_overload.py
@@ -9,6 +9,7 @@
 import random
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
+from itertools import islice
 
 import pytest
 
@@ -109,7 +110,7 @@
                     times.expect_service('r', 0.6, one.entry.name),
                     times.expect_turn('p', 0.6, one.entry.name),
                 )
-                for one in ranked[: self.settings.replicas]
+                for one in islice(ranked, self.settings.replicas)
             ]
             need = Need(self.objective_s, _TIMEOUT_S, is_urgent)
             choice = choose_server(need, replicas, self.settings)
@@ -204,7 +205,7 @@
         servers = book.select('p')
         plan = Locality(0.5, {'b': 10})
         return {
-            key: rank_servers(key, servers, 'a', plan)[0].entry.name
+            key: next(rank_servers(key, servers, 'a', plan)).entry.name
             for key in keys
         }
 
@@ -223,7 +224,9 @@
     keys = [f'o{number}' for number in range(1000)]
     regions = [
         [
-            rank_servers(key, servers, 'a', Locality(share, {'b': 1}))[0].region
+            next(
+                rank_servers(key, servers, 'a', Locality(share, {'b': 1})),
+            ).region
             for key in keys
         ]
         for share in (0.7, 0.67)
