--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -1,7 +1,6 @@
 """A host with a store and backend servers, on the loopback address."""
 
 import asyncio
-import json
 import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -15,7 +14,16 @@
 from crocusshunt.core import SystemClock
 from crocusshunt.front import FrontService, FrontSettings
 from crocusshunt.platform import SOURCE
-from crocusshunt.standin import MemoryFeedStore
+from crocusshunt.standin import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    SERVERS_TABLE,
+    CustomerDocument,
+    MemoryFeedStore,
+    describe_route,
+    encode_configuration,
+    encode_server,
+)
 
 NAMES = SOURCE.headers
 KEY = 'key-of-court'
@@ -100,24 +108,6 @@
     return response
 
 
-def describe_route(**changes: Any) -> dict[str, Any]:
-    """Return a route of the configuration."""
-    spec = {
-        'host': 'a.example',
-        'prefix': '/a/',
-        'kind': 'idempotent',
-        'timeout_s': 5.0,
-        'target_latency_s': 0.5,
-        'priority': 0,
-        'service': 'pool',
-        'max_attempts': 2,
-        'public': False,
-        'sticky': True,
-        'home_regions': [],
-    }
-    return {**spec, **changes}
-
-
 @dataclass(slots=True)
 class Deployment:
     """One host, its store and its backend servers."""
@@ -137,28 +127,14 @@
     ) -> None:
         """Put a newer configuration into the store."""
         self._version += 1
-        named = [
-            ('routes', f'r{number}', spec) for number, spec in enumerate(routes)
-        ]
-        customer = {'api_keys': keys, 'rate_per_s': rate, 'burst': rate}
-        named.append(('tenants', 'court', customer))
-        resources = [
-            {'resource_kind': kind, 'metadata': {'name': name}, 'spec': spec}
-            for kind, name, spec in named
-        ]
-        document = {'version': f'{self._version:08x}', 'resources': resources}
-        self.store.put('op', 'config', json.dumps(document).encode())
+        customer = CustomerDocument('court', keys, rate, rate)
+        content = encode_configuration(self._version, routes, (customer,))
+        self.store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, content)
 
     def announce(self, backend: Backend, state: str = 'ready') -> None:
         """Write the entry of a backend server."""
-        entry = {
-            'address': backend.address,
-            'born': 1,
-            'info': {'service': 'pool', 'zone': 'a1', 'slots': 4},
-            'status': {'state': state, 'cold_left_s': 0},
-        }
-        content = json.dumps(entry).encode()
-        self.store.put('servers', backend.name, content)
+        content = encode_server(backend.address, 'pool', 'a1', state)
+        self.store.put(SERVERS_TABLE, backend.name, content)
 
     async def ask(
         self,
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -9,11 +9,10 @@
 from crocusshunt.front.tests._deployment import (
     Deployment,
     deploy,
-    describe_route,
 )
 from crocusshunt.logs import start_logging
 from crocusshunt.reports import explain_request
-
+from crocusshunt.standin import describe_route
 
 _GIVE_UP_S = 15
 
--- a/crocusshunt/front/tests/test_host.py
+++ b/crocusshunt/front/tests/test_host.py
@@ -9,9 +9,9 @@
     NAMES,
     Backend,
     deploy,
-    describe_route,
     sign,
 )
+from crocusshunt.standin import describe_route
 
 
 @pytest.fixture(autouse=True)
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -8,6 +8,16 @@
     RunCounter,
     create_backends,
 )
+from crocusshunt.standin._documents import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    EMPTIED_PREFIX,
+    SERVERS_TABLE,
+    CustomerDocument,
+    describe_route,
+    encode_configuration,
+    encode_server,
+)
 from crocusshunt.standin._feeds import (
     FeedFaults,
     FeedStoreApplication,
@@ -18,8 +28,13 @@
 from crocusshunt.standin._settings import StandinSection, StandinSettings
 
 __all__ = (
+    'CONFIGURATION_KEY',
+    'CONFIGURATION_TABLE',
+    'EMPTIED_PREFIX',
+    'SERVERS_TABLE',
     'BackendService',
     'BackendSwitches',
+    'CustomerDocument',
     'Fault',
     'FeedFaults',
     'FeedStoreApplication',
@@ -32,4 +47,7 @@
     'StandinSettings',
     'Switches',
     'create_backends',
+    'describe_route',
+    'encode_configuration',
+    'encode_server',
 )
