Share loads of full servers within a region; relieve crowded regions; greet newcomers

The six ledger servers there held 20 requests each, while hosts expected 0.7 s of them: a host meets a server every few seconds there, and its knowledge of the load had faded. Requests went on to them while other regions idled (timeouts and rejections for half of the sanctions). Callers with little time were refused beside idle servers.

Change: heartbeats tell the load of servers without a free slot; a request that its server has no room for goes to the server that another region prefers for the object, for at most 6 % of requests; a region whose servers are full keeps a smaller share of its objects. The first heartbeat of a start is answered at once, rates are divided again, and getting ready is told at once. The wait told for a token is at most 2 s, and a free slot is always used.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -28,6 +28,7 @@
     :param versions: version of each followed table that it knows.
     :param demand: offered requests a second, by customer.
     :param busy: busy slots of backend servers, by pool.
+    :param full: requests at backend servers that had no free slot lately.
     """
 
     name: str
@@ -37,6 +38,7 @@
     versions: tuple[int, ...] = ()
     demand: dict[str, float] = {}
     busy: dict[str, float] = {}
+    full: dict[str, int] = {}
 
 
 class RegionSummary(
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -61,6 +61,7 @@
         """Return the answer for the caller."""
         now = self._clock.monotonic()
         self._retries.note_request(job.placing.pool, now)
+        self._placer.note_request(now)
         held_until = now + self._find_hold(job)
         while True:
             placement = self._placer.place(job.placing)
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -9,6 +9,7 @@
 from crocusshunt.front._placing import PlacerState, Placing
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.placement import (
+    ServerEntry,
     ServerFailure,
     Timing,
     TrackedServer,
@@ -209,14 +210,20 @@
             entry.address,
             connection,
         )
-        load = answer.find(names.load.lower().encode())
-        report = parse_load(load.decode('latin-1')) if load else None
-        if report is not None:
-            # The answered request still counts as in flight here.
-            now = self._clock.monotonic()
-            self._state.find_load(entry.name).note_report(report, now)
+        self._note_report(entry, answer)
         return answer
 
+    def _note_report(self, entry: ServerEntry, answer: UpstreamAnswer) -> None:
+        told = answer.find(self._names.load.lower().encode())
+        report = parse_load(told.decode('latin-1')) if told else None
+        if report is None:
+            return
+        # The answered request still counts as in flight here.
+        load = self._state.find_load(entry.name)
+        load.note_report(report, self._clock.monotonic())
+        if load.reported >= entry.slots:
+            self._state.full[entry.name] = load.reported
+
     def _judge(self, answer: UpstreamAnswer) -> Outcome:
         not_run = answer.find(self._names.not_run.lower().encode())
         if answer.status == _STATUS_MISDIRECTED:
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -37,6 +37,8 @@
 # A host's part of a rate is small, so its tokens come in steps; part of the
 # latency objective that a request may wait for the next one.
 _TOKEN_WAIT = 0.3
+# Parts of rates change each second, so a longer wait cannot be told.
+_LONGEST_TOKEN_WAIT_S = 2
 
 
 @dataclass(slots=True)
@@ -169,7 +171,8 @@
         patience_s = _TOKEN_WAIT * admission.route.objective_s
         grant = await tokens.take(customer, patience_s)
         if not grant.is_granted:
-            return Refusal(Status.too_many, 'over-rate', grant.wait_s)
+            wait_s = min(grant.wait_s, _LONGEST_TOKEN_WAIT_S)
+            return Refusal(Status.too_many, 'over-rate', wait_s)
         try:
             await asyncio.sleep(grant.wait_s)
         except asyncio.CancelledError:
--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -1,11 +1,16 @@
 """Busy slots by pool, and where a region's objects are served."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from crocusshunt.front._knowledge import Knowledge
 from crocusshunt.front._placing import PlacerState
-from crocusshunt.placement import Locality, RegionRoom, plan_locality
+from crocusshunt.placement import (
+    Locality,
+    RegionRoom,
+    adjust_relief,
+    plan_locality,
+)
 
 _NEWEST = 0.2
 # Slower than the share of requests that may change region in two seconds.
@@ -20,6 +25,7 @@
     knowledge: Knowledge
     state: PlacerState
     busy: dict[str, float] = field(default_factory=dict)
+    relief: dict[str, float] = field(default_factory=dict)
 
     def plan(self, now: float) -> None:
         """Measure, and move each pool's locality by a bounded step."""
@@ -29,11 +35,21 @@
         self.state.localities = {
             pool: _approach(
                 known.get(pool),
-                plan_locality(region, self._find_rooms(pool, now)),
+                self._relieve(
+                    pool,
+                    plan_locality(region, self._find_rooms(pool, now)),
+                    now,
+                ),
             )
             for pool in self.knowledge.servers.pools
         }
 
+    def take_full(self, full: Mapping[str, int], now: float) -> None:
+        """Take loads of full servers that another host tells of."""
+        for server, total in full.items():
+            if self.knowledge.servers.find(server) is not None:
+                self.state.find_load(server).note_peer(total, now)
+
     def sum_busy(self, now: float) -> dict[str, float]:
         """Return the busy slots of this region's hosts, by pool."""
         total = dict(self.busy)
@@ -43,6 +59,25 @@
                 total[pool] = total.get(pool, 0) + busy
         return total
 
+    def _relieve(self, pool: str, plan: Locality, now: float) -> Locality:
+        """Send more objects elsewhere while this region's servers are full."""
+        region = self.knowledge.fleet.own.region
+        own = [
+            one.entry
+            for one in self.knowledge.servers.select(pool)
+            if one.region == region
+        ]
+        has_spare = any((plan.spare or {}).values())
+        if not own or not has_spare:
+            return plan
+        find_load = self.state.find_load
+        full = sum(
+            find_load(entry.name).estimate(now) >= entry.slots for entry in own
+        )
+        relief = adjust_relief(self.relief.get(pool, 1), full / len(own))
+        self.relief[pool] = relief
+        return replace(plan, local_share=plan.local_share * relief)
+
     def _measure(self) -> None:
         servers = self.knowledge.servers
         for pool in servers.pools:
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from itertools import chain, islice
+from itertools import chain
 
 from crocusshunt.core import Clock, rank_by_rendezvous
 from crocusshunt.front._admission import Admission
@@ -20,7 +20,7 @@
     choose_server,
     rank_servers,
 )
-from crocusshunt.sharing import SpacedLimiter
+from crocusshunt.sharing import RetryLimit, RetryLimiter, SpacedLimiter
 
 # Two hosts share a cold server's rate, so that one lost host does not leave
 # it without work.
@@ -31,6 +31,12 @@
 _BLIND_RETURN_S = 6
 # A round trip between distant regions; the choice only orders by it.
 _REMOTE_DISTANCE_S = 0.1
+# Requests may change region by a bounded share in two seconds; a part of it
+# is left for objects that move.
+_OVERFLOW_SHARE = 0.06
+_OVERFLOW_EXTRA = 0.5
+_OVERFLOW_WINDOW_S = 2
+_ALL_POOLS = ''
 # Entries and health of servers change within about this.
 _CLOSED_WAIT_S = 1
 
@@ -72,15 +78,31 @@
     considered: tuple[Ranked, ...] = ()
 
 
+def _create_overflow() -> RetryLimiter:
+    return RetryLimiter(
+        RetryLimit(_OVERFLOW_SHARE, _OVERFLOW_EXTRA, _OVERFLOW_WINDOW_S),
+    )
+
+
 @dataclass(slots=True)
 class PlacerState:
-    """What placing depends on besides the configuration."""
+    """What placing depends on besides the configuration.
+
+    :param overflow: requests that may leave their preferred server.
+    :param full: load of servers that showed no free slot lately.
+    """
 
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     times: ServiceTimes = field(default_factory=ServiceTimes)
     localities: Mapping[str, Locality] = field(default_factory=dict)
     familiar: FamiliarObjects = field(default_factory=FamiliarObjects)
     trickle: SpacedLimiter = field(default_factory=SpacedLimiter)
+    overflow: RetryLimiter = field(default_factory=_create_overflow)
+    full: dict[str, int] = field(default_factory=dict)
+
+    def forget_full(self) -> None:
+        """Begin to note full servers anew."""
+        self.full = {}
 
     def find_load(self, server: str) -> ServerLoad:
         """Return the load of a server."""
@@ -103,6 +125,10 @@
         self._settings = settings
         self._clock = clock
 
+    def note_request(self, now: float) -> None:
+        """Count a request, of which a share may leave its server."""
+        self._state.overflow.note_request(_ALL_POOLS, now)
+
     def place(self, placing: Placing) -> Placement:
         """Choose a server for a request, or say when one may have room."""
         now = self._clock.monotonic()
@@ -122,11 +148,23 @@
             return Placement(preferred, is_preferred=True)
         every = chain((preferred,), ranked)
         warm = (one for one in every if self._is_warm(one, now))
-        replicas = list(islice(warm, self._settings.replicas))
+        replicas = self._select_replicas(warm)
         if replicas:
             return self._choose(placing, replicas, now)
         return self._find_cold(open_servers, placing, now)
 
+    def _select_replicas(
+        self,
+        warm: Iterable[TrackedServer],
+    ) -> list[TrackedServer]:
+        """Return the first server, and the first of other regions."""
+        found: dict[str, TrackedServer] = {}
+        for server in warm:
+            found.setdefault(server.region, server)
+            if len(found) >= self._settings.replicas:
+                break
+        return list(found.values())
+
     def _list_open(self, placing: Placing) -> list[TrackedServer]:
         homes = placing.admission.homes
         servers = self._knowledge.servers.select(placing.pool)
@@ -201,6 +239,8 @@
         )
         ranked = [self._describe(one, placing, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
+        if choice.index and not self._state.overflow.spend(_ALL_POOLS, now):
+            choice = choose_server(need, ranked[:1], self._settings)
         return _describe_choice(choice, replicas, tuple(ranked))
 
     def _is_urgent(self, placing: Placing) -> bool:
--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -1,6 +1,7 @@
 """What a host does about once a second, and what it tells the others."""
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 from crocusshunt.services import TaskGroup
 
 _DIGITS = 2
+# Between two looks for what should not wait for the next round.
+_CHECK_S = 0.2
 
 
 @dataclass(slots=True)
@@ -45,19 +48,29 @@
     clock: Clock
     started_at: int
     _sequence: int = 0
+    _was_ready: bool = False
+    _has_newcomers: bool = False
     _heard: frozenset[str] = frozenset()
 
     async def run(self) -> None:
-        """Run a round each heartbeat interval, until cancelled."""
-        while True:
-            self.run_once()
-            await asyncio.sleep(self.settings.heartbeat_s)
+        """Run a round each heartbeat interval, until cancelled.
+
+        Between rounds, tell at once that this host takes requests from now
+        on, and divide limits anew soon after a host came up.
+        """
+        checks = round(self.settings.heartbeat_s / _CHECK_S)
+        for check in itertools.count():
+            if check % checks:
+                self._check_news()
+            else:
+                self.run_once()
+            await asyncio.sleep(_CHECK_S)
 
     def run_once(self) -> None:
         """Measure, divide limits anew, and tell the other hosts."""
         now = self.clock.monotonic()
         self.planner.plan(now)
-        self.tokens.limits.divide(now, is_ready=self.readiness.is_ready)
+        self._divide()
         self.send_heartbeats()
         self._note_hosts(now)
         self.knowledge.connections.expire()
@@ -67,7 +80,9 @@
         now = self.clock.monotonic()
         fleet = self.knowledge.fleet
         self._sequence += 1
+        self._was_ready = self.readiness.is_ready
         self.outbox.send(self._create_heartbeat(now), fleet.neighbours)
+        self.planner.state.forget_full()
         if fleet.speaks_for_region(now):
             self.outbox.send(self._create_summary(now), fleet.strangers)
 
@@ -83,8 +98,35 @@
         else:
             self._hear(message)
 
+    def _check_news(self) -> None:
+        if self._has_newcomers:
+            self._has_newcomers = False
+            self._divide()
+        if self.readiness.is_ready != self._was_ready:
+            self.send_heartbeats()
+
+    def _divide(self) -> None:
+        is_ready = self.readiness.is_ready
+        self.tokens.limits.divide(self.clock.monotonic(), is_ready=is_ready)
+
+    def _greet(self, message: News) -> None:
+        """Answer the first message of a start, so that both know each other."""
+        peer = self.knowledge.fleet.peers.get(message.name)
+        if peer is None or not isinstance(message, Heartbeat):
+            return
+        known = peer.heartbeat
+        if known is None or known.started_at != message.started_at:
+            self._has_newcomers = True
+            self._sequence += 1
+            heartbeat = self._create_heartbeat(self.clock.monotonic())
+            self.outbox.send_to(heartbeat, message.name)
+
     def _hear(self, message: News) -> None:
-        peer = self.knowledge.fleet.hear(message, self.clock.monotonic())
+        self._greet(message)
+        now = self.clock.monotonic()
+        peer = self.knowledge.fleet.hear(message, now)
+        if peer is not None and isinstance(message, Heartbeat):
+            self.planner.take_full(message.full, now)
         if peer is not None:
             compare = self.followers.compare
             self.tasks.start(compare(peer.record, message.versions))
@@ -108,6 +150,7 @@
             versions=self.followers.versions,
             demand=_round_all(self.tokens.limits.demand.rates(now)),
             busy=_round_all(self.planner.busy),
+            full=self.planner.state.full,
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -19,6 +19,7 @@
 from crocusshunt.placement._locality import (
     Locality,
     RegionRoom,
+    adjust_relief,
     plan_locality,
     rank_servers,
 )
@@ -46,6 +47,7 @@
     'Timing',
     'TrackedServer',
     'WeightedSplit',
+    'adjust_relief',
     'choose_server',
     'parse_load',
     'plan_locality',
--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -8,7 +8,8 @@
 class ChoiceSettings:
     """How far down the ranking a request may go, and how late it may end.
 
-    :param replicas: servers at which one object may be kept warm.
+    :param replicas: servers, each of another region, that are considered;
+        one that another region prefers for an object is warm as well.
     :param unfamiliar: factor on the time at a server that has not handled
         the object lately.
     :param gain: a later server must finish within this part of the
@@ -17,7 +18,7 @@
         the most urgent requests of its pool.
     """
 
-    replicas: int = 1
+    replicas: int = 2
     unfamiliar: float = 2
     gain: float = 0.6
     room_per_slot: float = 1.2
@@ -96,10 +97,10 @@
     """Return the server that serves a request best.
 
     The preferred server keeps the object warm, so a request costs it least.
-    Another replica is chosen only where the preferred one would miss the
+    Another one is chosen only where the preferred one would miss the
     objective and the other is clearly earlier, or has room where the
-    preferred one has none. A request that no replica has room for is turned
-    away at once: what runs beyond the room would make all others late.
+    preferred one has none. A request that none has room for is turned away
+    at once: what runs beyond the room would make all others late.
 
     >>> need = Need(objective_left_s=0.6, time_left_s=4)
     >>> full, free = Ranked('s1', 4, 9, 0.2, 0.3), Ranked('s2', 4, 0, 0.2, 0.3)
@@ -109,11 +110,11 @@
     0
     """
     times = [one.finish_s(settings.unfamiliar) for one in ranked]
-    order = [0]
+    order = list(range(len(ranked)))
     if times[0] > need.objective_left_s:
-        order = sorted(range(len(ranked)), key=times.__getitem__)
-        if times[order[0]] > settings.gain * times[0]:
-            order = list(range(len(ranked)))
+        by_time = sorted(order, key=times.__getitem__)
+        if times[by_time[0]] <= settings.gain * times[0]:
+            order = by_time
     for index in order:
         if _has_room(need, ranked[index], times[index], settings):
             return Choice(index, times[index])
@@ -126,6 +127,9 @@
     finish_s: float,
     settings: ChoiceSettings,
 ) -> bool:
+    if server.load + 1 <= server.slots:
+        # It can begin at once; how long it takes is a guess.
+        return True
     if finish_s > need.time_left_s:
         return False
     if need.is_urgent:
--- a/crocusshunt/placement/_loads.py
+++ b/crocusshunt/placement/_loads.py
@@ -52,6 +52,11 @@
         self._others = max(0, self.reported - self.in_flight)
         self._reported_at = now
 
+    def note_peer(self, total: int, now: float) -> None:
+        """Take what another host lately read of the server's load."""
+        self._others = max(0, total - self.in_flight)
+        self._reported_at = now
+
     def estimate(self, now: float) -> float:
         """Return the likely number of requests running or waiting there."""
         age = max(0, now - self._reported_at)
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -11,6 +11,13 @@
 _COMFORTABLE_UTILIZATION = 0.5
 # Slots; keeps a full region last in the order instead of out of it.
 _LEAST_SPARE = 0.01
+# Shares of a region's servers that are full; between them nothing moves.
+_CROWDED = 0.3
+_ROOMY = 0.1
+# Per second; objects that move are cold at first where nobody uses them.
+_RELIEF_STEP = 0.05
+_RETURN_STEP = 0.02
+_LEAST_RELIEF = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +71,28 @@
     return Locality(usable * own.slots / own.demand, spare)
 
 
+def adjust_relief(relief: float, crowded: float) -> float:
+    """Return the part of a region's local share that its servers can take.
+
+    The plan counts busy slots and takes all servers for equally fast and
+    evenly loaded. Where many of them are full nevertheless, more objects go
+    elsewhere, and they return slowly once there is room again.
+
+    :param relief: the part until now, 1 for the whole local share.
+    :param crowded: share of the region's servers without a free slot.
+
+    >>> adjust_relief(1, crowded=0.5), adjust_relief(0.5, crowded=0)
+    (0.95, 0.52)
+    >>> adjust_relief(0.5, crowded=0.2)
+    0.5
+    """
+    if crowded >= _CROWDED:
+        return max(_LEAST_RELIEF, relief - _RELIEF_STEP)
+    if crowded <= _ROOMY:
+        return min(1, relief + _RETURN_STEP)
+    return relief
+
+
 def rank_servers(
     key: str,
     servers: Iterable[TrackedServer],
--- a/crocusshunt/placement/tests/test_overload.py
+++ b/crocusshunt/placement/tests/test_overload.py
@@ -233,3 +233,10 @@
     ]
     moved = sum(one != two for one, two in zip(*regions, strict=True))
     assert moved / len(keys) < 0.05
+
+
+def test_free_slot_is_used_however_long_requests_usually_take() -> None:
+    """Callers with little time were turned away beside idle servers."""
+    idle = Ranked('s1', 6, 0, service_s=0.45, turn_s=0.45, is_familiar=False)
+    need = Need(objective_left_s=0.8, time_left_s=0.8, is_urgent=False)
+    assert choose_server(need, (idle,), ChoiceSettings()).index == 0
