--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -109,22 +109,27 @@
         is_ready = self.readiness.is_ready
         self.tokens.limits.divide(self.clock.monotonic(), is_ready=is_ready)
 
-    def _greet(self, message: News) -> None:
-        """Answer the first message of a start, so that both know each other."""
+    def _is_newcomer(self, message: News) -> bool:
+        """Tell whether a heartbeat is the first one of its host's start."""
         peer = self.knowledge.fleet.peers.get(message.name)
         if peer is None or not isinstance(message, Heartbeat):
-            return
+            return False
         known = peer.heartbeat
-        if known is None or known.started_at != message.started_at:
-            self._has_newcomers = True
-            self._sequence += 1
-            heartbeat = self._create_heartbeat(self.clock.monotonic())
-            self.outbox.send_to(heartbeat, message.name)
+        return known is None or known.started_at != message.started_at
+
+    def _greet(self, host: str) -> None:
+        """Answer a newcomer, so that both know each other."""
+        self._has_newcomers = True
+        self._sequence += 1
+        heartbeat = self._create_heartbeat(self.clock.monotonic())
+        self.outbox.send_to(heartbeat, host)
 
     def _hear(self, message: News) -> None:
-        self._greet(message)
         now = self.clock.monotonic()
+        is_newcomer = self._is_newcomer(message)
         peer = self.knowledge.fleet.hear(message, now)
+        if is_newcomer:
+            self._greet(message.name)
         if peer is not None and isinstance(message, Heartbeat):
             self.planner.take_full(message.full, now)
         if peer is not None:
--- /dev/null
+++ b/crocusshunt/front/tests/test_rounds.py
@@ -0,0 +1,161 @@
+"""What hosts tell each other, and how soon."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import cast
+from unittest.mock import Mock
+
+from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
+from crocusshunt.core import ManualClock
+from crocusshunt.fleet import (
+    DatagramEndpoint,
+    FleetSettings,
+    FleetView,
+    HostRecord,
+    encode,
+)
+from crocusshunt.front._limits import SharedLimits
+from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._outbox import Outbox
+from crocusshunt.front._placing import PlacerState
+from crocusshunt.front._rounds import Rounds
+from crocusshunt.front._tokens import TokenDesk
+from crocusshunt.placement import ServerBook, ServerEntry
+from crocusshunt.sharing import RetryLimit, RetryLimiter
+
+_NAMES = ('h1', 'h2')
+_RULE = CustomerRule('court', rate=100, burst=100)
+
+
+@dataclass(slots=True)
+class _Region:
+    """Hosts whose datagrams arrive at once."""
+
+    clock: ManualClock = field(default_factory=ManualClock)
+    hosts: dict[str, Rounds] = field(default_factory=dict)
+
+    def start(self, name: str) -> Rounds:
+        """Start a host that knows the records of all others."""
+        fleet = FleetView(_record(name), FleetSettings())
+        for peer in _NAMES:
+            fleet.put(_record(peer))
+        servers = ServerBook({'a1': 'a', 'b1': 'b'})
+        for number in range(4):
+            domain = 'a1' if number < 2 else 'b1'
+            entry = ServerEntry(f's{number}', 'p', f'x:{number}', domain, 4)
+            servers.put(entry, now=0)
+        knowledge = Mock(
+            fleet=fleet,
+            servers=servers,
+            index=CatalogIndex(Catalog(1, customers=(_RULE,))),
+        )
+        outbox = Outbox(fleet)
+        outbox.endpoint = cast(DatagramEndpoint, _Wire(self))
+        limits = SharedLimits(knowledge, RetryLimiter(RetryLimit(0, 0, 1)))
+        rounds = Rounds(
+            knowledge=knowledge,
+            followers=Mock(versions=()),
+            readiness=Mock(is_ready=True),
+            planner=LocalityPlanner(knowledge, PlacerState()),
+            tokens=TokenDesk(limits, self.clock, outbox.send_to),
+            outbox=outbox,
+            tasks=Mock(),
+            settings=FleetSettings(),
+            clock=self.clock,
+            started_at=len(self.hosts) + 1,
+        )
+        self.hosts[name] = rounds
+        rounds.run_once()
+        return rounds
+
+
+@dataclass(frozen=True, slots=True)
+class _Wire:
+    region: _Region
+
+    def send(self, content: bytes, host: str, port: int) -> None:
+        """Deliver a datagram, if its host runs."""
+        rounds = self.region.hosts.get(host)
+        if rounds is not None:
+            rounds.receive(content)
+
+
+def _record(name: str) -> HostRecord:
+    return HostRecord(name, name, 7600, f'{name}:80', 'a1', 'a')
+
+
+def _list_heard(rounds: Rounds, now: float) -> Iterable[str]:
+    heard = rounds.knowledge.fleet.list_heard(now)
+    return [peer.record.name for peer in heard]
+
+
+def test_newcomer_and_the_others_know_each_other_at_once() -> None:
+    region = _Region()
+    first = region.start('h1')
+    second = region.start('h2')
+    now = region.clock.monotonic()
+    assert _list_heard(first, now) == ['h2']
+    assert _list_heard(second, now) == ['h1']
+
+
+def test_rates_are_divided_again_soon_after_a_host_came_up() -> None:
+    region = _Region()
+    first = region.start('h1')
+    second = region.start('h2')
+    first.tokens.limits.demand.count('court', 0, amount=600)
+    first.run_once()
+    second._check_news()
+    parts = [one.tokens.limits.parts['court'].rate for one in (first, second)]
+    assert sum(parts) <= _RULE.rate + 1e-6
+    assert parts[0] > parts[1]
+
+
+def test_getting_ready_is_told_before_the_next_round() -> None:
+    region = _Region()
+    first = region.start('h1')
+    second = region.start('h2')
+    second.readiness = Mock(is_ready=False)
+    second._check_news()
+    assert not first.knowledge.fleet.list_ready(region.clock.monotonic())
+    second.readiness = Mock(is_ready=True)
+    second._check_news()
+    ready = first.knowledge.fleet.list_ready(region.clock.monotonic())
+    assert [record.name for record in ready] == ['h2']
+
+
+def test_load_of_a_full_server_reaches_the_other_hosts() -> None:
+    region = _Region()
+    first = region.start('h1')
+    second = region.start('h2')
+    first.planner.state.full['s1'] = 20
+    first.run_once()
+    now = region.clock.monotonic()
+    assert second.planner.state.find_load('s1').estimate(now) == 20
+    assert not first.planner.state.full
+
+
+def test_full_region_keeps_fewer_objects_until_it_has_room() -> None:
+    region = _Region()
+    rounds = region.start('h1')
+    planner = rounds.planner
+    shares = []
+    for second in range(12):
+        region.clock.advance(1)
+        now = region.clock.monotonic()
+        for name in ('s0', 's1'):
+            load = planner.state.find_load(name)
+            load.in_flight = 4 if second < 6 else 1
+        planner.plan(now)
+        shares.append(planner.state.localities['p'].local_share)
+    assert shares[5] < shares[0]
+    assert shares[11] > shares[6]
+    steps = [abs(two - one) for one, two in zip(shares, shares[1:])]
+    assert max(steps) <= 0.06
+
+
+def test_garbage_is_logged_and_passed_over() -> None:
+    region = _Region()
+    rounds = region.start('h1')
+    rounds.receive(b'garbage')
+    rounds.receive(encode(_record('h2')))
+    assert not list(_list_heard(rounds, region.clock.monotonic()))
