Send what must not be repeated on fresh connections only; drop state of gone servers

Cause: the grown deployments list servers that forget connections which rested 0.3 s; a write sent on one is reset, and its outcome stays unknown. Loads, paces and objects of servers that are gone were kept for ever.

Change: requests that may not be sent twice use a kept connection only within 0.2 s of its last answer. Each round drops the state of servers that are gone.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -164,7 +164,7 @@
         left = placing.final_at - self._clock.monotonic()
         try:
             async with asyncio.timeout(left):
-                connection = await self._connect(server)
+                connection = await self._connect(server, placing)
                 answer = await self._exchange(
                     attempt,
                     server,
@@ -181,10 +181,18 @@
             )
         return self._judge(answer)
 
-    async def _connect(self, server: TrackedServer) -> Connection:
+    async def _connect(
+        self,
+        server: TrackedServer,
+        placing: Placing,
+    ) -> Connection:
         entry = server.entry
         connections = self._knowledge.connections
-        kept = connections.take(entry.name, entry.address)
+        kept = connections.take(
+            entry.name,
+            entry.address,
+            is_repeatable=placing.admission.route.is_idempotent,
+        )
         return kept or await connections.open(entry.address)
 
     async def _exchange(
--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -50,6 +50,13 @@
             if self.knowledge.servers.find(server) is not None:
                 self.state.find_load(server).note_peer(total, now)
 
+    def forget_gone(self) -> None:
+        """Drop what is known of servers that are gone."""
+        find = self.knowledge.servers.find
+        for name in tuple(self.state.loads):
+            if find(name) is None:
+                self.state.forget(name)
+
     def sum_busy(self, now: float) -> dict[str, float]:
         """Return the busy slots of this region's hosts, by pool."""
         total = dict(self.busy)
--- a/crocusshunt/front/_placing.py
+++ b/crocusshunt/front/_placing.py
@@ -104,6 +104,13 @@
         """Begin to note full servers anew."""
         self.full = {}
 
+    def forget(self, server: str) -> None:
+        """Drop what is known of a server."""
+        self.loads.pop(server, None)
+        self.times.forget(server)
+        self.familiar.forget(server)
+        self.trickle.forget(server)
+
     def find_load(self, server: str) -> ServerLoad:
         """Return the load of a server."""
         return self.loads.setdefault(server, ServerLoad())
--- a/crocusshunt/front/_rounds.py
+++ b/crocusshunt/front/_rounds.py
@@ -74,6 +74,7 @@
         self.send_heartbeats()
         self._note_hosts(now)
         self.knowledge.connections.expire()
+        self.planner.forget_gone()
 
     def send_heartbeats(self) -> None:
         """Tell the region about this host, or the others about the region."""
--- a/crocusshunt/front/tests/test_rounds.py
+++ b/crocusshunt/front/tests/test_rounds.py
@@ -153,6 +153,20 @@
     assert max(steps) <= 0.06
 
 
+def test_state_of_gone_servers_is_dropped() -> None:
+    region = _Region()
+    rounds = region.start('h1')
+    state = rounds.planner.state
+    for name in ('s0', 's1'):
+        state.find_load(name)
+        state.familiar.note(name, 'o1')
+    rounds.knowledge.servers.remove('s1')
+    rounds.run_once()
+    assert 's0' in state.loads
+    assert 's1' not in state.loads
+    assert not state.familiar.is_familiar('s1', 'o1')
+
+
 def test_garbage_is_logged_and_passed_over() -> None:
     region = _Region()
     rounds = region.start('h1')
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -14,11 +14,14 @@
 
     :param connect_timeout_s: longest wait for a new connection, in seconds.
     :param max_idle_s: longest time a connection is kept unused, in seconds.
+    :param max_idle_unrepeatable_s: the same before a request that must not
+        be sent twice, in seconds.
     :param max_kept: idle connections kept for one server.
     """
 
     connect_timeout_s: float = 0.7
     max_idle_s: float = 8
+    max_idle_unrepeatable_s: float = 0.2
     max_kept: int = 4
 
 
@@ -52,15 +55,29 @@
         self._kept: dict[tuple[str, str], deque[_Kept]] = {}
         self.opened = 0
 
-    def take(self, name: str, address: str) -> Connection | None:
-        """Return the connection used last, None without a fresh one."""
+    def take(
+        self,
+        name: str,
+        address: str,
+        *,
+        is_repeatable: bool,
+    ) -> Connection | None:
+        """Return the connection used last, None without a fresh one.
+
+        A server may forget an idle connection and reset what is sent on it.
+
+        :param is_repeatable: whether the request may then be sent again.
+        """
+        settings = self._settings
+        longest = settings.max_idle_s
+        if not is_repeatable:
+            longest = settings.max_idle_unrepeatable_s
         kept = self._kept.get((name, address))
         now = self._clock.monotonic()
-        while kept:
-            newest = kept.pop()
-            if newest.is_fresh(now, self._settings.max_idle_s):
-                return newest.connection
-            newest.connection.close()
+        while kept and not kept[-1].is_fresh(now, settings.max_idle_s):
+            kept.pop().connection.close()
+        if kept and kept[-1].is_fresh(now, longest):
+            return kept.pop().connection
         return None
 
     async def open(self, address: str) -> Connection:
