--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -17,53 +16,24 @@
 from crocusshunt.standin import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    LOOPBACK,
     SERVERS_TABLE,
     CustomerDocument,
     MemoryFeedStore,
     describe_route,
+    draw_free_ports,
     encode_configuration,
     encode_server,
 )
 
 NAMES = SOURCE.headers
 KEY = 'key-of-court'
-_HOST = '127.0.0.1'
 _CATCH_UP_S = 10
 _POLL_S = 0.02
-# Linux gives outgoing connections ports from 32768 up.
-_LOWEST_PORT = 20_000
-_HIGHEST_PORT = 32_000
 
 Behave = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
 
 
-def _find_ports(count: int) -> list[int]:
-    """Return free ports, the last of which is followed by a free one.
-
-    They lie below those that the kernel gives to outgoing connections, which
-    would otherwise take a drawn port before the host listens on it.
-    """
-    while True:
-        first = random.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        ports = list(range(first, first + count + 1))
-        if all(map(_is_free, ports)):
-            return ports[:count]
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as stream, _open_datagram_socket() as datagrams:
-        try:
-            stream.bind((_HOST, port))
-            datagrams.bind((_HOST, port))
-        except OSError:
-            return False
-    return True
-
-
-def _open_datagram_socket() -> socket.socket:
-    return socket.socket(type=socket.SOCK_DGRAM)
-
-
 @dataclass(slots=True)
 class Backend:
     """A backend server that keeps what it received.
@@ -82,7 +52,7 @@
         """Listen on a free port."""
         self.runner = web.ServerRunner(web.Server(self._handle))
         await self.runner.setup()
-        await web.TCPSite(self.runner, _HOST, 0).start()
+        await web.TCPSite(self.runner, LOOPBACK, 0).start()
         host, port = self.runner.addresses[0]
         self.address = f'{host}:{port}'
 
@@ -181,15 +151,17 @@
 async def deploy(*names: str) -> AsyncIterator[Deployment]:
     """Run a host with backend servers of some names."""
     store = MemoryFeedStore()
-    front, ready, directory, internal = _find_ports(4)
+    # The metrics take the port after the internal one.
+    ports = draw_free_ports(5, random.Random())
+    front, ready, directory, internal = ports[:4]
     settings = FrontSettings(
         name='h1',
-        ip=_HOST,
+        ip=LOOPBACK,
         region='a',
         failure_domain='a1',
-        front_address=f'{_HOST}:{front}',
-        ready_address=f'{_HOST}:{ready}',
-        directory_address=f'{_HOST}:{directory}',
+        front_address=f'{LOOPBACK}:{front}',
+        ready_address=f'{LOOPBACK}:{ready}',
+        directory_address=f'{LOOPBACK}:{directory}',
         internal_port=internal,
         regions={'a1': 'a', 'b1': 'b'},
         store_address='',
--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -3,42 +3,21 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-_HOST = '127.0.0.1'
-# Below the ports that Linux gives to outgoing connections.
-_LOWEST_PORT = 20_000
-_HIGHEST_PORT = 32_000
-_PORTS_PER_HOST = 6
+from crocusshunt.standin import LOOPBACK
+
+# Requests, readiness, look-ups, two between hosts, one to spare.
+PORTS_PER_HOST = 6
 _EXIT_POLL_S = 0.05
 _ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 
 
-def draw_ports(draw: random.Random) -> int:
-    """Return the first of some free ports in a row."""
-    while True:
-        first = draw.randrange(_LOWEST_PORT, _HIGHEST_PORT)
-        if all(map(_is_free, range(first, first + _PORTS_PER_HOST))):
-            return first
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(type=kind) as probe:
-            try:
-                probe.bind((_HOST, port))
-            except OSError:
-                return False
-    return True
-
-
 @dataclass(slots=True)
 class HostProcess:
     """One host of the system.
@@ -60,17 +39,17 @@
     @property
     def front(self) -> str:
         """Return where it takes requests."""
-        return f'{_HOST}:{self.first_port}'
+        return f'{LOOPBACK}:{self.first_port}'
 
     @property
     def ready(self) -> str:
         """Return where it answers readiness checks."""
-        return f'{_HOST}:{self.first_port + 1}'
+        return f'{LOOPBACK}:{self.first_port + 1}'
 
     @property
     def directory(self) -> str:
         """Return where it answers look-ups."""
-        return f'{_HOST}:{self.first_port + 2}'
+        return f'{LOOPBACK}:{self.first_port + 2}'
 
     @property
     def is_running(self) -> bool:
@@ -83,7 +62,7 @@
         document = {
             'self': {
                 'node_name': self.name,
-                'ip': _HOST,
+                'ip': LOOPBACK,
                 'zone': self.failure_domain,
                 'region': _ZONES[self.failure_domain],
             },
--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from crocusshunt.standin import LOOPBACK
+
 _CHUNK_BYTES = 65_536
 _DELAY_S = 0.15
 
@@ -39,7 +41,7 @@
         """Listen on a free port."""
         self._server = await asyncio.start_server(
             self._serve,
-            '127.0.0.1',
+            LOOPBACK,
             0,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-
 # A host that was undisturbed for so long keeps all bounds.
 TOUCH_S = 4
 
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -12,9 +12,9 @@
 from crocusshunt.platform import SOURCE
 from crocusshunt.soak._proxy import Proxy
 from crocusshunt.soak._records import Run
+from crocusshunt.standin import LOOPBACK
 
 _NAMES = SOURCE.headers
-_HOST = '127.0.0.1'
 _SLOTS = 4
 _QUEUE = 4
 _MEAN_WORK_S = 0.03
@@ -64,7 +64,7 @@
         server = web.Server(self._handle, handler_cancellation=True)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
-        await web.TCPSite(self._runner, _HOST, 0).start()
+        await web.TCPSite(self._runner, LOOPBACK, 0).start()
         host, port = self._runner.addresses[0]
         self.proxy = Proxy(f'{host}:{port}')
         await self.proxy.start()
--- a/crocusshunt/soak/_world.py
+++ b/crocusshunt/soak/_world.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientError, ClientSession, web
 
 from crocusshunt.soak._plan import SoakSettings
-from crocusshunt.soak._processes import HostProcess, draw_ports
+from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._proxy import Proxy
 from crocusshunt.soak._records import (
     Change,
@@ -22,11 +22,13 @@
 from crocusshunt.standin import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    LOOPBACK,
     SERVERS_TABLE,
     CustomerDocument,
     FeedStoreApplication,
     MemoryFeedStore,
     describe_route,
+    draw_free_ports,
     encode_configuration,
     encode_server,
 )
@@ -191,7 +193,7 @@
         application = FeedStoreApplication(self.store).create()
         self._store_runner = web.AppRunner(application, shutdown_timeout=0)
         await self._store_runner.setup()
-        await web.TCPSite(self._store_runner, '127.0.0.1', 0).start()
+        await web.TCPSite(self._store_runner, LOOPBACK, 0).start()
         host, port = self._store_runner.addresses[0]
         return f'{host}:{port}'
 
@@ -203,7 +205,7 @@
         host = HostProcess(
             name=name,
             failure_domain=_DOMAINS[number % len(_DOMAINS)],
-            first_port=draw_ports(self.draw),
+            first_port=draw_free_ports(PORTS_PER_HOST, self.draw)[0],
             store=proxy.address,
             workdir=Path(self.settings.workdir),
         )
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -25,12 +25,14 @@
 )
 from crocusshunt.standin._memory import MemoryPlatform, Switches
 from crocusshunt.standin._platform import PlatformService
+from crocusshunt.standin._ports import LOOPBACK, draw_free_ports
 from crocusshunt.standin._settings import StandinSection, StandinSettings
 
 __all__ = (
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
     'EMPTIED_PREFIX',
+    'LOOPBACK',
     'SERVERS_TABLE',
     'BackendService',
     'BackendSwitches',
@@ -48,6 +50,7 @@
     'Switches',
     'create_backends',
     'describe_route',
+    'draw_free_ports',
     'encode_configuration',
     'encode_server',
 )
