Trust an own fresh report of a load before a peer's; relieve only into roomy regions

Change: a peer's report counts only where the own one is older than a second; a region is relieved only while the others have room.

--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -68,20 +68,18 @@
 
     def _relieve(self, pool: str, plan: Locality, now: float) -> Locality:
         """Send more objects elsewhere while this region's servers are full."""
-        region = self.knowledge.fleet.own.region
-        own = [
-            one.entry
-            for one in self.knowledge.servers.select(pool)
-            if one.region == region
-        ]
-        has_spare = any((plan.spare or {}).values())
-        if not own or not has_spare:
-            return plan
-        find_load = self.state.find_load
-        full = sum(
-            find_load(entry.name).estimate(now) >= entry.slots for entry in own
+        own_region = self.knowledge.fleet.own.region
+        own: list[bool] = []
+        others: list[bool] = []
+        for server in self.knowledge.servers.select(pool):
+            load = self.state.find_load(server.entry.name).estimate(now)
+            group = own if server.region == own_region else others
+            group.append(load >= server.entry.slots)
+        relief = adjust_relief(
+            self.relief.get(pool, 1),
+            _mean(own),
+            _mean(others),
         )
-        relief = adjust_relief(self.relief.get(pool, 1), full / len(own))
         self.relief[pool] = relief
         return replace(plan, local_share=plan.local_share * relief)
 
@@ -124,6 +122,10 @@
         return demand
 
 
+def _mean(flags: list[bool]) -> float:
+    return sum(flags) / len(flags) if flags else 1
+
+
 def _approach(known: Locality | None, plan: Locality) -> Locality:
     """Move towards a plan by a bounded step."""
     if known is None:
--- a/crocusshunt/placement/_loads.py
+++ b/crocusshunt/placement/_loads.py
@@ -6,6 +6,7 @@
 _PARTS = 3
 # Reports older than this say little: a slot turns over about once a second.
 _REPORT_DECAY_S = 1.0
+_PEER_REPORT_AGE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +45,7 @@
     in_flight: int = 0
     reported: int = 0
     _others: float = 0
-    _reported_at: float = 0
+    _reported_at: float = float('-inf')
 
     def note_report(self, report: LoadReport, now: float) -> None:
         """Take the report of an answer that has just come."""
@@ -53,7 +54,13 @@
         self._reported_at = now
 
     def note_peer(self, total: int, now: float) -> None:
-        """Take what another host lately read of the server's load."""
+        """Take what another host lately read of the server's load.
+
+        It may be a heartbeat interval old, so a newer report of its own tells
+        this host more.
+        """
+        if now - self._reported_at < _PEER_REPORT_AGE_S:
+            return
         self._others = max(0, total - self.in_flight)
         self._reported_at = now
 
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -71,22 +71,24 @@
     return Locality(usable * own.slots / own.demand, spare)
 
 
-def adjust_relief(relief: float, crowded: float) -> float:
+def adjust_relief(relief: float, crowded: float, elsewhere: float) -> float:
     """Return the part of a region's local share that its servers can take.
 
     The plan counts busy slots and takes all servers for equally fast and
-    evenly loaded. Where many of them are full nevertheless, more objects go
-    elsewhere, and they return slowly once there is room again.
+    evenly loaded. Where many of them are full nevertheless, and those of
+    other regions are not, more objects go there; they return slowly once
+    there is room again.
 
     :param relief: the part until now, 1 for the whole local share.
     :param crowded: share of the region's servers without a free slot.
+    :param elsewhere: the same of all other regions.
 
-    >>> adjust_relief(1, crowded=0.5), adjust_relief(0.5, crowded=0)
+    >>> adjust_relief(1, 0.5, elsewhere=0), adjust_relief(0.5, 0, elsewhere=0)
     (0.95, 0.52)
-    >>> adjust_relief(0.5, crowded=0.2)
+    >>> adjust_relief(0.5, 0.5, elsewhere=0.5)
     0.5
     """
-    if crowded >= _CROWDED:
+    if crowded >= _CROWDED and elsewhere <= _ROOMY:
         return max(_LEAST_RELIEF, relief - _RELIEF_STEP)
     if crowded <= _ROOMY:
         return min(1, relief + _RETURN_STEP)
--- a/crocusshunt/placement/tests/test_overload.py
+++ b/crocusshunt/placement/tests/test_overload.py
@@ -240,3 +240,13 @@
     idle = Ranked('s1', 6, 0, service_s=0.45, turn_s=0.45, is_familiar=False)
     need = Need(objective_left_s=0.8, time_left_s=0.8, is_urgent=False)
     assert choose_server(need, (idle,), ChoiceSettings()).index == 0
+
+
+def test_own_fresh_report_counts_more_than_one_of_a_peer() -> None:
+    """Heartbeats are up to a second old; they hid that servers had room."""
+    load = ServerLoad()
+    load.note_report(LoadReport(1, 0, 5), now=10)
+    load.note_peer(20, now=10.5)
+    assert load.estimate(now=10.5) < 5
+    load.note_peer(20, now=12)
+    assert load.estimate(now=12) == 20
