--- a/crocusshunt/programs/demo.py
+++ b/crocusshunt/programs/demo.py
@@ -6,7 +6,7 @@
 
 Options:
   --serve            Keep the fleet up until SIGTERM; the first line of
-                     output describes it as a JSON object.
+                     output describes it as a JSON object, once it serves.
   --deployment=NAME  abay or trosarina [default: abay].
   --examples=DIR     Directory of the deployments' declarations.
   --help             Show this text.
@@ -24,7 +24,13 @@
 from aiomisc import Service
 from docopt import docopt
 
-from crocusshunt.demo import Fleet, FleetSettings, describe_fleet, run_session
+from crocusshunt.demo import (
+    Fleet,
+    FleetSettings,
+    await_service,
+    describe_fleet,
+    run_session,
+)
 from crocusshunt.logs import start_logging
 from crocusshunt.services import create_loop
 from crocusshunt.settings import SettingsError
@@ -42,6 +48,7 @@
         """Bring the fleet up and describe it."""
         await self._fleet.start()
         document = describe_fleet(self._fleet)
+        await await_service(document)
         print(msgspec.json.encode(document).decode(), flush=True)
 
     async def stop(self, exception: Exception | None = None) -> Any:
--- a/crocusshunt/programs/tests/test_demo.py
+++ b/crocusshunt/programs/tests/test_demo.py
@@ -9,7 +9,7 @@
 import pytest
 
 from crocusshunt.demo import FleetDocument
-from crocusshunt.programs.tests.site import GIVE_UP_S, PROGRAMS, STATUS_OK, poll
+from crocusshunt.programs.tests.site import GIVE_UP_S, PROGRAMS, STATUS_OK
 
 
 @pytest.fixture(params=['abay', 'trosarina'])
@@ -33,18 +33,14 @@
 ) -> None:
     async with aiohttp.ClientSession() as session:
         for sample in served.sample_requests:
-
-            async def ask() -> tuple[int, str]:
-                async with session.request(
-                    sample.method,
-                    sample.url,
-                    headers=sample.headers,
-                    data=sample.body or None,
-                ) as response:
-                    return response.status, await response.text()
-
-            status, text = await poll(ask, lambda seen: seen[0] != 503)
-            assert status == STATUS_OK, text
+            async with session.request(
+                sample.method,
+                sample.url,
+                headers=sample.headers,
+                data=sample.body or None,
+            ) as response:
+                text = await response.text()
+                assert response.status == STATUS_OK, text
             received = msgspec.json.decode(text)
             assert received['customer'] == sample.customer
             assert received['body'] == sample.body
