Check settings and configurations by crocusctl; describe the soak

crocusctl check reads the platform's files as a host would, without one, and names contradictions. The settings file of a host and the other documents of the platform are written in one place for tests and the soak.

--- a/crocusshunt/ctl/__init__.py
+++ b/crocusshunt/ctl/__init__.py
@@ -3,6 +3,7 @@
 from crocusshunt.ctl import (  # noqa: F401
     _audits,
     _changes,
+    _checks,
     _keys,
     _movements,
     _queries,
--- a/crocusshunt/programs/ctl.py
+++ b/crocusshunt/programs/ctl.py
@@ -29,6 +29,7 @@
 --reason=TEXT
   crocusctl [options] shift list
   crocusctl [options] status
+  crocusctl [options] check (settings|configuration) FILE
   crocusctl [options] explain REQUEST_ID (--log=FILE)...
   crocusctl [options] top (--log=FILE)...
   crocusctl [options] report (--log=FILE)... --out=PAGE
--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -1,7 +1,6 @@
 """Hosts as processes of their own, started and ended by their ids."""
 
 import asyncio
-import json
 import os
 import signal
 import subprocess  # noqa: S404
@@ -10,12 +9,12 @@
 from pathlib import Path
 from typing import Any
 
-from crocusshunt.standin import LOOPBACK
+from crocusshunt.standin import LOOPBACK, HostDocument, encode_settings
 
 # Requests, readiness, look-ups, two between hosts, one to spare.
 PORTS_PER_HOST = 6
 _EXIT_POLL_S = 0.05
-_ZONES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 
 
 @dataclass(slots=True)
@@ -58,27 +57,17 @@
 
     def write_settings(self) -> None:
         """Write the settings file of the platform's format."""
-        internal = self.first_port + 3
-        document = {
-            'self': {
-                'node_name': self.name,
-                'ip': LOOPBACK,
-                'zone': self.failure_domain,
-                'region': _ZONES[self.failure_domain],
-            },
-            'network': {
-                'listen': {
-                    'front': self.front,
-                    'ready': self.ready,
-                    'directory': self.directory,
-                },
-                'internal_ports': [internal, internal + 1],
-                'zones': _ZONES,
-            },
-            'platform': {'platform': {'address': self.store}},
-            'terms': {'bounds': {'grace_s': self.grace_s}},
-        }
-        self._settings_path.write_text(json.dumps(document))
+        content = encode_settings(
+            HostDocument(
+                self.name,
+                self.failure_domain,
+                self.first_port,
+                self.store,
+                self.grace_s,
+            ),
+            REGIONS,
+        )
+        self._settings_path.write_bytes(content)
 
     def start(self) -> None:
         """Start the process."""
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -14,9 +14,11 @@
     EMPTIED_PREFIX,
     SERVERS_TABLE,
     CustomerDocument,
+    HostDocument,
     describe_route,
     encode_configuration,
     encode_server,
+    encode_settings,
 )
 from crocusshunt.standin._feeds import (
     FeedFaults,
@@ -40,6 +42,7 @@
     'Fault',
     'FeedFaults',
     'FeedStoreApplication',
+    'HostDocument',
     'MemoryFeedStore',
     'MemoryPlatform',
     'PlatformService',
@@ -53,4 +56,5 @@
     'draw_free_ports',
     'encode_configuration',
     'encode_server',
+    'encode_settings',
 )
--- a/crocusshunt/standin/_documents.py
+++ b/crocusshunt/standin/_documents.py
@@ -6,10 +6,13 @@
 
 import msgspec
 
+from crocusshunt.standin._ports import LOOPBACK
+
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 SERVERS_TABLE = 'servers'
 EMPTIED_PREFIX = 'evacuate/'
+_LISTENING_PORTS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,8 +51,12 @@
     version: int,
     routes: Iterable[dict[str, Any]],
     customers: Iterable[CustomerDocument],
+    pools: Iterable[str] = (),
 ) -> bytes:
-    """Return the row content of a configuration."""
+    """Return the row content of a configuration.
+
+    :param pools: names of the pools that it lists.
+    """
     resources = [
         _describe_resource('routes', f'r{number}', spec)
         for number, spec in enumerate(routes)
@@ -61,6 +68,7 @@
             'burst': customer.burst,
         }
         resources.append(_describe_resource('tenants', customer.name, spec))
+    resources.extend(_describe_resource('services', pool, {}) for pool in pools)
     document = {'version': f'{version:08x}', 'resources': resources}
     return msgspec.json.encode(document)
 
@@ -85,6 +93,52 @@
     return msgspec.json.encode(entry)
 
 
+@dataclass(frozen=True, slots=True)
+class HostDocument:
+    """A host on the loopback address.
+
+    :param first_port: for requests; readiness, look-ups and traffic between
+        hosts take the ports after it.
+    :param store: address of the store.
+    """
+
+    name: str
+    failure_domain: str
+    first_port: int
+    store: str
+    grace_s: float = 6
+
+
+def encode_settings(host: HostDocument, regions: dict[str, str]) -> bytes:
+    """Return the settings file that the platform writes for a host.
+
+    :param regions: region of each failure domain.
+    """
+    ports = [host.first_port + place for place in range(_LISTENING_PORTS)]
+    addresses = [f'{LOOPBACK}:{port}' for port in ports]
+    document = {
+        'self': {
+            'node_name': host.name,
+            'ip': LOOPBACK,
+            'zone': host.failure_domain,
+            'region': regions[host.failure_domain],
+        },
+        'network': {
+            'listen': {
+                'front': addresses[0],
+                'ready': addresses[1],
+                'directory': addresses[2],
+            },
+            # Between hosts, and metrics.
+            'internal_ports': ports[3:],
+            'zones': regions,
+        },
+        'platform': {'platform': {'address': host.store}},
+        'terms': {'bounds': {'grace_s': host.grace_s}},
+    }
+    return msgspec.json.encode(document)
+
+
 def _describe_resource(
     kind: str,
     name: str,
