Use rested connections for writes until a server was seen to forget one

Change: a rested connection that is reset as soon as a request was sent on it makes the host careful for 30 s: requests that must not be sent twice then use only connections that rested half as long or less. The event is logged.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -8,6 +8,7 @@
 from crocusshunt.front._knowledge import Knowledge
 from crocusshunt.front._placing import PlacerState, Placing
 from crocusshunt.front._settings import HeaderNames
+from crocusshunt.logs import log_event
 from crocusshunt.placement import (
     ServerEntry,
     ServerFailure,
@@ -212,7 +213,7 @@
         ]
         if customer is not None:
             added.append((names.customer, customer.name))
-        answer = await connection.exchange(attempt.build(added))
+        answer = await self._ask(connection, attempt.build(added), entry)
         self._knowledge.connections.give_back(
             entry.name,
             entry.address,
@@ -221,6 +222,25 @@
         self._note_report(entry, answer)
         return answer
 
+    async def _ask(
+        self,
+        connection: Connection,
+        request: UpstreamRequest,
+        entry: ServerEntry,
+    ) -> UpstreamAnswer:
+        sent_at = self._clock.monotonic()
+        try:
+            return await connection.exchange(request)
+        except AnswerBrokenError:
+            after_s = self._clock.monotonic() - sent_at
+            if self._knowledge.connections.note_broken(connection, after_s):
+                log_event(
+                    'idle connection was forgotten',
+                    server=entry.name,
+                    rested_s=round(connection.rested_s, 3),
+                )
+            raise
+
     def _note_report(self, entry: ServerEntry, answer: UpstreamAnswer) -> None:
         told = answer.find(self._names.load.lower().encode())
         report = parse_load(told.decode('latin-1')) if told else None
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -8,20 +8,26 @@
 from crocusshunt.upstream._messages import EchoPolicy
 
 
+# A forgotten connection is reset as soon as its server gets the request.
+_RESET_WITHIN_S = 0.25
+# Of the rest after which a connection was forgotten.
+_CAREFUL_REST = 0.5
+
+
 @dataclass(frozen=True, slots=True)
 class PoolSettings:
     """How connections are opened and kept.
 
     :param connect_timeout_s: longest wait for a new connection, in seconds.
     :param max_idle_s: longest time a connection is kept unused, in seconds.
-    :param max_idle_unrepeatable_s: the same before a request that must not
-        be sent twice, in seconds.
+    :param careful_for_s: how long a forgotten connection makes this host
+        careful with requests that must not be sent twice, in seconds.
     :param max_kept: idle connections kept for one server.
     """
 
     connect_timeout_s: float = 0.7
     max_idle_s: float = 8
-    max_idle_unrepeatable_s: float = 0.2
+    careful_for_s: float = 30
     max_kept: int = 4
 
 
@@ -53,6 +59,8 @@
         self._echo = echo
         self._clock = clock
         self._kept: dict[tuple[str, str], deque[_Kept]] = {}
+        self._careful_rest_s: float = 0
+        self._careful_until: float = 0
         self.opened = 0
 
     def take(
@@ -65,20 +73,39 @@
         """Return the connection used last, None without a fresh one.
 
         A server may forget an idle connection and reset what is sent on it.
+        Once that was seen, a request that must not be sent twice uses only
+        connections that rested clearly shorter.
 
-        :param is_repeatable: whether the request may then be sent again.
+        :param is_repeatable: whether the request may be sent again.
         """
-        settings = self._settings
-        longest = settings.max_idle_s
-        if not is_repeatable:
-            longest = settings.max_idle_unrepeatable_s
+        longest = self._settings.max_idle_s
         kept = self._kept.get((name, address))
         now = self._clock.monotonic()
-        while kept and not kept[-1].is_fresh(now, settings.max_idle_s):
+        while kept and not kept[-1].is_fresh(now, longest):
             kept.pop().connection.close()
-        if kept and kept[-1].is_fresh(now, longest):
-            return kept.pop().connection
-        return None
+        if not is_repeatable and now < self._careful_until:
+            longest = self._careful_rest_s
+        if not kept or not kept[-1].is_fresh(now, longest):
+            return None
+        newest = kept.pop()
+        newest.connection.rested_s = now - newest.since
+        return newest.connection
+
+    def note_broken(self, used: Connection, after_s: float) -> bool:
+        """Take that an exchange broke; return whether rest was the cause.
+
+        :param after_s: time from its sending, in seconds.
+        """
+        is_forgotten = used.rested_s > 0 and after_s < _RESET_WITHIN_S
+        if not is_forgotten:
+            return False
+        now = self._clock.monotonic()
+        rest_s = used.rested_s * _CAREFUL_REST
+        if now < self._careful_until:
+            rest_s = min(rest_s, self._careful_rest_s)
+        self._careful_rest_s = rest_s
+        self._careful_until = now + self._settings.careful_for_s
+        return True
 
     async def open(self, address: str) -> Connection:
         """Open a new connection.
