Believe removals and ask peers sooner after a cut from the store

Change: the pause ends when removals that were put off are due; a host whose own feed fails asks a peer after 0.4 s; failed calls back off to 0.6 s again.

--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -15,7 +15,7 @@
 from crocusshunt.logs import log_event
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 1
+_LONGEST_PAUSE_S = 0.6
 _PAUSE_GROWTH = 2
 _JITTER = 0.3
 
@@ -130,7 +130,12 @@
         return min(self.settings.wait_s, max(0, left))
 
     def _find_spacing(self) -> float:
-        return self.settings.spacing_s if self._has_news else 0
+        """Return the pause after an answer; removals put off end it."""
+        spacing_s = self.settings.spacing_s if self._has_news else 0
+        if not self._put_off:
+            return spacing_s
+        left_s = self._settled_at - self._clock.monotonic()
+        return min(spacing_s, max(0, left_s))
 
     def _take_whole(self, changes: Changes) -> None:
         self._note_answer()
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -142,3 +142,29 @@
     news = image.merge(Changes(rows, 7))
     assert news == rows
     assert not image.rows
+
+
+async def test_removals_put_off_are_passed_on_as_soon_as_it_settled() -> None:
+    """A pause after other news held them back for another second."""
+    scene = _Scene()
+    settings = FollowerSettings(
+        _TABLE,
+        wait_s=0,
+        spacing_s=1.3,
+        settle_s=_SETTLE_S,
+        outage_s=1,
+    )
+    follower = Follower(scene.store, settings, scene.clock, scene.take)
+    scene.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    await scene.fail_for(follower, 3)
+    scene.store.remove(_TABLE, 'a')
+    await follower.poll()
+    scene.clock.advance(1.5)
+    scene.store.put(_TABLE, 'b', b'')
+    await follower.poll()
+    pause_s = follower._find_spacing()
+    assert pause_s <= _SETTLE_S - 1.5
+    scene.clock.advance(pause_s)
+    await follower.poll()
+    assert scene.news[-1] == ('a', True)
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -27,6 +27,8 @@
 _SERVERS_SETTLE_S = 2
 # The feed brings news at once; a host that lacks them longer asks a peer.
 _BEHIND_S = 1.5
+# One whose own feed fails need not wait: the store answers its peers.
+_CUT_BEHIND_S = 0.4
 _FETCH_TIMEOUT_S = 1
 _FETCH_ERRORS = (ClientError, TimeoutError, OSError, msgspec.DecodeError)
 _STATUS_OK = 200
@@ -110,7 +112,8 @@
                 self._behind_since.pop(place, None)
                 continue
             since = self._behind_since.setdefault(place, now)
-            if now - since >= _BEHIND_S:
+            behind_s = _CUT_BEHIND_S if follower.is_failing else _BEHIND_S
+            if now - since >= behind_s:
                 self._behind_since[place] = now
                 await self._fetch(peer, place)
 
