Keep a host's ports and addresses in one place; remove a constant without users

HostProcess of the soak and encode_settings each worked out the addresses of a host from its first port. The document does it for both now; what was only repeated in HostProcess goes, and a constant of the stand-in that nothing used. Behaviour is as it was.

--- a/crocusshunt/soak/_callers.py
+++ b/crocusshunt/soak/_callers.py
@@ -66,7 +66,7 @@
 
     async def _call(self, call: Call) -> None:
         assert self._session is not None  # noqa: S101
-        fronts = {host.name: host.front for host in self.hosts}
+        fronts = {host.name: host.document.front for host in self.hosts}
         path = 'read' if call.is_idempotent else 'write'
         method = 'GET' if call.is_idempotent else 'POST'
         body = None if call.is_idempotent else call.request_id.encode()
--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from crocusshunt.standin import LOOPBACK, HostDocument, encode_settings
+from crocusshunt.standin import HostDocument, encode_settings
 
 # Requests, readiness, look-ups, two between hosts, one to spare.
 PORTS_PER_HOST = 6
@@ -19,36 +19,18 @@
 
 @dataclass(slots=True)
 class HostProcess:
-    """One host of the system.
+    """One host of the system, with its settings file and logs."""
 
-    :param first_port: of its listening ports.
-    :param store: address at which it reaches the store.
-    """
-
-    name: str
-    failure_domain: str
-    first_port: int
-    store: str
+    document: HostDocument
     workdir: Path
-    grace_s: float = 6
     starts: int = 0
     _process: subprocess.Popen[bytes] | None = None
     _logs: list[Any] = field(default_factory=list)
 
     @property
-    def front(self) -> str:
-        """Return where it takes requests."""
-        return f'{LOOPBACK}:{self.first_port}'
-
-    @property
-    def ready(self) -> str:
-        """Return where it answers readiness checks."""
-        return f'{LOOPBACK}:{self.first_port + 1}'
-
-    @property
-    def directory(self) -> str:
-        """Return where it answers look-ups."""
-        return f'{LOOPBACK}:{self.first_port + 2}'
+    def name(self) -> str:
+        """Return the name of the host."""
+        return self.document.name
 
     @property
     def is_running(self) -> bool:
@@ -57,16 +39,7 @@
 
     def write_settings(self) -> None:
         """Write the settings file of the platform's format."""
-        content = encode_settings(
-            HostDocument(
-                self.name,
-                self.failure_domain,
-                self.first_port,
-                self.store,
-                self.grace_s,
-            ),
-            REGIONS,
-        )
+        content = encode_settings(self.document, REGIONS)
         self._settings_path.write_bytes(content)
 
     def start(self) -> None:
--- a/crocusshunt/soak/_world.py
+++ b/crocusshunt/soak/_world.py
@@ -26,6 +26,7 @@
     SERVERS_TABLE,
     CustomerDocument,
     FeedStoreApplication,
+    HostDocument,
     MemoryFeedStore,
     describe_route,
     draw_free_ports,
@@ -202,13 +203,13 @@
         proxy = Proxy(store_address)
         await proxy.start()
         self.store_proxies[name] = proxy
-        host = HostProcess(
+        document = HostDocument(
             name=name,
             failure_domain=_DOMAINS[number % len(_DOMAINS)],
             first_port=draw_free_ports(PORTS_PER_HOST, self.draw)[0],
             store=proxy.address,
-            workdir=Path(self.settings.workdir),
         )
+        host = HostProcess(document, Path(self.settings.workdir))
         self.hosts.append(host)
         host.start()
 
@@ -223,7 +224,9 @@
 
 async def _is_ready(session: ClientSession, host: HostProcess) -> bool:
     try:
-        async with session.get(f'http://{host.ready}/ready') as response:
+        async with session.get(
+            f'http://{host.document.ready}/ready'
+        ) as response:
             return response.status == _STATUS_OK
     except (ClientError, OSError):
         return False
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -11,7 +11,6 @@
 from crocusshunt.standin._documents import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
-    EMPTIED_PREFIX,
     SERVERS_TABLE,
     CustomerDocument,
     HostDocument,
@@ -33,7 +32,6 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
-    'EMPTIED_PREFIX',
     'LOOPBACK',
     'SERVERS_TABLE',
     'BackendService',
--- a/crocusshunt/standin/_documents.py
+++ b/crocusshunt/standin/_documents.py
@@ -11,8 +11,6 @@
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 SERVERS_TABLE = 'servers'
-EMPTIED_PREFIX = 'evacuate/'
-_LISTENING_PORTS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,14 +106,35 @@
     store: str
     grace_s: float = 6
 
+    @property
+    def front(self) -> str:
+        """Return where it takes requests."""
+        return self._find_address(0)
+
+    @property
+    def ready(self) -> str:
+        """Return where it answers readiness checks."""
+        return self._find_address(1)
+
+    @property
+    def directory(self) -> str:
+        """Return where it answers look-ups."""
+        return self._find_address(2)
+
+    @property
+    def internal_ports(self) -> tuple[int, int]:
+        """Return the ports between hosts and of metrics."""
+        return (self.first_port + 3, self.first_port + 4)
+
+    def _find_address(self, place: int) -> str:
+        return f'{LOOPBACK}:{self.first_port + place}'
+
 
 def encode_settings(host: HostDocument, regions: dict[str, str]) -> bytes:
     """Return the settings file that the platform writes for a host.
 
     :param regions: region of each failure domain.
     """
-    ports = [host.first_port + place for place in range(_LISTENING_PORTS)]
-    addresses = [f'{LOOPBACK}:{port}' for port in ports]
     document = {
         'self': {
             'node_name': host.name,
@@ -125,12 +144,11 @@
         },
         'network': {
             'listen': {
-                'front': addresses[0],
-                'ready': addresses[1],
-                'directory': addresses[2],
+                'front': host.front,
+                'ready': host.ready,
+                'directory': host.directory,
             },
-            # Between hosts, and metrics.
-            'internal_ports': ports[3:],
+            'internal_ports': host.internal_ports,
             'zones': regions,
         },
         'platform': {'platform': {'address': host.store}},
