Start a host of the soak only once

Cause: a kill during a planned stop. The new test leaves two processes on the code before and one now.

--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -47,7 +47,13 @@
         self._settings_path.write_bytes(content)
 
     def start(self) -> None:
-        """Write the settings and start the process with a new log file."""
+        """Write the settings and start the process with a new log file.
+
+        Do nothing if it is running: faults that overlap, such as a kill
+        during a planned stop, each end with a start.
+        """
+        if self.is_running:
+            return
         self.write_settings()
         self.starts += 1
         log = (self.workdir / f'{self.name}.{self.starts}.log').open('wb')
--- /dev/null
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -0,0 +1,50 @@
+"""Hosts of a soak test as processes."""
+
+import asyncio
+import random
+import subprocess  # noqa: S404
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from crocusshunt.soak._faults import inject_fault
+from crocusshunt.soak._plan import PlannedFault, SoakSettings
+from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
+from crocusshunt.soak._system import SoakSystem
+from crocusshunt.standin import HostDocument, draw_free_ports
+
+
+async def test_kill_during_a_stop_leaves_one_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    started: list[subprocess.Popen[bytes]] = []
+    popen = subprocess.Popen
+
+    def start(*arguments: Any, **options: Any) -> subprocess.Popen[bytes]:
+        started.append(popen(*arguments, **options))
+        return started[-1]
+
+    monkeypatch.setattr(subprocess, 'Popen', start)
+    rng = random.Random(7)
+    port = draw_free_ports(PORTS_PER_HOST, rng)[0]
+    document = HostDocument('h0', 'a1', port, '127.0.0.1:9')
+    host = HostProcess(document, tmp_path)
+    settings = SoakSettings(7, 18, 1, 1, ('stop-host', 'kill-host'))
+    system = SoakSystem(settings, rng, hosts=[host])
+    host.start()
+    log = tmp_path / 'h0.1.log'
+    async with asyncio.timeout(30):
+        while b'host started' not in log.read_bytes():
+            await asyncio.sleep(0.05)
+    stop = asyncio.create_task(
+        inject_fault(system, PlannedFault('stop-host', 0, 1, 0))
+    )
+    await asyncio.sleep(0.1)
+    await inject_fault(system, PlannedFault('kill-host', 0, 1, 0))
+    await stop
+    running = [one for one in started if one.poll() is None]
+    for one in started:
+        one.kill()
+        one.wait()
+    assert len(running) == 1
