Process pipelined requests of a connection at the same time

Load: callers that send several reads on one connection before the first is answered. aiohttp begins them one after the other, so the last one waited for the sum of all and missed its objective although servers were free.

Writes begin in their turn. Each request has its own deadline and counts as in flight. A connection closes after the last request that began; what stands behind is not begun.

--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,7 +1,7 @@
 """HTTP handler of callers' requests: admission, body, dispatch, response."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -19,6 +19,7 @@
     select_response_headers,
 )
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._pipelining import InFlight
 from crocusshunt.front._placement import PlacementRequest
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
@@ -41,24 +42,6 @@
 _MAX_REPORTED_WAIT_S = 2
 
 
-@dataclass(slots=True)
-class InFlight:
-    """Requests in flight, and whether the host is stopping.
-
-    :param busy: connections with a request that is not answered yet.
-    :param buffered_bytes: total size of the request bodies held in memory.
-    """
-
-    busy: set[object] = field(default_factory=set)
-    buffered_bytes: int = 0
-    is_stopping: bool = False
-
-    @property
-    def count(self) -> int:
-        """Return the number of requests in flight."""
-        return len(self.busy)
-
-
 @dataclass(frozen=True, slots=True)
 class HandlerComponents:
     """Components that every request passes through."""
@@ -85,7 +68,18 @@
         self._names = names
         self._clock = clock
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    def is_repeatable(self, request: web.BaseRequest) -> bool:
+        """Tell whether a request may be executed more than once.
+
+        That holds also for a request that is refused in any case.
+        """
+        request_info = inspect_request(request, self._names)
+        admitted = admit(request_info, self._components.cluster.index)
+        if isinstance(admitted, Err):
+            return True
+        return admitted.ok_value.route.is_idempotent
+
+    async def respond(self, request: web.BaseRequest) -> web.Response:
         """Return the response to one request."""
         request_info = inspect_request(request, self._names)
         trace = RequestTrace(
@@ -95,17 +89,11 @@
             self._components.cluster.fleet.own,
             caller_timeout_s=request_info.caller_timeout_s,
         )
-        self.in_flight.busy.add(request.protocol)
         try:
-            response = await self._process(request, request_info, trace)
+            return await self._process(request, request_info, trace)
         except asyncio.CancelledError:
             self._finish(trace, 0, OutcomeKind.cancelled, _CAUSE_CALLER_LEFT)
             raise
-        finally:
-            self.in_flight.busy.discard(request.protocol)
-        if self.in_flight.is_stopping:
-            response.force_close()
-        return response
 
     async def _process(
         self,
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -1,7 +1,8 @@
 """Service of a host: requests, lookups, readiness, metrics, peers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -16,6 +17,7 @@
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runner
 from crocusshunt.front._metrics import MetricsEndpoint
+from crocusshunt.front._pipelining import PipelinedServer
 from crocusshunt.front._reload import ReadSettings, SettingsReload
 from crocusshunt.front._settings import FrontSettings, SourceFormat
 from crocusshunt.logs import log_event
@@ -29,6 +31,16 @@
 _LOOKUP_EXPIRY_S = 2.5
 # Draining ends this long before the process is killed.
 _KILL_MARGIN_S = 0.5
+_SERVER_OPTIONS: Mapping[str, Any] = MappingProxyType(
+    {
+        'access_log': None,
+        'handler_cancellation': True,
+        'keepalive_timeout': _KEEPALIVE_S,
+        'max_line_size': _MAX_HEADER_BYTES,
+        'max_field_size': _MAX_HEADER_BYTES,
+        'auto_decompress': False,
+    },
+)
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -114,7 +126,8 @@
         )
         ready = ReadyCheck(components.readiness)
         internal = f'{settings.ip}:{settings.internal_port}'
-        await self._listen(settings.front_address, components.handler.handle)
+        front = PipelinedServer(components.handler, **_SERVER_OPTIONS)
+        await self._listen_with(settings.front_address, front)
         await self._listen(settings.directory_address, directory.handle)
         await self._listen(settings.ready_address, ready.handle)
         await self._listen(internal, components.followers.serve_image)
@@ -122,16 +135,11 @@
         await self._listen(metrics, MetricsEndpoint(components).handle)
 
     async def _listen(self, address: str, handle: Handler) -> None:
+        server = web.Server(handle, **_SERVER_OPTIONS)
+        await self._listen_with(address, server)
+
+    async def _listen_with(self, address: str, server: web.Server) -> None:
         host, _separator, port = address.rpartition(':')
-        server = web.Server(
-            handle,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=_KEEPALIVE_S,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_field_size=_MAX_HEADER_BYTES,
-            auto_decompress=False,
-        )
         runner = web.ServerRunner(server)
         await runner.setup()
         site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
--- a/crocusshunt/front/tests/test_draining.py
+++ b/crocusshunt/front/tests/test_draining.py
@@ -8,7 +8,7 @@
 
 from crocusshunt.core import SystemClock
 from crocusshunt.front._draining import drain_runner
-from crocusshunt.front._handler import InFlight
+from crocusshunt.front._pipelining import InFlight
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
@@ -26,9 +26,9 @@
     async def handle(request: web.BaseRequest) -> web.Response:
         # The request is counted as in flight shortly after its bytes arrive.
         await asyncio.sleep(0.02)
-        in_flight.busy.add(request.protocol)
+        in_flight.begin(request.protocol)
         await asyncio.sleep(0.2)
-        in_flight.busy.discard(request.protocol)
+        in_flight.end(request.protocol)
         return web.Response(text='whole')
 
     return handle
@@ -66,7 +66,7 @@
 
 
 async def test_stop_ends_in_time_while_a_request_hangs() -> None:
-    in_flight = InFlight(busy={'hanging'})
+    in_flight = InFlight(busy={'hanging': 1})
 
     async def handle(_request: web.BaseRequest) -> web.Response:
         return web.Response()
