Eject no server for rejections that its pool shares

A rejection counts apart from failures and ejects only a server that rejects nearly everything; nobody is ejected where its peers fail or reject as often, and at most 40 % of a pool at a time.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -304,7 +304,12 @@
         failure = _FAILURES.get(outcome.verdict)
         if failure is None:
             return
-        if cluster.health.note_failure(name, failure, now):
+        peers = [
+            one.entry.name
+            for one in cluster.servers.select(server.entry.pool)
+            if one.entry.name != name
+        ]
+        if cluster.health.note_failure(name, failure, now, peers):
             cluster.handle_ejection(server, outcome.detail)
 
 
--- a/crocusshunt/placement/_health.py
+++ b/crocusshunt/placement/_health.py
@@ -1,8 +1,15 @@
 """Passive health checks: failing servers found from request outcomes."""
 
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
+# A server that rejects fewer requests than this share still serves the others
+# from memory.
+_REJECTION_THRESHOLD_SHARE = 0.9
+_REJECTION_WEIGHT = 0.05
+_REJECTION_MIN_COUNT = 20
+
 
 class ServerFailure(str, Enum):
     """Ways in which a server failed a request.
@@ -17,6 +24,21 @@
     shed = 'shed'
 
 
+@dataclass(frozen=True, slots=True)
+class OutlierBounds:
+    """When a share of bad answers is too high.
+
+    :param threshold: share at which a server is ejected.
+    :param newest_weight: weight of the newest answer in the share, an
+        exponential moving average.
+    :param min_answers: answers needed before the share is used.
+    """
+
+    threshold: float = 0.5
+    newest_weight: float = 0.15
+    min_answers: int = 6
+
+
 @dataclass(frozen=True, slots=True)
 class HealthSettings:
     """When a server is ejected, that is, gets no requests, and for how long.
@@ -25,28 +47,40 @@
         doubled with each further failure, in seconds.
     :param max_ejection_s: longest ejection time of an unreachable server, in
         seconds.
-    :param failure_threshold: share of failures among recent answers at which
-        a server is ejected.
-    :param failure_ejection_s: ejection time of a server that fails part of
-        its requests, in seconds.
-    :param newest_weight: weight of the newest answer in the share of
-        failures, an exponential moving average.
-    :param min_answers: answers needed before the share of failures is used.
+    :param failure: bounds on answers that failed.
+    :param rejection: bounds on requests refused without being run. A server
+        that refuses part of its requests still serves the others, and holds
+        their objects in memory.
+    :param outlier_ejection_s: ejection time of a server whose share of
+        failures or rejections is too high, in seconds.
+    :param max_peer_share: a server is ejected only if the mean share of its
+        peers is not higher; otherwise its requests would fail elsewhere too.
+    :param min_known_peer_share: share of its peers that must have enough
+        answers for the comparison.
+    :param max_ejected_share: highest share of a pool's servers that is
+        ejected, except unreachable ones.
     """
 
     initial_ejection_s: float = 0.5
     max_ejection_s: float = 4
-    failure_threshold: float = 0.5
-    failure_ejection_s: float = 3
-    newest_weight: float = 0.15
-    min_answers: int = 6
+    failure: OutlierBounds = OutlierBounds()
+    rejection: OutlierBounds = OutlierBounds(
+        _REJECTION_THRESHOLD_SHARE,
+        _REJECTION_WEIGHT,
+        _REJECTION_MIN_COUNT,
+    )
+    outlier_ejection_s: float = 3
+    max_peer_share: float = 0.25
+    min_known_peer_share: float = 0.5
+    max_ejected_share: float = 0.4
 
 
 @dataclass(slots=True)
 class ServerHealth:
     """State of one server.
 
-    :param failure_rate: moving average of failures, 0 to 1.
+    :param failure_share: moving average of failed answers, 0 to 1.
+    :param rejection_share: moving average of rejected requests, 0 to 1.
     :param answers: answers since the last ejection for failures.
     :param unreachable: consecutive failures to reach the server.
     :param ejected_until: end of its ejection, monotonic seconds.
@@ -54,12 +88,46 @@
         since.
     """
 
-    failure_rate: float = 0
+    failure_share: float = 0
+    rejection_share: float = 0
     answers: int = 0
     unreachable: int = 0
     ejected_until: float = 0
     is_returning: bool = False
 
+    def find_share(self, failure: ServerFailure) -> float:
+        """Return the share of answers with this kind of failure."""
+        if failure is ServerFailure.shed:
+            return self.rejection_share
+        return self.failure_share
+
+
+def is_outlier(
+    share: float,
+    peer_shares: Sequence[float],
+    threshold: float,
+    max_peer_share: float,
+) -> bool:
+    """Tell whether a server fails often while its peers do not.
+
+    Load pattern: all servers of a pool reject or fail the same part of their
+    requests, as in an overload. Ejecting them one after the other moves their
+    objects to servers that must load them first, and leaves fewer servers for
+    the same load, so more requests fail than before.
+
+    :param share: share of the server's bad answers.
+    :param peer_shares: the same for the other servers of its pool.
+    :param threshold: lowest share of an outlier.
+    :param max_peer_share: highest mean share of its peers.
+
+    >>> is_outlier(0.6, [0.1, 0], threshold=0.5, max_peer_share=0.25)
+    True
+    >>> is_outlier(0.6, [0.5, 0.6], threshold=0.5, max_peer_share=0.25)
+    False
+    """
+    mean = sum(peer_shares) / len(peer_shares) if peer_shares else 0
+    return share >= threshold and mean <= max_peer_share
+
 
 @dataclass(slots=True)
 class HealthTracker:
@@ -96,7 +164,7 @@
     def note_success(self, name: str) -> bool:
         """Record an answer; return whether the server was unreachable."""
         health = self.find(name)
-        self._record_answer(health, failed=0)
+        self._record_answer(health, None)
         health.unreachable = 0
         was_returning = health.is_returning
         health.is_returning = False
@@ -107,21 +175,52 @@
         name: str,
         failure: ServerFailure,
         now: float,
+        peers: Collection[str] = (),
     ) -> bool:
-        """Record a failure; return whether the server is ejected by it."""
+        """Record a failure; return whether the server is ejected by it.
+
+        :param peers: names of the other servers of its pool.
+        """
         health = self.find(name)
         if failure is ServerFailure.unreachable:
             return self._note_unreachable(health, now)
-        self._record_answer(health, failed=1)
-        settings = self.settings
-        is_above_threshold = health.failure_rate >= settings.failure_threshold
-        if not is_above_threshold or health.answers < settings.min_answers:
+        self._record_answer(health, failure)
+        if not self._is_outlier(health, failure, peers):
+            return False
+        ejected = sum(self.is_ejected(peer, now) for peer in peers) + 1
+        if peers and ejected > self.settings.max_ejected_share * len(peers):
             return False
-        health.ejected_until = now + settings.failure_ejection_s
+        health.ejected_until = now + self.settings.outlier_ejection_s
         health.answers = 0
-        health.failure_rate = 0
+        health.failure_share = 0
+        health.rejection_share = 0
         return True
 
+    def _is_outlier(
+        self,
+        health: ServerHealth,
+        failure: ServerFailure,
+        peers: Collection[str],
+    ) -> bool:
+        settings = self.settings
+        is_rejection = failure is ServerFailure.shed
+        bounds = settings.rejection if is_rejection else settings.failure
+        if health.answers < bounds.min_answers:
+            return False
+        known = [
+            other
+            for other in map(self.find, peers)
+            if other.answers >= bounds.min_answers
+        ]
+        if len(known) < settings.min_known_peer_share * len(peers):
+            return False
+        return is_outlier(
+            health.find_share(failure),
+            [other.find_share(failure) for other in known],
+            bounds.threshold,
+            settings.max_peer_share,
+        )
+
     def _note_unreachable(self, health: ServerHealth, now: float) -> bool:
         settings = self.settings
         ejection_s = settings.initial_ejection_s * 2**health.unreachable
@@ -130,7 +229,24 @@
         health.is_returning = True
         return True
 
-    def _record_answer(self, health: ServerHealth, failed: int) -> None:
-        weight = self.settings.newest_weight
-        health.failure_rate += weight * (failed - health.failure_rate)
+    def _record_answer(
+        self, health: ServerHealth, failure: ServerFailure | None
+    ) -> None:
+        """Update the moving averages; ``failure`` is None for a success."""
+        is_rejection = failure is ServerFailure.shed
         health.answers += 1
+        health.rejection_share = _smooth(
+            health.rejection_share,
+            float(is_rejection),
+            self.settings.rejection.newest_weight,
+        )
+        if not is_rejection:
+            health.failure_share = _smooth(
+                health.failure_share,
+                float(failure is not None),
+                self.settings.failure.newest_weight,
+            )
+
+
+def _smooth(known: float, newest: float, weight: float) -> float:
+    return known + weight * (newest - known)
