Observe round trips between regions

It is now the shortest recent time to open a connection, by region, and no longer counts as time in a slot.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -1,7 +1,7 @@
 """One attempt to have a request answered by one backend server."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from crocusshunt.core import Clock
@@ -27,6 +27,7 @@
 _MILLISECONDS = 1000
 _STATUS_MISDIRECTED = 421
 _STATUS_SERVER_ERROR = 500
+_MIN_SERVICE_S = 0.001
 # A server that was unreachable may be cold when it returns, before its entry
 # in the store shows that.
 _RETURN_COLD_S = 2.5
@@ -67,11 +68,14 @@
 
     :param response: the server's own response, if a complete one came.
     :param detail: cause of a failure, for the log.
+    :param took_s: time from sending the request on an open connection to its
+        response, in seconds.
     """
 
     verdict: Verdict
     response: UpstreamAnswer | None = None
     detail: str = ''
+    took_s: float = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -145,9 +149,8 @@
             load.in_flight -= 1
         self._update_health(server, outcome)
         if outcome.verdict is Verdict.answered:
-            duration_s = self._clock.monotonic() - started_at
             self._record_timing(
-                server, placement_request, duration_s, load_before
+                server, placement_request, outcome.took_s, load_before
             )
         return outcome
 
@@ -155,12 +158,13 @@
         self,
         server: TrackedServer,
         placement_request: PlacementRequest,
-        duration_s: float,
+        took_s: float,
         load_before: float,
     ) -> None:
         route = placement_request.admission.route
         entry = server.entry
         load = self._state.find_load(entry.name)
+        round_trip_s = self._state.round_trips.estimate(server.region)
         self._state.recent_objects.note(entry.name, placement_request.key)
         self._state.times.note(
             Timing(
@@ -168,7 +172,7 @@
                 route.objective_s,
                 placement_request.pool,
                 entry.name,
-                duration_s,
+                max(_MIN_SERVICE_S, took_s - round_trip_s),
                 max(load_before, load.reported),
                 entry.slots,
             ),
@@ -184,6 +188,7 @@
         try:
             async with asyncio.timeout(remaining_s):
                 connection = await self._connect(server, placement_request)
+                sent_at = self._clock.monotonic()
                 response = await self._exchange(
                     template,
                     server,
@@ -198,7 +203,8 @@
             return Outcome(
                 Verdict.timed_out, detail='route timeout or deadline'
             )
-        return self._classify(response)
+        took_s = self._clock.monotonic() - sent_at
+        return replace(self._classify(response), took_s=took_s)
 
     async def _connect(
         self,
@@ -212,7 +218,13 @@
             entry.address,
             is_repeatable=placement_request.admission.route.is_idempotent,
         )
-        return reused or await connections.open(entry.address)
+        if reused is not None:
+            return reused
+        started_at = self._clock.monotonic()
+        opened = await connections.open(entry.address)
+        took_s = self._clock.monotonic() - started_at
+        self._state.round_trips.note(server.region, took_s)
+        return opened
 
     async def _exchange(
         self,
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -14,6 +14,7 @@
     Locality,
     RecentObjects,
     RequestConstraints,
+    RoundTrips,
     ServerLoad,
     ServiceTimes,
     TrackedServer,
@@ -32,8 +33,6 @@
 # So long after its ejection ended, a returning server's entry shows whether it
 # is cold, and any host may send to it again.
 _RETURN_TIMEOUT_S = 6
-# Round trip between distant regions, in seconds; used only to compare servers.
-_REMOTE_ROUND_TRIP_S = 0.1
 # In any window of two seconds, at most a bounded share of requests may be
 # served in another region. Part of that bound is reserved for objects whose
 # preferred region changes.
@@ -95,6 +94,7 @@
     """Measured state that placement depends on.
 
     :param loads: load of each server, by name.
+    :param round_trips: to the regions of the servers.
     :param localities: share of objects served in this region, by pool.
     :param recent_objects: objects that each server handled recently.
     :param cold_limiter: spaces this host's requests to each cold server.
@@ -105,6 +105,7 @@
 
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     times: ServiceTimes = field(default_factory=ServiceTimes)
+    round_trips: RoundTrips = field(default_factory=RoundTrips)
     localities: Mapping[str, Locality] = field(default_factory=dict)
     recent_objects: RecentObjects = field(default_factory=RecentObjects)
     cold_limiter: MinIntervalLimiter = field(default_factory=MinIntervalLimiter)
@@ -285,7 +286,6 @@
         request: PlacementRequest,
         now: float,
     ) -> Candidate:
-        own_region = self._cluster.fleet.own.region
         route = request.admission.route
         times = self._state.times
         name = server.entry.name
@@ -296,7 +296,7 @@
             self._state.find_load(name).estimate(now),
             times.estimate_service_time(route.name, objective_s, name),
             times.estimate_slot_release(request.pool, objective_s, name),
-            0 if server.region == own_region else _REMOTE_ROUND_TRIP_S,
+            self._state.round_trips.estimate(server.region),
             self._state.recent_objects.is_recent(name, request.key),
         )
 
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -23,6 +23,7 @@
     plan_locality,
     rank_servers,
 )
+from crocusshunt.placement._round_trips import RoundTrips
 from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
 from crocusshunt.placement._entries import ServerEntry
@@ -38,6 +39,7 @@
     'RecentObjects',
     'RegionLoad',
     'RequestConstraints',
+    'RoundTrips',
     'ServerEntry',
     'ServerFailure',
     'ServerHealth',
--- a/crocusshunt/placement/_service_times.py
+++ b/crocusshunt/placement/_service_times.py
@@ -19,7 +19,8 @@
 
     :param objective_s: the route's latency objective in seconds, from which
         the service time is estimated before the first measurement.
-    :param took_s: time from sending the request to its answer, in seconds.
+    :param took_s: time from sending the request to its answer, without the
+        network round trip, in seconds.
     :param load: highest number of requests at the server seen meanwhile.
     :param slots: requests that the server runs at once.
     """
