Plan a region's share by the load offered, known from the first second

The share of objects served locally followed an average of busy slots that grew from zero and left out the refused requests, so the region's own servers seemed to suffice.

The plan now uses the offered load, arrivals times service time, whose average starts with the first sample. The tests replay the start.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -72,7 +72,7 @@
         """Return the response for the caller, or the reason for a refusal."""
         now = self._clock.monotonic()
         self._retries.note_request(pending.request.pool, now)
-        self._placer.note_request(now)
+        self._placer.note_request(pending.request)
         held_until = now + self._compute_hold_s(pending)
         while True:
             placement = self._placer.place(pending.request)
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -168,7 +168,7 @@
             is_ready=self.readiness.is_ready,
             versions=self.followers.versions,
             demand=_round_values(self.tokens.limits.demand.rates(now)),
-            busy=_round_values(self.planner.busy_slots),
+            busy=_round_values(self.planner.state.offered.averages),
             full=self.planner.state.full_servers,
         )
 
@@ -183,7 +183,7 @@
             hosts=region.hosts,
             versions=self.followers.versions,
             demand=_round_values(region.rates),
-            busy=_round_values(self.planner.sum_busy_slots(now)),
+            busy=_round_values(self.planner.sum_offered_load(now)),
         )
 
 
--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -1,4 +1,4 @@
-"""Measurement of busy slots, and the share of objects served locally."""
+"""The share of objects that a region serves itself."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -12,8 +12,6 @@
     plan_locality,
 )
 
-# Weight of the newest sample in the moving average of busy slots.
-_SMOOTHING = 0.2
 # Largest change of a local share in one step. It stays below the share of
 # requests that may change region in two seconds.
 _LOCALITY_STEP = 0.04
@@ -25,21 +23,19 @@
 class LocalityPlanner:
     """Plans which share of each pool's objects this region serves itself.
 
-    The plan follows from the busy slots that all hosts report.
+    The plan follows from the load that callers offer to all hosts.
 
-    :param busy_slots: moving average of this host's busy slots, by pool.
     :param local_factor: factor on the planned local share, by pool; below 1
         while servers of this region are full.
     """
 
     cluster: ClusterState
     state: PlacerState
-    busy_slots: dict[str, float] = field(default_factory=dict)
     local_factor: dict[str, float] = field(default_factory=dict)
 
     def plan(self, now: float) -> None:
         """Measure load, and move each pool's local share by a bounded step."""
-        self._measure()
+        self.state.offered.measure(now)
         region = self.cluster.fleet.own.region
         known = self.state.localities
         self.state.localities = {
@@ -70,9 +66,9 @@
             if find(name) is None:
                 self.state.forget(name)
 
-    def sum_busy_slots(self, now: float) -> dict[str, float]:
-        """Return the busy slots of this region's hosts, by pool."""
-        total = dict(self.busy_slots)
+    def sum_offered_load(self, now: float) -> dict[str, float]:
+        """Return the load offered to this region's hosts, in slots, by pool."""
+        total = self.state.offered.averages
         for peer in self.cluster.fleet.list_live(now):
             heard = {} if peer.heartbeat is None else peer.heartbeat.busy
             for pool, busy in heard.items():
@@ -98,16 +94,6 @@
         self.local_factor[pool] = local_factor
         return replace(plan, local_share=plan.local_share * local_factor)
 
-    def _measure(self) -> None:
-        servers = self.cluster.servers
-        for pool in servers.pools:
-            busy = sum(
-                self.state.find_load(one.entry.name).in_flight
-                for one in servers.select(pool)
-            )
-            known = self.busy_slots.get(pool, 0)
-            self.busy_slots[pool] = known + _SMOOTHING * (busy - known)
-
     def _collect_loads(self, pool: str, now: float) -> Mapping[str, RegionLoad]:
         """Return the slots and demand of a pool in each region.
 
@@ -134,7 +120,7 @@
             summary.region: summary.busy.get(pool, 0)
             for summary in fleet.list_summaries(now)
         }
-        demand[fleet.own.region] = self.sum_busy_slots(now).get(pool, 0)
+        demand[fleet.own.region] = self.sum_offered_load(now).get(pool, 0)
         return demand
 
 
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -12,6 +12,7 @@
     Choice,
     ChoiceSettings,
     Locality,
+    OfferedLoad,
     RecentObjects,
     RequestConstraints,
     RoundTrips,
@@ -94,6 +95,7 @@
     """Measured state that placement depends on.
 
     :param loads: load of each server, by name.
+    :param offered: load that this host's callers offer to each pool.
     :param round_trips: to the regions of the servers.
     :param localities: share of objects served in this region, by pool.
     :param recent_objects: objects that each server handled recently.
@@ -105,6 +107,7 @@
 
     loads: dict[str, ServerLoad] = field(default_factory=dict)
     times: ServiceTimes = field(default_factory=ServiceTimes)
+    offered: OfferedLoad = field(default_factory=OfferedLoad)
     round_trips: RoundTrips = field(default_factory=RoundTrips)
     localities: Mapping[str, Locality] = field(default_factory=dict)
     recent_objects: RecentObjects = field(default_factory=RecentObjects)
@@ -149,9 +152,17 @@
         self._settings = settings
         self._clock = clock
 
-    def note_request(self, now: float) -> None:
-        """Count a request towards the number that may overflow."""
-        self._state.overflow.note_request(_ALL_POOLS, now)
+    def note_request(self, request: PlacementRequest) -> None:
+        """Count an arriving request in the offered load.
+
+        It also counts towards the number that may overflow.
+        """
+        now = self._clock.monotonic()
+        state = self._state
+        state.overflow.note_request(_ALL_POOLS, now)
+        route = request.admission.route
+        service_s = state.times.estimate_route(route.name, route.objective_s)
+        state.offered.note(request.pool, service_s, now)
 
     def place(self, request: PlacementRequest) -> Placement:
         """Choose a server for a request, or tell when one may have room."""
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -23,6 +23,7 @@
     plan_locality,
     rank_servers,
 )
+from crocusshunt.placement._offered_load import OfferedLoad
 from crocusshunt.placement._round_trips import RoundTrips
 from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
@@ -36,6 +37,7 @@
     'HealthTracker',
     'LoadReport',
     'Locality',
+    'OfferedLoad',
     'RecentObjects',
     'RegionLoad',
     'RequestConstraints',
--- a/crocusshunt/placement/_service_times.py
+++ b/crocusshunt/placement/_service_times.py
@@ -62,6 +62,10 @@
     _pools: dict[str, float] = field(default_factory=dict)
     _slowdowns: dict[str, float] = field(default_factory=dict)
 
+    def estimate_route(self, route: str, objective_s: float) -> float:
+        """Return the mean service time of a route, in seconds."""
+        return self._routes.get(route, _INITIAL_OBJECTIVE_SHARE * objective_s)
+
     def estimate_service_time(
         self,
         route: str,
@@ -69,9 +73,7 @@
         server: str,
     ) -> float:
         """Return the expected service time of a request, in seconds."""
-        average_s = self._routes.get(
-            route, _INITIAL_OBJECTIVE_SHARE * objective_s
-        )
+        average_s = self.estimate_route(route, objective_s)
         return average_s * self._slowdowns.get(server, 1)
 
     def estimate_slot_release(
@@ -86,9 +88,7 @@
     def note(self, timing: Timing) -> None:
         """Record the time of an answered request."""
         service_s = timing.service_s
-        average_s = self._routes.get(
-            timing.route, _INITIAL_OBJECTIVE_SHARE * timing.objective_s
-        )
+        average_s = self.estimate_route(timing.route, timing.objective_s)
         known_slowdown = self._slowdowns.get(timing.server, 1)
         slowdown = max(_MIN_SLOWDOWN, min(_MAX_SLOWDOWN, service_s / average_s))
         self._slowdowns[timing.server] = _smooth(
--- /dev/null
+++ b/crocusshunt/placement/tests/test_offered_load.py
@@ -0,0 +1,50 @@
+"""Offered load after a start under full traffic."""
+
+import pytest
+
+from crocusshunt.placement import OfferedLoad, RegionLoad, plan_locality
+
+_SERVICE_S = 0.07
+_ARRIVALS_PER_S = 170
+
+
+def _offer(load: OfferedLoad, start_s: float, seconds: float) -> None:
+    for number in range(round(seconds * _ARRIVALS_PER_S)):
+        load.note('p', _SERVICE_S, start_s + number / _ARRIVALS_PER_S)
+
+
+def test_crowded_region_is_known_within_a_second_of_a_start() -> None:
+    """Two of twenty servers are here, and a third of the callers."""
+    load = OfferedLoad()
+    for second in range(10):
+        load.measure(second)
+    _offer(load, 10.4, 0.6)
+    load.measure(11)
+    demand = load.averages['p']
+    assert demand == pytest.approx(_SERVICE_S * _ARRIVALS_PER_S, rel=0.05)
+    loads = {
+        'kzn': RegionLoad(8, demand),
+        'gauteng': RegionLoad(32, 0),
+        'westcape': RegionLoad(40, 0),
+    }
+    assert plan_locality('kzn', loads).local_share < 0.4
+
+
+def test_average_follows_the_load_in_seconds() -> None:
+    load = OfferedLoad()
+    for second in range(10):
+        _offer(load, second, 1)
+        load.measure(second + 1)
+    for second in range(10, 20):
+        load.measure(second + 1)
+    assert load.averages['p'] < 0.15 * _SERVICE_S * _ARRIVALS_PER_S
+
+
+def test_too_short_sample_is_continued() -> None:
+    load = OfferedLoad()
+    _offer(load, 0.9, 0.1)
+    load.measure(1)
+    assert not load.averages
+    _offer(load, 1, 1)
+    load.measure(2)
+    assert load.averages['p'] == pytest.approx(11.9, rel=0.05)
