Compare the preferred server of every region

Cause: with three regions a request whose preferred server had no room was compared with one other region's server only, and refused when that one was full too. One server a region stays the rule.

--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -8,9 +8,9 @@
 class ChoiceSettings:
     """Limits on the choice of a server other than the preferred one.
 
-    :param replicas: number of servers considered, each of another region;
-        the server that another region prefers for an object usually holds
-        the object in memory too.
+    :param replicas: highest number of servers considered, each of another
+        region; the server that another region prefers for an object usually
+        holds the object in memory too.
     :param cold_object_factor: factor on the service time at a server that
         has not handled the object recently.
     :param max_time_ratio: another server is chosen before the preferred one
@@ -20,7 +20,7 @@
         only the most urgent requests of its pool.
     """
 
-    replicas: int = 2
+    replicas: int = 4
     cold_object_factor: float = 2
     max_time_ratio: float = 0.6
     max_load_per_slot: float = 1.2
