--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -9,12 +9,13 @@
     Locality,
     RegionLoad,
     adjust_local_factor,
+    move_local_share,
     plan_locality,
 )
 
-# Largest change of a local share in one step. It stays below the share of
-# requests that may change region in two seconds.
-_LOCALITY_STEP = 0.04
+# A region whose slots fell below this share of those at the last plan has lost
+# room.
+_LOST_ROOM_SHARE = 0.9
 # Assumed until traffic is measured.
 _EXPECTED_UTILIZATION = 0.5
 
@@ -32,23 +33,24 @@
     cluster: ClusterState
     state: PlacerState
     local_factor: dict[str, float] = field(default_factory=dict)
+    _own_slots: dict[str, float] = field(default_factory=dict)
 
     def plan(self, now: float) -> None:
         """Measure load, and move each pool's local share by a bounded step."""
         self.state.offered.measure(now)
         region = self.cluster.fleet.own.region
         known = self.state.localities
-        self.state.localities = {
-            pool: _limit_step(
+        planned: dict[str, Locality] = {}
+        for pool in self.cluster.servers.pools:
+            loads = self._collect_loads(pool, now)
+            planned[pool] = move_local_share(
                 known.get(pool),
                 self._apply_local_factor(
-                    pool,
-                    plan_locality(region, self._collect_loads(pool, now)),
-                    now,
+                    pool, plan_locality(region, loads), now
                 ),
+                has_lost_room=self._has_lost_room(pool, loads.get(region)),
             )
-            for pool in self.cluster.servers.pools
-        }
+        self.state.localities = planned
 
     def apply_full_servers(self, full: Mapping[str, int], now: float) -> None:
         """Apply the load of full servers that another host reports.
@@ -75,6 +77,13 @@
                 total[pool] = total.get(pool, 0) + busy
         return total
 
+    def _has_lost_room(self, pool: str, own: RegionLoad | None) -> bool:
+        """Tell whether the region has fewer slots than at the last plan."""
+        slots = 0 if own is None else own.slots
+        before = self._own_slots.get(pool, slots)
+        self._own_slots[pool] = slots
+        return slots < _LOST_ROOM_SHARE * before
+
     def _apply_local_factor(
         self, pool: str, plan: Locality, now: float
     ) -> Locality:
@@ -126,12 +135,3 @@
 
 def _average(flags: list[bool]) -> float:
     return sum(flags) / len(flags) if flags else 1
-
-
-def _limit_step(known: Locality | None, plan: Locality) -> Locality:
-    """Move the local share towards a plan by a bounded step."""
-    if known is None:
-        return plan
-    step = plan.local_share - known.local_share
-    bounded = max(-_LOCALITY_STEP, min(_LOCALITY_STEP, step))
-    return Locality(known.local_share + bounded, plan.spare)
--- a/crocusshunt/front/tests/test_heartbeats.py
+++ b/crocusshunt/front/tests/test_heartbeats.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import cast
 from unittest.mock import Mock
 
@@ -173,3 +174,20 @@
     heartbeat_loop.receive(b'garbage')
     heartbeat_loop.receive(encode(_record('h2')))
     assert not list(_list_heard(heartbeat_loop, region.clock.monotonic()))
+
+
+def test_emptied_domain_is_followed_at_once_and_traffic_in_steps() -> None:
+    region = _Region()
+    heartbeat_loop = region.start('h1')
+    planner = heartbeat_loop.planner
+    shares = []
+    for second in range(6):
+        planner.state.offered.note('p', 6, region.clock.monotonic())
+        region.clock.advance(1)
+        if second == 3:
+            planner.cluster.servers.remove('s0')
+        planner.plan(region.clock.monotonic())
+        shares.append(planner.state.localities['p'].local_share)
+    steps = [before - after for before, after in pairwise(shares)]
+    assert max(steps[0], steps[1], steps[3], steps[4]) <= 0.04 + 1e-9
+    assert steps[2] > 0.1
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -20,6 +20,7 @@
     Locality,
     RegionLoad,
     adjust_local_factor,
+    move_local_share,
     plan_locality,
     rank_servers,
 )
@@ -53,6 +54,7 @@
     'WeightedSplit',
     'adjust_local_factor',
     'choose_server',
+    'move_local_share',
     'parse_load',
     'plan_locality',
     'rank_servers',
