Name in the log why a refused request did not get a free slot

A refusal for lack of room now lists, for each server with a free slot, the rule by which it was not taken: the bound on changes of region, or that another server of its region holds the object. explain prints it.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -133,7 +133,9 @@
             return _create_result(pending, pending.last_outcome)
         if placement.cause == 'no-room' and now < held_until:
             return None
-        pending.trace.record_refusal(placement)
+        pending.trace.record_refusal(
+            placement, self._placer.list_passed_over(pending.request)
+        )
         wait_s = max(_MIN_RETRY_AFTER_S, placement.wait_s)
         return Err(refuse_unavailable(placement.cause, wait_s))
 
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -1,7 +1,7 @@
 """Choice of a backend server for a request."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import chain
 
 from crocusshunt.core import Clock, rank_by_rendezvous
@@ -41,6 +41,10 @@
 _OVERFLOW_EXTRA = 0.5
 _OVERFLOW_WINDOW_S = 2
 _ALL_POOLS = ''
+# Rules by which a free slot is not taken.
+_RULE_REGION_CHANGES = 'region-change-bound'
+_RULE_OBJECT_NOT_HELD = 'object-not-held'
+_MAX_PASSED_OVER_COUNT = 3
 # Entries and health of servers change within about this time.
 _NO_SERVER_RETRY_S = 1
 
@@ -74,6 +78,8 @@
     :param cause: without a server, the code of the reason.
     :param finish_s: expected seconds until the response.
     :param considered: without room, the servers that were compared.
+    :param rules: without room, the rule by which a compared server with a
+        free slot was not taken, by its name.
     """
 
     server: TrackedServer | None
@@ -82,6 +88,21 @@
     cause: str = ''
     finish_s: float = 0
     considered: tuple[Candidate, ...] = ()
+    rules: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PassedOver:
+    """A server with a free slot that a refused request did not get.
+
+    :param load: estimated number of requests running or waiting there.
+    :param rule: why the slot was not taken.
+    """
+
+    name: str
+    load: float
+    slots: int
+    rule: str
 
 
 def _create_overflow() -> RetryLimiter:
@@ -188,6 +209,27 @@
             return self._choose(request, replicas, now)
         return self._choose_cold(eligible, request, now)
 
+    def list_passed_over(
+        self, request: PlacementRequest
+    ) -> tuple[PassedOver, ...]:
+        """Return servers with a free slot that were not compared, for the log.
+
+        Only one server of a region is compared: the one that holds the
+        request's object. On another one the request would take longer and
+        displace an object there.
+        """
+        now = self._clock.monotonic()
+        found: list[PassedOver] = []
+        for server in self._list_eligible(request):
+            name = server.entry.name
+            slots = server.entry.slots
+            load = self._state.find_load(name).estimate(now)
+            if load + 1 <= slots and self._is_warm(server, now):
+                found.append(
+                    PassedOver(name, load, slots, _RULE_OBJECT_NOT_HELD)
+                )
+        return tuple(found[:_MAX_PASSED_OVER_COUNT])
+
     def _select_replicas(
         self,
         warm: Iterable[TrackedServer],
@@ -280,9 +322,13 @@
         )
         ranked = [self._estimate_server(one, request, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
+        rules: dict[str, str] = {}
         if choice.index and not self._state.overflow.spend(_ALL_POOLS, now):
             choice = choose_server(need, ranked[:1], self._settings)
-        return _create_placement(choice, replicas, tuple(ranked))
+            others = [one for one in ranked[1:] if one.has_free_slot]
+            rules = {one.name: _RULE_REGION_CHANGES for one in others}
+        placement = _create_placement(choice, replicas, tuple(ranked))
+        return replace(placement, rules=rules)
 
     def _is_urgent(self, request: PlacementRequest) -> bool:
         index = self._cluster.index
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -7,10 +7,12 @@
 from crocusshunt.metrics import EndedRequest, OutcomeKind, log_request
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from crocusshunt.catalog import CatalogIndex
     from crocusshunt.front._admission import Admission
     from crocusshunt.front._exchange import Outcome
-    from crocusshunt.front._placement import Placement
+    from crocusshunt.front._placement import PassedOver, Placement
     from crocusshunt.placement import TrackedServer
 
 
@@ -39,20 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ConsideredServer:
-    """A server without room for a request, with its estimated load.
+    """A server that a refused request did not get, with its estimated load.
 
     Written to the request's log line under these names.
 
     :param load: requests running or waiting there.
     :param wait_s: expected seconds until a slot is free.
     :param service_s: expected seconds in a slot.
+    :param rule: why a free slot was not taken, empty without one.
     """
 
     server: str
     load: float
     slots: int
-    wait_s: float
-    service_s: float
+    wait_s: float = 0
+    service_s: float = 0
+    rule: str = ''
 
 
 @dataclass(slots=True)
@@ -66,7 +70,7 @@
     :param caller_timeout_s: how long the caller waits, None if unknown.
     :param expected_s: expected seconds until the response when the request was
         refused for lack of room.
-    :param considered: servers that had no room.
+    :param considered: servers that it did not get when it was refused.
     """
 
     request_id: str
@@ -112,8 +116,13 @@
             ),
         )
 
-    def record_refusal(self, placement: 'Placement') -> None:
-        """Record the servers that had no room, with their estimated load."""
+    def record_refusal(
+        self, placement: 'Placement', passed_over: 'Sequence[PassedOver]'
+    ) -> None:
+        """Record the servers that the request did not get.
+
+        :param passed_over: servers with a free slot that were not compared.
+        """
         self.expected_s = round(placement.finish_s, 3)
         self.considered = [
             ConsideredServer(
@@ -122,9 +131,18 @@
                 one.slots,
                 round(one.wait_s, 3),
                 round(one.service_s, 3),
+                placement.rules.get(one.name, ''),
             )
             for one in placement.considered
         ]
+        compared = {one.server for one in self.considered}
+        self.considered.extend(
+            ConsideredServer(
+                one.name, round(one.load, 1), one.slots, rule=one.rule
+            )
+            for one in passed_over
+            if one.name not in compared
+        )
 
     def record_outcome(self, outcome: 'Outcome') -> None:
         """Record the outcome of the last attempt."""
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from crocusshunt.front.tests._deployment import (
+    NAMES,
     Deployment,
     deploy,
 )
@@ -114,6 +115,34 @@
     assert 'back  after' in explained
 
 
+async def test_refusal_beside_a_free_slot_names_the_rule(
+    log: io.StringIO,
+) -> None:
+    async def hang(request: web.Request) -> None:
+        await asyncio.sleep(2)
+
+    urgent = describe_route(prefix='/u/', priority=0)
+    deferrable = describe_route(
+        prefix='/a/', priority=1, kind='non_idempotent', sticky=True
+    )
+    async with deploy('s1', 's2') as deployment:
+        deployment.configure(urgent, deferrable)
+        await deployment.wait_for_sync()
+        for backend in deployment.backends:
+            backend.override = hang
+        cookie = {'Cookie': f'{NAMES.affinity_cookie}=7'}
+        request_tasks = [
+            asyncio.create_task(deployment.send(method='POST', **cookie))
+            for _ in range(8)
+        ]
+        responses = await asyncio.gather(*request_tasks)
+        refused = [one[2] for one in responses if one[0] == 503]
+        name = refused[0].request_info.headers[NAMES.request_id]
+    explained = _explain(log, name)
+    assert 'full  s' in explained
+    assert 'had 0.0 requests for 4 slots: object-not-held' in explained
+
+
 async def _await_lines(log: io.StringIO, part: str, count: int) -> None:
     async with asyncio.timeout(_LOG_TIMEOUT_S):
         while log.getvalue().count(part) < count:
--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -63,6 +63,11 @@
     round_trip_s: float = 0
     has_recent_object: bool = True
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Tell whether a request would start at once."""
+        return self.load + 1 <= self.slots
+
     @property
     def wait_s(self) -> float:
         """Return the expected wait for a slot, in seconds.
@@ -151,7 +156,7 @@
     finish_s: float,
     settings: ChoiceSettings,
 ) -> bool:
-    if server.load + 1 <= server.slots:
+    if server.has_free_slot:
         # The request can start at once. Its expected time is only an estimate
         # and no reason to refuse it.
         return True
--- a/crocusshunt/reports/_decision_inputs.py
+++ b/crocusshunt/reports/_decision_inputs.py
@@ -29,23 +29,26 @@
 
 
 class ConsideredLine(msgspec.Struct, frozen=True):
-    """A backend server that was considered but had no free slot.
+    """A backend server that a refused request did not get.
 
     :param load: estimated number of requests at the server.
     :param wait_s: expected wait for a slot, in seconds.
+    :param rule: why a free slot was not taken, empty without one.
     """
 
     server: str
     load: float = 0
     slots: int = 0
     wait_s: float = 0
+    rule: str = ''
 
     def describe(self) -> str:
         """Return one line of text for operators."""
-        return (
-            f'{self.server} had {self.load:.1f} requests for {self.slots} '
-            f'slots, a wait of {self.wait_s:.3f} s'
-        )
+        requests = f'{self.load:.1f} requests for {self.slots} slots'
+        if self.rule:
+            return f'free  {self.server} had {requests}: {self.rule}'
+        wait = f'a wait of {self.wait_s:.3f} s'
+        return f'full  {self.server} had {requests}, {wait}'
 
 
 class RequestInputs(msgspec.Struct, frozen=True):
@@ -56,7 +59,7 @@
     :param retry_after_s: time after which the caller was told to retry, in
         seconds.
     :param sendings: the attempts, in order.
-    :param considered: backend servers that had no free slot.
+    :param considered: backend servers that it did not get.
     """
 
     configuration: int = 0
@@ -68,7 +71,7 @@
     def describe(self) -> tuple[str, ...]:
         """Return lines of text for operators."""
         lines = [f'  sent  {one.describe()}' for one in self.sendings]
-        lines.extend(f'  full  {one.describe()}' for one in self.considered)
+        lines.extend(f'  {one.describe()}' for one in self.considered)
         if self.configuration:
             lines.append(f'  by    configuration {self.configuration}')
         if self.patience_s is not None:
