--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -29,9 +29,12 @@
     :param is_ready: whether callers should be directed to it.
     :param versions: version of its copy of each followed table.
     :param demand: offered requests a second, by customer.
-    :param busy: busy slots of backend servers, by pool.
+    :param busy: slots that its callers' requests need, by pool, as far as
+        servers of any region may serve them.
     :param full: requests at each backend server that recently had no free
         slot, by name of the server.
+    :param pinned: slots needed by requests that only one region may serve, by
+        that region and by pool.
     """
 
     name: str
@@ -42,6 +45,7 @@
     demand: dict[str, float] = {}
     busy: dict[str, float] = {}
     full: dict[str, int] = {}
+    pinned: dict[str, dict[str, float]] = {}
 
 
 class RegionSummary(
@@ -61,7 +65,8 @@
     :param hosts: number of hosts of the region that the sums cover.
     :param versions: version of the sender's copy of each followed table.
     :param demand: offered requests a second, by customer.
-    :param busy: busy slots of backend servers, by pool.
+    :param busy: see :class:`Heartbeat`.
+    :param pinned: see :class:`Heartbeat`.
     """
 
     name: str
@@ -72,6 +77,7 @@
     versions: tuple[int, ...] = ()
     demand: dict[str, float] = {}
     busy: dict[str, float] = {}
+    pinned: dict[str, dict[str, float]] = {}
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -170,6 +170,7 @@
             demand=_round_values(self.tokens.limits.demand.rates(now)),
             busy=_round_values(self.planner.state.offered.averages),
             full=self.planner.state.full_servers,
+            pinned=_round_regions(self.planner.state.offered.pinned),
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
@@ -184,8 +185,15 @@
             versions=self.followers.versions,
             demand=_round_values(region.rates),
             busy=_round_values(self.planner.sum_offered_load(now)),
+            pinned=_round_regions(self.planner.sum_pinned_load(now)),
         )
 
 
 def _round_values(rates: Mapping[str, float]) -> dict[str, float]:
     return {name: round(rate, _DIGITS) for name, rate in rates.items()}
+
+
+def _round_regions(
+    loads: Mapping[str, Mapping[str, float]],
+) -> dict[str, dict[str, float]]:
+    return {region: _round_values(load) for region, load in loads.items()}
--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -1,8 +1,9 @@
 """The share of objects that a region serves itself."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
+from crocusshunt.fleet import Heartbeat
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._placement import PlacerState
 from crocusshunt.placement import (
@@ -70,12 +71,23 @@
 
     def sum_offered_load(self, now: float) -> dict[str, float]:
         """Return the load offered to this region's hosts, in slots, by pool."""
-        total = self.state.offered.averages
-        for peer in self.cluster.fleet.list_live(now):
-            heard = {} if peer.heartbeat is None else peer.heartbeat.busy
-            for pool, busy in heard.items():
-                total[pool] = total.get(pool, 0) + busy
-        return total
+        heartbeats = self._list_heartbeats(now)
+        return _add_up(
+            self.state.offered.averages, *(one.busy for one in heartbeats)
+        )
+
+    def sum_pinned_load(self, now: float) -> dict[str, dict[str, float]]:
+        """Return this region's load that only one region may serve.
+
+        By that region and by pool.
+        """
+        everyone = [self.state.offered.pinned]
+        everyone += [one.pinned for one in self._list_heartbeats(now)]
+        return _add_up_by_region(everyone)
+
+    def _list_heartbeats(self, now: float) -> list[Heartbeat]:
+        peers = self.cluster.fleet.list_live(now)
+        return [one.heartbeat for one in peers if one.heartbeat is not None]
 
     def _has_lost_room(self, pool: str, own: RegionLoad | None) -> bool:
         """Tell whether the region has fewer slots than at the last plan."""
@@ -113,24 +125,43 @@
         for server in self.cluster.servers.select(pool):
             found = slots.get(server.region, 0)
             slots[server.region] = found + server.entry.slots
-        demand = self._collect_demand(pool, now)
+        summaries = self.cluster.fleet.list_summaries(now)
+        demand = {one.region: one.busy.get(pool, 0) for one in summaries}
+        own_region = self.cluster.fleet.own.region
+        demand[own_region] = self.sum_offered_load(now).get(pool, 0)
+        pinned = _add_up_by_region(
+            [self.sum_pinned_load(now), *(one.pinned for one in summaries)]
+        )
         regions = {*slots, *demand}
         if sum(demand.values()) < 1:
             expected = _EXPECTED_UTILIZATION * sum(slots.values())
             demand = dict.fromkeys(regions, expected / len(regions))
         return {
-            name: RegionLoad(slots.get(name, 0), demand.get(name, 0))
+            name: RegionLoad(
+                slots.get(name, 0),
+                demand.get(name, 0),
+                pinned.get(name, {}).get(pool, 0),
+            )
             for name in regions
         }
 
-    def _collect_demand(self, pool: str, now: float) -> dict[str, float]:
-        fleet = self.cluster.fleet
-        demand = {
-            summary.region: summary.busy.get(pool, 0)
-            for summary in fleet.list_summaries(now)
-        }
-        demand[fleet.own.region] = self.sum_offered_load(now).get(pool, 0)
-        return demand
+
+def _add_up(*loads: Mapping[str, float]) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for load in loads:
+        for pool, slots in load.items():
+            total[pool] = total.get(pool, 0) + slots
+    return total
+
+
+def _add_up_by_region(
+    loads: Sequence[Mapping[str, Mapping[str, float]]],
+) -> dict[str, dict[str, float]]:
+    regions = {region for load in loads for region in load}
+    return {
+        region: _add_up(*(load.get(region, {}) for load in loads))
+        for region in regions
+    }
 
 
 def _average(flags: list[bool]) -> float:
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -183,7 +183,9 @@
         state.overflow.note_request(_ALL_POOLS, now)
         route = request.admission.route
         service_s = state.times.estimate_route(route.name, route.objective_s)
-        state.offered.note(request.pool, service_s, now)
+        state.offered.note(
+            request.pool, service_s, now, request.admission.allowed_regions
+        )
 
     def place(self, request: PlacementRequest) -> Placement:
         """Choose a server for a request, or tell when one may have room."""
--- a/crocusshunt/placement/_locality.py
+++ b/crocusshunt/placement/_locality.py
@@ -31,12 +31,15 @@
     """Slots of a pool in a region, and slots that its callers keep busy.
 
     :param slots: slots of all its servers in the region.
-    :param demand: average number of busy slots, in whatever region, due to
-        requests received in this one.
+    :param demand: slots needed by requests received in this region that
+        servers of any region may serve.
+    :param pinned: slots needed by requests, received in whatever region, that
+        only servers of this one may serve.
     """
 
     slots: float
     demand: float
+    pinned: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,29 +64,41 @@
     A region may use its own slots up to the target utilization, or up to the
     mean utilization of all regions if that is higher. The demand beyond it
     goes to other regions, in proportion to the slots that they have left up
-    to the same utilization.
+    to the same utilization. Requests that only one region may serve are
+    counted there first.
+
+    Load pattern: a region with few servers, in which a customer of all
+    regions has its home. Without its requests in the count, the region's own
+    requests and those that cannot go elsewhere fill its servers together.
 
     :param loads: slots and demand of each region.
 
     >>> loads = {'a': RegionLoad(10, 13), 'b': RegionLoad(30, 7)}
     >>> plan_locality('a', loads).local_share
     0.38461538461538464
+    >>> loads = {'a': RegionLoad(10, 5, pinned=4), 'b': RegionLoad(30, 7)}
+    >>> plan_locality('a', loads).local_share
+    0.2
     """
     slots = sum(load.slots for load in loads.values())
-    demand = sum(load.demand for load in loads.values())
-    utilization = demand / slots if slots else 0
+    needed = sum(load.demand + load.pinned for load in loads.values())
+    utilization = needed / slots if slots else 0
     usable = max(_TARGET_UTILIZATION, utilization)
+    room = {
+        name: max(0, usable * load.slots - load.pinned)
+        for name, load in loads.items()
+    }
     spare = {
-        name: max(0, usable * load.slots - load.demand)
+        name: max(0, room[name] - load.demand)
         for name, load in loads.items()
         if name != region
     }
     own = loads.get(region, RegionLoad(0, 0))
     if own.slots <= 0:
         return Locality(0, spare)
-    if own.demand <= usable * own.slots:
+    if own.demand <= room[region]:
         return Locality(1, spare)
-    return Locality(usable * own.slots / own.demand, spare)
+    return Locality(room[region] / own.demand, spare)
 
 
 def adjust_local_factor(
--- a/crocusshunt/placement/_offered_load.py
+++ b/crocusshunt/placement/_offered_load.py
@@ -1,5 +1,6 @@
 """Load that a host's callers offer to each pool."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 # Weight of the newest sample in the moving average.
@@ -9,7 +10,7 @@
 
 
 @dataclass(slots=True)
-class _PoolLoad:
+class _Load:
     sampled_since: float
     slot_seconds: float = 0
     samples: int = 0
@@ -40,28 +41,39 @@
     5.0
     """
 
-    _pools: dict[str, _PoolLoad] = field(default_factory=dict)
+    _loads: dict[tuple[str, str], _Load] = field(default_factory=dict)
 
     @property
     def averages(self) -> dict[str, float]:
-        """Return the offered load of each pool with enough samples."""
-        return {
-            pool: load.average
-            for pool, load in self._pools.items()
-            if load.samples
-        }
+        """Return the load by pool that servers of any region may serve."""
+        return self._select('')
+
+    @property
+    def pinned(self) -> dict[str, dict[str, float]]:
+        """Return the load that only one region may serve, by it and pool."""
+        regions = {region for _pool, region in self._loads if region}
+        return {region: self._select(region) for region in sorted(regions)}
 
-    def note(self, pool: str, service_s: float, now: float) -> None:
+    def note(
+        self,
+        pool: str,
+        service_s: float,
+        now: float,
+        regions: Collection[str] | None = None,
+    ) -> None:
         """Count an arriving request.
 
         :param service_s: expected time of the request in a slot, in seconds.
+        :param regions: the only regions that may serve it, None for all.
         """
-        load = self._pools.setdefault(pool, _PoolLoad(now))
-        load.slot_seconds += service_s
+        places = regions or ('',)
+        for region in places:
+            load = self._loads.setdefault((pool, region), _Load(now))
+            load.slot_seconds += service_s / len(places)
 
     def measure(self, now: float) -> None:
         """Update the averages by the requests since the last time."""
-        for load in self._pools.values():
+        for load in self._loads.values():
             elapsed_s = now - load.sampled_since
             if elapsed_s < _MIN_SAMPLE_S:
                 continue
@@ -71,3 +83,10 @@
             load.average += weight * (sample - load.average)
             load.slot_seconds = 0
             load.sampled_since = now
+
+    def _select(self, region: str) -> dict[str, float]:
+        return {
+            pool: load.average
+            for (pool, place), load in self._loads.items()
+            if place == region and load.samples
+        }
--- a/crocusshunt/placement/tests/test_offered_load.py
+++ b/crocusshunt/placement/tests/test_offered_load.py
@@ -48,3 +48,25 @@
     _offer(load, 1, 1)
     load.measure(2)
     assert load.averages['p'] == pytest.approx(11.9, rel=0.05)
+
+
+def test_load_of_a_customer_with_a_home_leaves_the_home_first() -> None:
+    """A customer of all regions may be served in the smallest one only."""
+    load = OfferedLoad()
+    for number in range(100):
+        now = number / 100
+        load.note('p', 0.04, now)
+        load.note('p', 0.03, now, frozenset(('kzn',)))
+    load.measure(1)
+    assert load.averages['p'] == pytest.approx(4, rel=0.05)
+    pinned = load.pinned['kzn']['p']
+    assert pinned == pytest.approx(3, rel=0.05)
+    loads = {
+        'kzn': RegionLoad(8, load.averages['p'], pinned),
+        'gauteng': RegionLoad(32, 4),
+    }
+    plan = plan_locality('kzn', loads)
+    assert plan.local_share < 0.3
+    spare = plan_locality('gauteng', loads).spare
+    assert spare is not None
+    assert spare['kzn'] == 0
