Offer released slots to the most urgent waiting request

Requests now wait in a line, by urgency and then by the end of their objective, are woken when this host releases a slot that they may use, and wait as long as they can still meet their objective. Beyond that they are refused.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -1,6 +1,6 @@
 """Delivery of one admitted request to backend servers, with retries."""
 
-import asyncio
+import itertools
 from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
@@ -15,15 +15,20 @@
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 from crocusshunt.front._placement import Placement, PlacementRequest, Placer
 from crocusshunt.front._trace import RequestTrace
-from crocusshunt.placement import TrackedServer
+from crocusshunt.front._waiting import SlotWaiters
+from crocusshunt.placement import (
+    TrackedServer,
+    WaitingRank,
+    compute_pause,
+    compute_wait_limit,
+)
 from crocusshunt.sharing import RetryLimiter
 from crocusshunt.upstream import UpstreamAnswer
 
 _MAX_ATTEMPTS = 4
-_PLACEMENT_POLL_S = 0.03
-# How long a request waits for a free server, as a fraction of the latency
-# objective. After a longer wait, a refusal at once would have been better.
-_HOLD_FRACTION = 0.12
+# Shortest time that a request waits for a free slot before it is refused, as a
+# fraction of the latency objective.
+_MIN_WAIT_FRACTION = 0.12
 _MIN_REMAINING_S = 0.02
 _MIN_RETRY_AFTER_S = 0.2
 
@@ -67,22 +72,24 @@
         self._exchanger = exchanger
         self._retries = retries
         self._clock = clock
+        self._waiters = SlotWaiters()
+        self._numbers = itertools.count()
 
     async def run(self, pending: PendingRequest) -> DispatchResult:
         """Return the response for the caller, or the reason for a refusal."""
         now = self._clock.monotonic()
         self._retries.note_request(pending.request.pool, now)
         self._placer.note_request(pending.request)
-        held_until = now + self._compute_hold_s(pending)
         while True:
             placement = self._placer.place(pending.request)
             if placement.server is None:
-                refused = self._refuse_if_due(pending, placement, held_until)
+                refused = self._refuse_if_due(pending, placement, now)
                 if refused is not None:
                     return refused
-                await asyncio.sleep(_PLACEMENT_POLL_S)
+                await self._wait_for_slot(pending, placement)
                 continue
             outcome = await self._send(pending, placement.server, placement)
+            self._waiters.offer(placement.server.entry.name)
             if not self._may_retry(pending, outcome):
                 return _create_result(pending, outcome)
             tried = {
@@ -113,26 +120,44 @@
             pending.executions += 1
         return outcome
 
-    def _compute_hold_s(self, pending: PendingRequest) -> float:
-        return _HOLD_FRACTION * pending.request.admission.route.objective_s
+    async def _wait_for_slot(
+        self, pending: PendingRequest, placement: Placement
+    ) -> None:
+        request = pending.request
+        rank = WaitingRank(
+            request.admission.urgency,
+            request.objective_at,
+            next(self._numbers),
+        )
+        servers = [one.name for one in placement.considered]
+        pause_s = compute_pause(placement.wait_s)
+        await self._waiters.wait(rank, servers, pause_s)
 
     def _refuse_if_due(
         self,
         pending: PendingRequest,
         placement: Placement,
-        held_until: float,
+        started_at: float,
     ) -> DispatchResult | None:
         """Return the result of a request without a server, None to wait on.
 
         A request that was not sent yet may wait for a server with room.
 
-        :param held_until: end of that wait, monotonic seconds.
+        :param started_at: when it began to look for a server, monotonic
+            seconds.
         """
         now = self._clock.monotonic()
         if pending.last_outcome is not None:
             return _create_result(pending, pending.last_outcome)
-        if placement.cause == 'no-room' and now < held_until:
-            return None
+        if placement.cause == 'no-room':
+            objective_s = pending.request.admission.route.objective_s
+            limit_s = compute_wait_limit(
+                pending.request.objective_at - now,
+                placement.fastest_s,
+                _MIN_WAIT_FRACTION * objective_s - (now - started_at),
+            )
+            if limit_s > 0:
+                return None
         pending.trace.record_refusal(
             placement, self._placer.list_passed_over(pending.request)
         )
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -90,6 +90,14 @@
     considered: tuple[Candidate, ...] = ()
     rules: Mapping[str, str] = field(default_factory=dict)
 
+    @property
+    def fastest_s(self) -> float:
+        """Return the shortest time in a slot and network, in seconds."""
+        return min(
+            (one.service_s + one.round_trip_s for one in self.considered),
+            default=0,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class PassedOver:
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -29,6 +29,12 @@
 from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
 from crocusshunt.placement._entries import ServerEntry
+from crocusshunt.placement._waiting import (
+    WaitingLine,
+    WaitingRank,
+    compute_pause,
+    compute_wait_limit,
+)
 
 __all__ = (
     'Candidate',
@@ -51,9 +57,13 @@
     'ServiceTimes',
     'Timing',
     'TrackedServer',
+    'WaitingLine',
+    'WaitingRank',
     'WeightedSplit',
     'adjust_local_factor',
     'choose_server',
+    'compute_pause',
+    'compute_wait_limit',
     'move_local_share',
     'parse_load',
     'plan_locality',
