Tell refused requests when a slot is expected, each a time of its own

Cause: a refusal told everyone to come back after 0.2 s or more. The time is now when the soonest server expects a slot, spaced so that callers of one server do not meet. What a refused request is told moves to a module of its own.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -16,6 +16,7 @@
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placement import Placer, PlacerState
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._settings import (
     DeploymentLimits,
     FrontSettings,
@@ -112,8 +113,10 @@
     metrics: RequestMetrics,
     clock: Clock,
 ) -> RequestHandler:
+    placer = Placer(cluster, state, ChoiceSettings(), clock)
     dispatcher = Dispatcher(
-        Placer(cluster, state, ChoiceSettings(), clock),
+        placer,
+        RefusalAdvisor(cluster, state, placer, clock),
         Exchanger(cluster, state, names, clock),
         tokens.limits.retries,
         clock,
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -14,6 +14,7 @@
 )
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 from crocusshunt.front._placement import Placement, PlacementRequest, Placer
+from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._trace import RequestTrace
 from crocusshunt.front._waiting import SlotWaiters
 from crocusshunt.placement import (
@@ -30,7 +31,8 @@
 # fraction of the latency objective.
 _MIN_WAIT_FRACTION = 0.12
 _MIN_REMAINING_S = 0.02
-_MIN_RETRY_AFTER_S = 0.2
+# Health of servers that could not be reached changes within about this time.
+_OTHER_SERVER_RETRY_S = 0.2
 
 DispatchResult = Result[UpstreamAnswer, Refusal]
 
@@ -42,6 +44,7 @@
     :param attempts: number of times it was sent to a server.
     :param executions: attempts that a server may have executed.
     :param last_outcome: outcome of the last attempt, None before the first.
+    :param last_server: server of the last attempt, None before the first.
     """
 
     request: PlacementRequest
@@ -50,6 +53,7 @@
     attempts: int = 0
     executions: int = 0
     last_outcome: Outcome | None = None
+    last_server: TrackedServer | None = None
 
 
 class Dispatcher:
@@ -63,12 +67,14 @@
     def __init__(
         self,
         placer: Placer,
+        advisor: RefusalAdvisor,
         exchanger: Exchanger,
         retries: RetryLimiter,
         clock: Clock,
     ) -> None:
         """Use the components of a host."""
         self._placer = placer
+        self._advisor = advisor
         self._exchanger = exchanger
         self._retries = retries
         self._clock = clock
@@ -91,7 +97,7 @@
             outcome = await self._send(pending, placement.server, placement)
             self._waiters.offer(placement.server.entry.name)
             if not self._may_retry(pending, outcome):
-                return _create_result(pending, outcome)
+                return self._create_result(pending, outcome)
             tried = {
                 *pending.request.tried,
                 placement.server.entry.name,
@@ -116,6 +122,7 @@
         )
         pending.trace.record_outcome(outcome)
         pending.last_outcome = outcome
+        pending.last_server = server
         if outcome.may_have_run:
             pending.executions += 1
         return outcome
@@ -148,7 +155,7 @@
         """
         now = self._clock.monotonic()
         if pending.last_outcome is not None:
-            return _create_result(pending, pending.last_outcome)
+            return self._create_result(pending, pending.last_outcome)
         if placement.cause == 'no-room':
             objective_s = pending.request.admission.route.objective_s
             limit_s = compute_wait_limit(
@@ -159,11 +166,35 @@
             if limit_s > 0:
                 return None
         pending.trace.record_refusal(
-            placement, self._placer.list_passed_over(pending.request)
+            placement, self._advisor.list_passed_over(pending.request)
         )
-        wait_s = max(_MIN_RETRY_AFTER_S, placement.wait_s)
+        wait_s = self._advisor.schedule_return(placement)
         return Err(refuse_unavailable(placement.cause, wait_s))
 
+    def _create_result(
+        self, pending: PendingRequest, outcome: Outcome
+    ) -> DispatchResult:
+        """Return what the caller gets after the last attempt."""
+        if outcome.response is not None and outcome.verdict in _RELAYED:
+            return Ok(outcome.response)
+        if pending.executions == 0:
+            cause = f'not-run-{outcome.verdict.value}'
+            wait_s = self._estimate_return(pending, outcome)
+            return Err(refuse_unavailable(cause, wait_s))
+        if outcome.verdict is Verdict.timed_out:
+            return Err(Refusal(Status.timeout, 'timeout'))
+        cause = f'server-{outcome.verdict.value}'
+        return Err(Refusal(Status.bad_gateway, cause))
+
+    def _estimate_return(
+        self, pending: PendingRequest, outcome: Outcome
+    ) -> float:
+        """Return when a request that was not run may come back, in seconds."""
+        server = pending.last_server
+        if server is None or outcome.verdict is not Verdict.shed:
+            return _OTHER_SERVER_RETRY_S
+        return self._advisor.schedule_resend(pending.request, server)
+
     def _may_retry(self, pending: PendingRequest, outcome: Outcome) -> bool:
         """Tell whether a request may be sent to another server.
 
@@ -189,16 +220,4 @@
         return self._retries.spend(pending.request.pool, now)
 
 
-def _create_result(pending: PendingRequest, outcome: Outcome) -> DispatchResult:
-    """Return what the caller gets after the last attempt."""
-    if outcome.response is not None and outcome.verdict in _RELAYED:
-        return Ok(outcome.response)
-    if pending.executions == 0:
-        cause = f'not-run-{outcome.verdict.value}'
-        return Err(refuse_unavailable(cause, _MIN_RETRY_AFTER_S))
-    if outcome.verdict is Verdict.timed_out:
-        return Err(Refusal(Status.timeout, 'timeout'))
-    return Err(Refusal(Status.bad_gateway, f'server-{outcome.verdict.value}'))
-
-
 _RELAYED = frozenset((Verdict.answered, Verdict.failed))
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -5,7 +5,7 @@
 
 from crocusshunt.metrics import OutcomeKind
 
-_MIN_RETRY_AFTER_S = 0.1
+_MIN_RETRY_AFTER_S = 0.01
 _MAX_RETRY_AFTER_S = 30
 
 
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -15,6 +15,7 @@
     OfferedLoad,
     RecentObjects,
     RequestConstraints,
+    ReturnSchedule,
     RoundTrips,
     ServerLoad,
     ServiceTimes,
@@ -41,10 +42,8 @@
 _OVERFLOW_EXTRA = 0.5
 _OVERFLOW_WINDOW_S = 2
 _ALL_POOLS = ''
-# Rules by which a free slot is not taken.
+# A rule by which a free slot is not taken.
 _RULE_REGION_CHANGES = 'region-change-bound'
-_RULE_OBJECT_NOT_HELD = 'object-not-held'
-_MAX_PASSED_OVER_COUNT = 3
 # Entries and health of servers change within about this time.
 _NO_SERVER_RETRY_S = 1
 
@@ -99,20 +98,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class PassedOver:
-    """A server with a free slot that a refused request did not get.
-
-    :param load: estimated number of requests running or waiting there.
-    :param rule: why the slot was not taken.
-    """
-
-    name: str
-    load: float
-    slots: int
-    rule: str
-
-
 def _create_overflow() -> RetryLimiter:
     return RetryLimiter(
         RetryLimit(_OVERFLOW_SHARE, _OVERFLOW_EXTRA, _OVERFLOW_WINDOW_S),
@@ -130,6 +115,7 @@
     :param recent_objects: objects that each server handled recently.
     :param cold_limiter: spaces this host's requests to each cold server.
     :param overflow: limits requests not sent to their preferred server.
+    :param returns: when refused requests were told to come back.
     :param full_servers: requests at servers that reported no free slot since
         the last heartbeat.
     """
@@ -142,6 +128,7 @@
     recent_objects: RecentObjects = field(default_factory=RecentObjects)
     cold_limiter: MinIntervalLimiter = field(default_factory=MinIntervalLimiter)
     overflow: RetryLimiter = field(default_factory=_create_overflow)
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     full_servers: dict[str, int] = field(default_factory=dict)
 
     def reset_full_servers(self) -> None:
@@ -154,6 +141,7 @@
         self.times.forget(server)
         self.recent_objects.forget(server)
         self.cold_limiter.forget(server)
+        self.returns.forget(server)
 
     def find_load(self, server: str) -> ServerLoad:
         """Return the load of a server, created on first use."""
@@ -198,7 +186,7 @@
     def place(self, request: PlacementRequest) -> Placement:
         """Choose a server for a request, or tell when one may have room."""
         now = self._clock.monotonic()
-        eligible = self._list_eligible(request)
+        eligible = self.list_eligible(request)
         if not eligible:
             return Placement(None, wait_s=_NO_SERVER_RETRY_S, cause='no-server')
         locality = self._state.localities.get(request.pool, Locality())
@@ -213,46 +201,14 @@
         if self._may_try_cold(preferred, request, now):
             return Placement(preferred, is_preferred=True)
         all_servers = chain((preferred,), ranked)
-        warm = (one for one in all_servers if self._is_warm(one, now))
+        warm = (one for one in all_servers if self.is_warm(one, now))
         replicas = self._select_replicas(warm)
         if replicas:
             return self._choose(request, replicas, now)
         return self._choose_cold(eligible, request, now)
 
-    def list_passed_over(
-        self, request: PlacementRequest
-    ) -> tuple[PassedOver, ...]:
-        """Return servers with a free slot that were not compared, for the log.
-
-        Only one server of a region is compared: the one that holds the
-        request's object. On another one the request would take longer and
-        displace an object there.
-        """
-        now = self._clock.monotonic()
-        found: list[PassedOver] = []
-        for server in self._list_eligible(request):
-            name = server.entry.name
-            slots = server.entry.slots
-            load = self._state.find_load(name).estimate(now)
-            if load + 1 <= slots and self._is_warm(server, now):
-                found.append(
-                    PassedOver(name, load, slots, _RULE_OBJECT_NOT_HELD)
-                )
-        return tuple(found[:_MAX_PASSED_OVER_COUNT])
-
-    def _select_replicas(
-        self,
-        warm: Iterable[TrackedServer],
-    ) -> list[TrackedServer]:
-        """Return the first server of each region, up to the limit."""
-        found: dict[str, TrackedServer] = {}
-        for server in warm:
-            found.setdefault(server.region, server)
-            if len(found) >= self._settings.replicas:
-                break
-        return list(found.values())
-
-    def _list_eligible(self, request: PlacementRequest) -> list[TrackedServer]:
+    def list_eligible(self, request: PlacementRequest) -> list[TrackedServer]:
+        """Return the servers that a request may be sent to."""
         regions = request.admission.allowed_regions
         servers = self._cluster.servers.select(request.pool)
         return [
@@ -262,7 +218,8 @@
             and (regions is None or one.region in regions)
         ]
 
-    def _is_warm(self, server: TrackedServer, now: float) -> bool:
+    def is_warm(self, server: TrackedServer, now: float) -> bool:
+        """Tell whether a server is neither cold nor ejected."""
         name = server.entry.name
         health = self._cluster.health
         if server.is_cold(now) or health.is_ejected(name, now):
@@ -271,6 +228,39 @@
             return True
         return now > health.find(name).ejected_until + _RETURN_TIMEOUT_S
 
+    def estimate_server(
+        self,
+        server: TrackedServer,
+        request: PlacementRequest,
+        now: float,
+    ) -> Candidate:
+        """Return the expected times of a request at a server."""
+        route = request.admission.route
+        times = self._state.times
+        name = server.entry.name
+        objective_s = route.objective_s
+        return Candidate(
+            name,
+            server.entry.slots,
+            self._state.find_load(name).estimate(now),
+            times.estimate_service_time(route.name, objective_s, name),
+            times.estimate_slot_release(request.pool, objective_s, name),
+            self._state.round_trips.estimate(server.region),
+            self._state.recent_objects.is_recent(name, request.key),
+        )
+
+    def _select_replicas(
+        self,
+        warm: Iterable[TrackedServer],
+    ) -> list[TrackedServer]:
+        """Return the first server of each region, up to the limit."""
+        found: dict[str, TrackedServer] = {}
+        for server in warm:
+            found.setdefault(server.region, server)
+            if len(found) >= self._settings.replicas:
+                break
+        return list(found.values())
+
     def _may_try_cold(
         self,
         server: TrackedServer,
@@ -282,7 +272,7 @@
         A server that was unreachable gets only idempotent requests until it
         has answered one.
         """
-        if self._is_warm(server, now):
+        if self.is_warm(server, now):
             return False
         health = self._cluster.health
         name = server.entry.name
@@ -330,7 +320,7 @@
             request.final_at - now,
             self._is_urgent(request),
         )
-        ranked = [self._estimate_server(one, request, now) for one in replicas]
+        ranked = [self.estimate_server(one, request, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
         rules: dict[str, str] = {}
         if choice.index and not self._state.overflow.spend(_ALL_POOLS, now):
@@ -347,26 +337,6 @@
         priority = request.admission.route.priority
         return priority <= index.find_top_priority(request.pool)
 
-    def _estimate_server(
-        self,
-        server: TrackedServer,
-        request: PlacementRequest,
-        now: float,
-    ) -> Candidate:
-        route = request.admission.route
-        times = self._state.times
-        name = server.entry.name
-        objective_s = route.objective_s
-        return Candidate(
-            name,
-            server.entry.slots,
-            self._state.find_load(name).estimate(now),
-            times.estimate_service_time(route.name, objective_s, name),
-            times.estimate_slot_release(request.pool, objective_s, name),
-            self._state.round_trips.estimate(server.region),
-            self._state.recent_objects.is_recent(name, request.key),
-        )
-
 
 def _create_placement(
     choice: Choice,
--- /dev/null
+++ b/crocusshunt/front/_refusals.py
@@ -0,0 +1,105 @@
+"""What a refused request is told, and what the log says of it."""
+
+from dataclasses import dataclass
+
+from crocusshunt.core import Clock
+from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._placement import (
+    Placement,
+    PlacementRequest,
+    Placer,
+    PlacerState,
+)
+from crocusshunt.placement import Candidate, SlotRate, TrackedServer
+
+_RULE_OBJECT_NOT_HELD = 'object-not-held'
+_MAX_PASSED_OVER_COUNT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class PassedOver:
+    """A server with a free slot that a refused request did not get.
+
+    :param load: estimated number of requests running or waiting there.
+    :param rule: why the slot was not taken.
+    """
+
+    name: str
+    load: float
+    slots: int
+    rule: str
+
+
+class RefusalAdvisor:
+    """Tells when refused requests may come back, and what they did not get."""
+
+    def __init__(
+        self,
+        cluster: ClusterState,
+        state: PlacerState,
+        placer: Placer,
+        clock: Clock,
+    ) -> None:
+        """Use the components of a host."""
+        self._cluster = cluster
+        self._state = state
+        self._placer = placer
+        self._clock = clock
+
+    def schedule_return(self, placement: Placement) -> float:
+        """Return in how many seconds a refused request may come back.
+
+        :param placement: why it has no server.
+        """
+        now = self._clock.monotonic()
+        full = [
+            one
+            for one in placement.considered
+            if one.name not in placement.rules
+        ]
+        if not full:
+            return placement.wait_s
+        soonest = min(full, key=lambda one: one.next_slot_s)
+        return self._reserve_return(soonest, soonest.next_slot_s, now)
+
+    def schedule_resend(
+        self, request: PlacementRequest, server: TrackedServer
+    ) -> float:
+        """Return when a request that a server rejected may come back.
+
+        A server with free slots that rejected one request may accept the
+        next.
+
+        :return: seconds from now.
+        """
+        now = self._clock.monotonic()
+        rejecting = self._placer.estimate_server(server, request, now)
+        return self._reserve_return(rejecting, rejecting.wait_s, now)
+
+    def list_passed_over(
+        self, request: PlacementRequest
+    ) -> tuple[PassedOver, ...]:
+        """Return servers with a free slot that were not compared, for the log.
+
+        Only one server of a region is compared: the one that holds the
+        request's object. On another one the request would take longer and
+        displace an object there.
+        """
+        now = self._clock.monotonic()
+        found: list[PassedOver] = []
+        for server in self._placer.list_eligible(request):
+            name = server.entry.name
+            slots = server.entry.slots
+            load = self._state.find_load(name).estimate(now)
+            if load + 1 <= slots and self._placer.is_warm(server, now):
+                found.append(
+                    PassedOver(name, load, slots, _RULE_OBJECT_NOT_HELD)
+                )
+        return tuple(found[:_MAX_PASSED_OVER_COUNT])
+
+    def _reserve_return(
+        self, server: Candidate, first_s: float, now: float
+    ) -> float:
+        hosts = len(self._cluster.fleet.list_live(now)) + 1
+        rate = SlotRate(first_s, server.release_interval_s, hosts)
+        return self._state.returns.reserve(server.name, rate, now)
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -25,6 +25,7 @@
     rank_servers,
 )
 from crocusshunt.placement._offered_load import OfferedLoad
+from crocusshunt.placement._returns import ReturnSchedule, SlotRate
 from crocusshunt.placement._round_trips import RoundTrips
 from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
@@ -48,6 +49,7 @@
     'RecentObjects',
     'RegionLoad',
     'RequestConstraints',
+    'ReturnSchedule',
     'RoundTrips',
     'ServerEntry',
     'ServerFailure',
@@ -55,6 +57,7 @@
     'ServerLoad',
     'ServerRegistry',
     'ServiceTimes',
+    'SlotRate',
     'Timing',
     'TrackedServer',
     'WaitingLine',
--- a/crocusshunt/placement/_choice.py
+++ b/crocusshunt/placement/_choice.py
@@ -76,7 +76,12 @@
         slots, times the time for which a request occupies a slot.
         """
         queue_position = max(0, self.load + 1 - self.slots)
-        return queue_position / self.slots * self.slot_release_s
+        return queue_position * self.release_interval_s
+
+    @property
+    def release_interval_s(self) -> float:
+        """Return the mean time between releases of its slots, in seconds."""
+        return self.slot_release_s / self.slots
 
     @property
     def next_slot_s(self) -> float:
@@ -86,7 +91,7 @@
         time until one busy slot is released, divided by the number of slots.
         """
         queue_position = max(1, self.load + 1 - self.slots)
-        return queue_position / self.slots * self.slot_release_s
+        return queue_position * self.release_interval_s
 
     def estimate_finish(self, cold_object_factor: float) -> float:
         """Return the expected time until the answer, in seconds.
