--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -69,6 +69,7 @@
     :param host: the host that processes the request.
     :param configuration: version of the configuration that applied.
     :param caller_timeout_s: how long the caller waits, None if unknown.
+    :param objective_s: latency objective of the route, None without a route.
     :param expected_s: expected seconds until the response when the request was
         refused for lack of room.
     :param considered: servers that it did not get when it was refused.
@@ -83,6 +84,7 @@
     customer: str = ''
     configuration: int = 0
     caller_timeout_s: float | None = None
+    objective_s: float | None = None
     retry_after_s: float | None = None
     expected_s: float | None = None
     attempts: list[AttemptRecord] = field(default_factory=list)
@@ -95,6 +97,7 @@
     ) -> None:
         """Record the route, the customer and the configuration version."""
         self.route = admission.route.name
+        self.objective_s = admission.route.objective_s
         if admission.customer is not None:
             self.customer = admission.customer.name
         if index is not None:
@@ -183,6 +186,7 @@
             record,
             configuration=self.configuration,
             patience_s=self.caller_timeout_s,
+            objective_s=self.objective_s,
             expected_s=self.expected_s,
             retry_after_s=self.retry_after_s,
             sendings=self.attempts,
