Report where requests are lost, from the logs alone

Refusals and late answers by cause, route, region, place and second, refusals beside a free slot by rule, times at servers and waits before sending; printed by crocusctl report and on its page.

--- a/crocusshunt/ctl/_request_logs.py
+++ b/crocusshunt/ctl/_request_logs.py
@@ -14,7 +14,9 @@
 from crocusshunt.reports import (
     CustomerSummary,
     Summary,
+    describe_losses,
     explain_request,
+    find_losses,
     read_requests,
     render_page,
     summarize,
@@ -80,12 +82,19 @@
 
 @register_command('report')
 async def write_report(context: Context) -> ExitStatus:
-    """Write a report with figures and plots as an HTML page."""
+    """Write a report with figures and plots as an HTML page.
+
+    The largest losses are also printed.
+    """
+    lines = _read_logs(context)
+    if isinstance(lines, Err):
+        return report_faults(context, lines.err_value)
     summary = _summarize(context)
     if isinstance(summary, Err):
         return report_faults(context, summary.err_value)
     path = Path(context.arguments['--out'])
-    page = render_page(path.stem, summary.ok_value)
+    losses = find_losses(lines.ok_value)
+    page = render_page(path.stem, summary.ok_value, losses)
     try:
         path.write_text(page, encoding='utf-8')
     except OSError as error:
@@ -93,7 +102,7 @@
     count = summary.ok_value.requests
     context.console.write_outcome(
         {'requests': count, 'page': str(path)},
-        (f'{count} requests in {path}',),
+        (f'{count} requests in {path}', *describe_losses(losses)),
     )
     return ExitStatus.done
 
--- a/crocusshunt/reports/__init__.py
+++ b/crocusshunt/reports/__init__.py
@@ -5,6 +5,8 @@
     UnknownRequestError,
     explain_request,
 )
+from crocusshunt.reports._loss_tables import describe_losses
+from crocusshunt.reports._losses import Losses, LossPlace, find_losses
 from crocusshunt.reports._page import render_page
 from crocusshunt.reports._summary import (
     CustomerSummary,
@@ -16,9 +18,13 @@
 __all__ = (
     'CustomerSummary',
     'Explanation',
+    'LossPlace',
+    'Losses',
     'Summary',
     'UnknownRequestError',
+    'describe_losses',
     'explain_request',
+    'find_losses',
     'read_requests',
     'render_page',
     'summarize',
--- a/crocusshunt/reports/_page.py
+++ b/crocusshunt/reports/_page.py
@@ -1,11 +1,13 @@
 """Summary of a run as a single HTML page without scripts or other files."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Sequence
 from html import escape
 
-from crocusshunt.metrics import Latencies
-from crocusshunt.reports._plots import ChartBar, draw_bars, draw_quantiles
+from crocusshunt.reports._losses import Losses
+from crocusshunt.reports._loss_tables import render_losses
+from crocusshunt.reports._plots import ChartBar, draw_bars
 from crocusshunt.reports._summary import CustomerSummary, Summary
+from crocusshunt.reports._tables import render_latencies, render_table
 
 _STYLE = (
     'body{font:14px sans-serif;margin:2em;max-width:60em}'
@@ -13,7 +15,6 @@
     'td,th{padding:2px 10px;text-align:right}'
     'td:first-child,th:first-child{text-align:left}'
 )
-_QUANTILES = (0.5, 0.9, 0.99, 0.999)
 _CUSTOMER_TITLES = (
     'customer',
     'requests',
@@ -26,9 +27,13 @@
 )
 
 
-def render_page(title: str, summary: Summary) -> str:
+def render_page(
+    title: str, summary: Summary, losses: Losses | None = None
+) -> str:
     """Return the HTML page of a run.
 
+    :param losses: where requests were lost, None to leave it out.
+
     >>> from crocusshunt.reports import summarize
     >>> render_page('run', summarize((), {})).startswith('<!doctype html>')
     True
@@ -38,12 +43,13 @@
         f'<p>{_render_overview(summary)}</p>',
         '<h2>Customers: share answered</h2>',
         draw_bars([_make_bar(one) for one in summary.customers]),
-        _render_table(
+        render_table(
             _CUSTOMER_TITLES,
             [_list_cells(one) for one in summary.customers],
         ),
-        _render_latencies('route', summary.routes),
-        _render_latencies('region', summary.regions),
+        render_latencies('route', summary.routes),
+        render_latencies('region', summary.regions),
+        '' if losses is None else render_losses(losses),
     )
     return (
         '<!doctype html><html lang="en"><head><meta charset="utf-8">'
@@ -81,29 +87,3 @@
         f'{one.median_ms:.1f}',
         f'{one.tail_ms:.1f}',
     ]
-
-
-def _render_latencies(kind: str, series: Mapping[str, Latencies]) -> str:
-    titles = (kind, 'answered', *(f'{share:.1%} ms' for share in _QUANTILES))
-    rows = [
-        (
-            label,
-            str(latencies.count),
-            *(f'{latencies.find_quantile(each):.1f}' for each in _QUANTILES),
-        )
-        for label, latencies in series.items()
-    ]
-    heading = f'<h2>Latency by {kind}</h2>'
-    return heading + draw_quantiles(series) + _render_table(titles, rows)
-
-
-def _render_table(
-    titles: Iterable[str],
-    rows: Iterable[Sequence[str]],
-) -> str:
-    head = ''.join(f'<th>{escape(title)}</th>' for title in titles)
-    body = ''.join(
-        f'<tr>{"".join(f"<td>{escape(cell)}</td>" for cell in row)}</tr>'
-        for row in rows
-    )
-    return f'<table><tr>{head}</tr>{body}</table>'
--- a/crocusshunt/reports/_plots.py
+++ b/crocusshunt/reports/_plots.py
@@ -62,6 +62,30 @@
     ) + _render_legend(series)
 
 
+def draw_timeline(series: Mapping[str, Sequence[float]]) -> str:
+    """Return a plot of shares over time, one curve for each label.
+
+    :param series: shares from 0 to 1, one for each second.
+
+    >>> draw_timeline({'refused': [0, 0.5, 0]}).count('<polyline')
+    1
+    """
+    curves = ''.join(
+        _draw_polyline(
+            [
+                (step / max(1, len(shares) - 1), share)
+                for step, share in enumerate(shares)
+            ],
+            _SHADES[order % len(_SHADES)],
+        )
+        for order, shares in enumerate(series.values())
+    )
+    axis = _draw_text(0, _ROW_PX, '100%')
+    return _render_svg(
+        _WIDTH_PX, _HEIGHT_PX, f'{curves}{axis}'
+    ) + _render_legend(series)
+
+
 def _draw_bar(chart_bar: ChartBar, row: int) -> str:
     top_px = row * _ROW_PX
     length_px = chart_bar.share * _WIDTH_PX / 2
@@ -80,23 +104,28 @@
 
 
 def _draw_curve(latencies: Latencies, top_ms: float, shade: str) -> str:
-    points = ' '.join(
-        _format_point(step, latencies, top_ms)
-        for step in range(_QUANTILE_STEPS + 1)
+    quantiles = [step / _QUANTILE_STEPS for step in range(_QUANTILE_STEPS + 1)]
+    return _draw_polyline(
+        [
+            (quantile, latencies.find_quantile(quantile) / (top_ms or 1))
+            for quantile in quantiles
+        ],
+        shade,
+    )
+
+
+def _draw_polyline(points: Iterable[tuple[float, float]], shade: str) -> str:
+    """Return a curve through points of a square with sides of length 1."""
+    texts = (
+        f'{left * _WIDTH_PX:.1f},{_HEIGHT_PX - height * _HEIGHT_PX:.1f}'
+        for left, height in points
     )
     return (
-        f'<polyline points="{points}" fill="none" stroke="{shade}" '
+        f'<polyline points="{" ".join(texts)}" fill="none" stroke="{shade}" '
         'stroke-width="2"/>'
     )
 
 
-def _format_point(step: int, latencies: Latencies, top_ms: float) -> str:
-    quantile = step / _QUANTILE_STEPS
-    x_px = quantile * _WIDTH_PX
-    height = latencies.find_quantile(quantile) / (top_ms or 1) * _HEIGHT_PX
-    return f'{x_px:.1f},{_HEIGHT_PX - height:.1f}'
-
-
 def _draw_text(x_px: float, y_px: float, text: str) -> str:
     return f'<text x="{x_px:.1f}" y="{y_px:.1f}">{escape(text)}</text>'
 
