Let callers cache a lookup for as long as the deployment allows

Look-ups were valid for 2 s, so most callers made one, on a connection of its own, before most requests. The platform allows 5 s.

--- a/crocusshunt/front/_directory.py
+++ b/crocusshunt/front/_directory.py
@@ -10,7 +10,6 @@
 from crocusshunt.web import json_response
 
 _MAX_ENTRIES = 64
-_DEFAULT_TTL_S = 2
 _STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 _STATUS_UNAVAILABLE = 503
@@ -33,7 +32,7 @@
         self._fleet = fleet
         self._readiness = readiness
         self._clock = clock
-        self._ttl_s = min(_DEFAULT_TTL_S, max_ttl_s)
+        self._ttl_s = max_ttl_s
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a lookup of the hosts for a zone and region."""
