--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -26,9 +26,9 @@
 _MAX_HEADER_BYTES = 65_536
 _KEEPALIVE_S = 75
 _REGISTER_PAUSE_S = 0.5
-# Callers cache a lookup for about two seconds; the host accepts requests until
-# these caches have expired.
-_LOOKUP_EXPIRY_S = 2.5
+# A stopping host accepts requests for so long, since callers cache lookups.
+# Callers that come later get no connection and go on to another host.
+_ACCEPT_AT_STOP_S = 2.5
 # Draining ends this long before the process is killed.
 _KILL_MARGIN_S = 0.5
 _SERVER_OPTIONS: Mapping[str, Any] = MappingProxyType(
@@ -99,7 +99,7 @@
         kill_at = self._clock.monotonic() + self.settings.limits.grace_s
         components.handler.in_flight.is_stopping = True
         components.heartbeat_loop.send_heartbeats()
-        await asyncio.sleep(_LOOKUP_EXPIRY_S)
+        await asyncio.sleep(_ACCEPT_AT_STOP_S)
         await drain_runner(
             self._runners[0],
             components.handler.in_flight,
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture(autouse=True)
 def _stop_without_delay(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr('crocusshunt.front._service._LOOKUP_EXPIRY_S', 0)
+    monkeypatch.setattr('crocusshunt.front._service._ACCEPT_AT_STOP_S', 0)
 
 
 @pytest.fixture
--- a/crocusshunt/front/tests/test_host.py
+++ b/crocusshunt/front/tests/test_host.py
@@ -16,7 +16,7 @@
 
 @pytest.fixture(autouse=True)
 def _stop_without_delay(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr('crocusshunt.front._service._LOOKUP_EXPIRY_S', 0)
+    monkeypatch.setattr('crocusshunt.front._service._ACCEPT_AT_STOP_S', 0)
 
 
 def _reset(backend: Backend, times: int) -> None:
--- a/crocusshunt/front/tests/test_pipelining.py
+++ b/crocusshunt/front/tests/test_pipelining.py
@@ -23,7 +23,7 @@
 
 @pytest.fixture(autouse=True)
 def _stop_without_delay(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr('crocusshunt.front._service._LOOKUP_EXPIRY_S', 0)
+    monkeypatch.setattr('crocusshunt.front._service._ACCEPT_AT_STOP_S', 0)
 
 
 def _encode_request(path: str, request_id: str, *lines: str) -> bytes:
