Let callers of the soak pipeline requests

A fifth of the repeatable calls are sent three at a time on one connection. A call behind a closing response counts as not read; the check of true refusals fails if a server ran it.

--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -90,6 +90,8 @@
         )
         if ran_anyway and not call.is_idempotent:
             yield f'{call.request_id} got {call.status} and ran'
+        if call.outcome is CallOutcome.unread and call.request_id in ran:
+            yield f'{call.request_id} stood behind a closing answer and ran'
 
 
 @register_check('own-whole-answer')
--- a/crocusshunt/soak/_load.py
+++ b/crocusshunt/soak/_load.py
@@ -3,11 +3,18 @@
 import asyncio
 import random
 import time
+from collections.abc import AsyncIterator, Coroutine, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from crocusshunt.platform import SOURCE_FORMAT
+from crocusshunt.soak._pipelined import (
+    RawResponse,
+    encode_get,
+    exchange_pipelined,
+)
 from crocusshunt.soak._processes import HostProcess
 from crocusshunt.soak._records import Call, CallOutcome, Records
 from crocusshunt.soak._servers import build_response_text
@@ -19,6 +26,9 @@
 _REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 _IDEMPOTENT_SHARE = 0.5
 _AFFINITY_KEYS = 30
+# Share of the idempotent calls that are sent in a group on one connection.
+_PIPELINED_SHARE = 0.2
+_GROUP_COUNT = 3
 
 
 @dataclass(slots=True)
@@ -58,19 +68,52 @@
             await asyncio.gather(*self._tasks)
 
     def _start_call(self) -> None:
+        call = self._create_call(
+            self.rng.choice(self.hosts).name,
+            is_idempotent=self.rng.random() < _IDEMPOTENT_SHARE,
+        )
+        if call.is_idempotent and self.rng.random() < _PIPELINED_SHARE:
+            group = [call]
+            while len(group) < _GROUP_COUNT:
+                group.append(self._create_call(call.host, is_idempotent=True))
+            self._start_task(self._send_group(group))
+        else:
+            self._start_task(self._send(call))
+
+    def _create_call(self, host: str, *, is_idempotent: bool) -> Call:
         self._sent_calls += 1
         call = Call(
             request_id=f'call-{self._sent_calls}',
-            host=self.rng.choice(self.hosts).name,
+            host=host,
             key=self.rng.choice(self.keys),
-            is_idempotent=self.rng.random() < _IDEMPOTENT_SHARE,
+            is_idempotent=is_idempotent,
             sent_at=time.monotonic(),
         )
         self.records.calls.append(call)
-        task = asyncio.create_task(self._send(call))
+        return call
+
+    def _start_task(self, sending: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(sending)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _send_group(self, calls: Sequence[Call]) -> None:
+        """Send calls on one connection, without waiting for responses."""
+        fronts = {host.name: host.document.front for host in self.hosts}
+        requests = [
+            encode_get('/read/x', self._build_headers(call)) for call in calls
+        ]
+        waiting = list(calls)
+        responses = exchange_pipelined(fronts[calls[0].host], requests)
+        try:
+            async with asyncio.timeout(_DEADLINE_S + 1):
+                await _record_responses(waiting, responses)
+        except (OSError, TimeoutError) as error:
+            for call in waiting:
+                call.outcome = _classify_error(call, error)
+        for unanswered in waiting:
+            unanswered.ended_at = time.monotonic()
+
     async def _send(self, call: Call) -> None:
         assert self._session is not None  # noqa: S101
         fronts = {host.name: host.document.front for host in self.hosts}
@@ -103,6 +146,28 @@
         }
 
 
+async def _record_responses(
+    waiting: list[Call], responses: AsyncIterator[RawResponse]
+) -> None:
+    """Assign responses to calls, which leave the list."""
+    async for response in responses:
+        _record_response(waiting.pop(0), response)
+        if response.closes:
+            _mark_unread(waiting)
+
+
+def _record_response(call: Call, response: RawResponse) -> None:
+    call.status = response.status
+    signature = response.headers.get(_HEADERS.signature.lower())
+    call.outcome = _classify_response(call, response.text, signature)
+    call.ended_at = time.monotonic()
+
+
+def _mark_unread(calls: Sequence[Call]) -> None:
+    for call in calls:
+        call.outcome = CallOutcome.unread
+
+
 def _classify_response(
     call: Call, text: str, signature: str | None
 ) -> CallOutcome:
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -19,6 +19,8 @@
     * ``failed``: any other status than 200 and those of a refusal.
     * ``closed``: the connection broke, or no response came in time.
     * ``unreachable``: no connection could be opened.
+    * ``unread``: it was sent behind a request whose response closed the
+      connection, so the host states that it did not read it.
     """
 
     answered = 'answered'
@@ -28,6 +30,7 @@
     failed = 'failed'
     closed = 'closed'
     unreachable = 'unreachable'
+    unread = 'unread'
 
 
 @dataclass(slots=True)
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -69,6 +69,10 @@
     records.calls[5].outcome = CallOutcome.refused
 
 
+def _run_unread(records: Records) -> None:
+    records.calls[5].outcome = CallOutcome.unread
+
+
 def _answer_with_another(records: Records) -> None:
     records.calls[5].outcome = CallOutcome.mismatched
 
@@ -130,6 +134,7 @@
     [
         (_run_twice, 'at-most-once'),
         (_refuse_falsely, 'true-refusal'),
+        (_run_unread, 'true-refusal'),
         (_answer_with_another, 'own-whole-answer'),
         (_answer_without_run, 'own-whole-answer'),
         (_expose_key, 'keys'),
