Split the choice of a server and the exchange with it into smaller modules

Requests that need a server, the decision on them, the measured state and the outcome of an attempt get modules of their own; nothing else changes.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -14,7 +14,8 @@
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
-from crocusshunt.front._placement import Placer, PlacerState
+from crocusshunt.front._placement import Placer
+from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._settings import (
@@ -23,7 +24,6 @@
     HeaderNames,
     SourceFormat,
 )
-from crocusshunt.front._targets import TargetChooser
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
 from crocusshunt.placement import (
@@ -124,7 +124,6 @@
     components = HandlerComponents(
         cluster=cluster,
         tokens=tokens,
-        targets=TargetChooser(),
         dispatcher=dispatcher,
         recorder=metrics,
     )
--- /dev/null
+++ b/crocusshunt/front/_attempts.py
@@ -0,0 +1,84 @@
+"""One attempt to have a request answered, and how it ended."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from crocusshunt.upstream import UpstreamAnswer, UpstreamRequest
+
+
+class Verdict(Enum):
+    """Classification of one attempt.
+
+    ``shed`` means the server refused the request for lack of room,
+    ``misdirected`` that another server has the address, ``broken`` that no
+    complete, signed response came. After ``shed``, ``misdirected`` and
+    ``unreachable`` it is certain that the server did not execute the request.
+    """
+
+    answered = 'answered'
+    failed = 'failed'
+    shed = 'shed'
+    misdirected = 'misdirected'
+    unreachable = 'unreachable'
+    broken = 'broken'
+    timed_out = 'timed-out'
+
+
+_NOT_EXECUTED = frozenset(
+    (Verdict.shed, Verdict.misdirected, Verdict.unreachable)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Result of one attempt.
+
+    :param response: the server's own response, if a complete one came.
+    :param detail: cause of a failure, for the log.
+    :param took_s: time from sending the request on an open connection to its
+        response, in seconds.
+    """
+
+    verdict: Verdict
+    response: UpstreamAnswer | None = None
+    detail: str = ''
+    took_s: float = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the server may have begun to execute the request."""
+        return self.verdict not in _NOT_EXECUTED
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTemplate:
+    """The parts of a request that are the same in every attempt.
+
+    :param headers: without those that depend on the server or the time.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+
+    def build(self, added: list[tuple[str, str]]) -> UpstreamRequest:
+        """Return the request for one server.
+
+        :param added: headers for this server and moment.
+        """
+        headers = [*self.headers, *added]
+        if self.body is not None:
+            headers.append(('Content-Length', str(len(self.body))))
+        return UpstreamRequest(
+            _encode(self.request_id),
+            _encode(self.method),
+            _encode(self.target),
+            tuple((_encode(name), _encode(text)) for name, text in headers),
+            self.body,
+        )
+
+
+def _encode(text: str) -> bytes:
+    return text.encode('utf-8', 'surrogateescape')
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -6,14 +6,11 @@
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
-from crocusshunt.front._exchange import (
-    Exchanger,
-    Outcome,
-    RequestTemplate,
-    Verdict,
-)
+from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
+from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
-from crocusshunt.front._placement import Placement, PlacementRequest, Placer
+from crocusshunt.front._placement import Placer
+from crocusshunt.front._placements import Placement, PlacementRequest
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._trace import RequestTrace
 from crocusshunt.front._waiting import SlotWaiters
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,7 +1,7 @@
 """HTTP handler of callers' requests: admission, body, dispatch, response."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -9,9 +9,9 @@
 from crocusshunt.catalog import RequestLimits
 from crocusshunt.core import Clock
 from crocusshunt.front._admission import Admission, admit
+from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._dispatch import Dispatcher, PendingRequest
-from crocusshunt.front._exchange import RequestTemplate
 from crocusshunt.front._headers import (
     RequestInfo,
     inspect_request,
@@ -20,7 +20,7 @@
 )
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 from crocusshunt.front._pipelining import InFlight
-from crocusshunt.front._placement import PlacementRequest
+from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
 from crocusshunt.front._tokens import TokenService
@@ -48,9 +48,9 @@
 
     cluster: ClusterState
     tokens: TokenService
-    targets: TargetChooser
     dispatcher: Dispatcher
     recorder: Recorder
+    targets: TargetChooser = field(default_factory=TargetChooser)
 
 
 class RequestHandler:
--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -5,7 +5,7 @@
 
 from crocusshunt.fleet import Heartbeat
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._placement import PlacerState
+from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.placement import (
     Locality,
     RegionLoad,
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -1,29 +1,23 @@
 """Choice of a backend server for a request."""
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable
+from dataclasses import replace
 from itertools import chain
 
 from crocusshunt.core import Clock, rank_by_rendezvous
-from crocusshunt.front._admission import Admission
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._placements import Placement, PlacementRequest
+from crocusshunt.front._placer_state import ALL_POOLS, PlacerState
 from crocusshunt.placement import (
     Candidate,
     Choice,
     ChoiceSettings,
     Locality,
-    OfferedLoad,
-    RecentObjects,
     RequestConstraints,
-    ReturnSchedule,
-    RoundTrips,
-    ServerLoad,
-    ServiceTimes,
     TrackedServer,
     choose_server,
     rank_servers,
 )
-from crocusshunt.sharing import MinIntervalLimiter, RetryLimit, RetryLimiter
 
 # Hosts that send requests to a cold server, each half of its rate, so that the
 # server still gets requests if one of them fails.
@@ -35,119 +29,12 @@
 # So long after its ejection ended, a returning server's entry shows whether it
 # is cold, and any host may send to it again.
 _RETURN_TIMEOUT_S = 6
-# In any window of two seconds, at most a bounded share of requests may be
-# served in another region. Part of that bound is reserved for objects whose
-# preferred region changes.
-_OVERFLOW_SHARE = 0.06
-_OVERFLOW_EXTRA = 0.5
-_OVERFLOW_WINDOW_S = 2
-_ALL_POOLS = ''
 # A rule by which a free slot is not taken.
 _RULE_REGION_CHANGES = 'region-change-bound'
 # Entries and health of servers change within about this time.
 _NO_SERVER_RETRY_S = 1
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementRequest:
-    """A request that needs a server.
-
-    :param key: input of the ranking: the request's object, or its id.
-    :param objective_at: time at which its latency objective is missed,
-        monotonic seconds.
-    :param final_at: deadline of its response, monotonic seconds.
-    :param tried: servers that it was already sent to.
-    """
-
-    admission: Admission
-    pool: str
-    key: str
-    objective_at: float
-    final_at: float
-    tried: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """The server chosen for a request, or why there is none.
-
-    :param server: None where no server can take the request.
-    :param is_preferred: whether the server is first in the request's ranking.
-    :param wait_s: without a server, seconds until one may have room.
-    :param cause: without a server, the code of the reason.
-    :param finish_s: expected seconds until the response.
-    :param considered: without room, the servers that were compared.
-    :param rules: without room, the rule by which a compared server with a
-        free slot was not taken, by its name.
-    """
-
-    server: TrackedServer | None
-    is_preferred: bool = False
-    wait_s: float = 0
-    cause: str = ''
-    finish_s: float = 0
-    considered: tuple[Candidate, ...] = ()
-    rules: Mapping[str, str] = field(default_factory=dict)
-
-    @property
-    def fastest_s(self) -> float:
-        """Return the shortest time in a slot and network, in seconds."""
-        return min(
-            (one.service_s + one.round_trip_s for one in self.considered),
-            default=0,
-        )
-
-
-def _create_overflow() -> RetryLimiter:
-    return RetryLimiter(
-        RetryLimit(_OVERFLOW_SHARE, _OVERFLOW_EXTRA, _OVERFLOW_WINDOW_S),
-    )
-
-
-@dataclass(slots=True)
-class PlacerState:
-    """Measured state that placement depends on.
-
-    :param loads: load of each server, by name.
-    :param offered: load that this host's callers offer to each pool.
-    :param round_trips: to the regions of the servers.
-    :param localities: share of objects served in this region, by pool.
-    :param recent_objects: objects that each server handled recently.
-    :param cold_limiter: spaces this host's requests to each cold server.
-    :param overflow: limits requests not sent to their preferred server.
-    :param returns: when refused requests were told to come back.
-    :param full_servers: requests at servers that reported no free slot since
-        the last heartbeat.
-    """
-
-    loads: dict[str, ServerLoad] = field(default_factory=dict)
-    times: ServiceTimes = field(default_factory=ServiceTimes)
-    offered: OfferedLoad = field(default_factory=OfferedLoad)
-    round_trips: RoundTrips = field(default_factory=RoundTrips)
-    localities: Mapping[str, Locality] = field(default_factory=dict)
-    recent_objects: RecentObjects = field(default_factory=RecentObjects)
-    cold_limiter: MinIntervalLimiter = field(default_factory=MinIntervalLimiter)
-    overflow: RetryLimiter = field(default_factory=_create_overflow)
-    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
-    full_servers: dict[str, int] = field(default_factory=dict)
-
-    def reset_full_servers(self) -> None:
-        """Clear the full servers after they were announced."""
-        self.full_servers = {}
-
-    def forget(self, server: str) -> None:
-        """Drop the state of a server."""
-        self.loads.pop(server, None)
-        self.times.forget(server)
-        self.recent_objects.forget(server)
-        self.cold_limiter.forget(server)
-        self.returns.forget(server)
-
-    def find_load(self, server: str) -> ServerLoad:
-        """Return the load of a server, created on first use."""
-        return self.loads.setdefault(server, ServerLoad())
-
-
 class Placer:
     """Chooses servers by rendezvous ranking, load, health and locality.
 
@@ -176,7 +63,7 @@
         """
         now = self._clock.monotonic()
         state = self._state
-        state.overflow.note_request(_ALL_POOLS, now)
+        state.overflow.note_request(ALL_POOLS, now)
         route = request.admission.route
         service_s = state.times.estimate_route(route.name, route.objective_s)
         state.offered.note(
@@ -323,7 +210,7 @@
         ranked = [self.estimate_server(one, request, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
         rules: dict[str, str] = {}
-        if choice.index and not self._state.overflow.spend(_ALL_POOLS, now):
+        if choice.index and not self._state.overflow.spend(ALL_POOLS, now):
             choice = choose_server(need, ranked[:1], self._settings)
             others = [one for one in ranked[1:] if one.has_free_slot]
             rules = {one.name: _RULE_REGION_CHANGES for one in others}
--- a/crocusshunt/front/_refusals.py
+++ b/crocusshunt/front/_refusals.py
@@ -4,12 +4,9 @@
 
 from crocusshunt.core import Clock
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._placement import (
-    Placement,
-    PlacementRequest,
-    Placer,
-    PlacerState,
-)
+from crocusshunt.front._placement import Placer
+from crocusshunt.front._placements import Placement, PlacementRequest
+from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.placement import Candidate, SlotRate, TrackedServer
 
 _RULE_OBJECT_NOT_HELD = 'object-not-held'
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -11,8 +11,8 @@
 
     from crocusshunt.catalog import CatalogIndex
     from crocusshunt.front._admission import Admission
-    from crocusshunt.front._exchange import Outcome
-    from crocusshunt.front._placement import Placement
+    from crocusshunt.front._attempts import Outcome
+    from crocusshunt.front._placements import Placement
     from crocusshunt.front._refusals import PassedOver
     from crocusshunt.placement import TrackedServer
 
--- a/crocusshunt/front/tests/test_heartbeats.py
+++ b/crocusshunt/front/tests/test_heartbeats.py
@@ -19,7 +19,7 @@
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
-from crocusshunt.front._placement import PlacerState
+from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.placement import ServerEntry, ServerRegistry
 from crocusshunt.sharing import RetryLimit, RetryLimiter
