Keep the witnesses of a lease while no host is live

The gateway of the only host was silent for 1.8 s, so the host counted as leaving and no host as live; the lease's witnesses were replaced by none. No majority of none can support a lease, and a lease without witnesses counted as complete, so the host never lent again. Witnesses stay while no host is live, and a lease without any gets them.

--- a/crocusshunt/controller/_leases.py
+++ b/crocusshunt/controller/_leases.py
@@ -97,13 +97,15 @@
         now = self._clock.monotonic()
         if self._directory.is_displaced(shard):
             return Ok(None)
-        missing = set(held_lease.row.witnesses) - set(
-            self._directory.find_live()
-        )
-        if missing and held_lease.started_at is not None:
+        if held_lease.started_at is not None and self._lacks_witness(
+            held_lease
+        ):
+            # While no host is live the old witnesses stay: without any, no
+            # majority could ever support the lease.
             witnesses = self._directory.choose_witnesses(shard)
-            row = build_witness_change_row(held_lease.row, witnesses)
-            return await self._update_row(shard, row)
+            if witnesses:
+                row = build_witness_change_row(held_lease.row, witnesses)
+                return await self._update_row(shard, row)
         if held_lease.is_releasing or held_lease.is_renewal_due(now):
             # This write changes the version of the row, so a release whose
             # answer was lost can no longer take effect.
@@ -147,6 +149,13 @@
             self.held_leases.pop(shard, None)
         return written
 
+    def _lacks_witness(self, held_lease: HeldLease) -> bool:
+        """Tell whether a lease has no witnesses, or one that is not live."""
+        witnesses = set(held_lease.row.witnesses)
+        return not witnesses or bool(
+            witnesses - set(self._directory.find_live())
+        )
+
     async def _read_and_acquire(self, shard: str) -> Result[None, StoreError]:
         requested_at = self._clock.monotonic()
         read_outcome = await self._tables.read(LEASE_TABLE, shard)
