Answer requests that reach a stopping host before its process is killed

Requests that arrive at a stopping host now have 0.7 s before the kill as their deadline: a server that cannot finish by then is not chosen unless it has a free slot, and what is not answered gets its final answer. The test loses the connection on the code before.

--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -191,7 +191,9 @@
             if is_sticky
             else request_info.request_id,
             objective_at=trace.started_at + route.objective_s,
-            final_at=trace.started_at + time_limit_s,
+            final_at=min(
+                trace.started_at + time_limit_s, self.in_flight.answer_by
+            ),
         )
         return PendingRequest(placement_request, template, trace)
 
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -28,11 +28,14 @@
     :param busy: number of unanswered requests of each connection that has
         any.
     :param buffered_bytes: total size of the request bodies held in memory.
+    :param answer_by: when a stopping host must have answered requests that
+        arrive from now on, monotonic seconds; infinite until it stops.
     """
 
     busy: dict[object, int] = field(default_factory=dict)
     buffered_bytes: int = 0
     is_stopping: bool = False
+    answer_by: float = float('inf')
 
     @property
     def count(self) -> int:
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -31,6 +31,9 @@
 _ACCEPT_AT_STOP_S = 2.5
 # Draining ends this long before the process is killed.
 _KILL_MARGIN_S = 0.5
+# Requests that arrive at a stopping host are answered this long before the
+# process is killed, so that their callers get the answer.
+_ANSWER_MARGIN_S = 0.7
 _SERVER_OPTIONS: Mapping[str, Any] = MappingProxyType(
     {
         'access_log': None,
@@ -98,6 +101,7 @@
         log_event('host stopping', in_flight=components.handler.in_flight.count)
         kill_at = self._clock.monotonic() + self.settings.limits.grace_s
         components.handler.in_flight.is_stopping = True
+        components.handler.in_flight.answer_by = kill_at - _ANSWER_MARGIN_S
         components.heartbeat_loop.send_heartbeats()
         await asyncio.sleep(_ACCEPT_AT_STOP_S)
         await drain_runner(
--- a/crocusshunt/front/tests/test_host.py
+++ b/crocusshunt/front/tests/test_host.py
@@ -1,6 +1,7 @@
 """End-to-end tests of a host with an in-memory store and test servers."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from aiohttp import web
@@ -259,3 +260,26 @@
         status, body, response = await deployment.send(method='POST')
         assert (status, body) == (500, 'own')
         assert response.headers[NAMES.signature] == 'signed'
+
+
+async def test_request_at_a_stopping_host_is_answered_before_the_kill(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request that waited at its server lost its connection instead."""
+    monkeypatch.setattr('crocusshunt.front._service._ACCEPT_AT_STOP_S', 1)
+
+    async def hang(_request: web.Request) -> None:
+        await asyncio.sleep(5)
+
+    async with deploy('s1') as deployment:
+        deployment.backends[0].override = hang
+        service = deployment.service
+        limits = replace(service.settings.limits, grace_s=2)
+        service.settings = replace(service.settings, limits=limits)
+        stop = asyncio.create_task(service.stop())
+        await asyncio.sleep(0.2)
+        status, _body, _response = await deployment.send()
+        assert status == 504
+        # The process ends when the stop is done.
+        assert not stop.done()
+        await stop
