--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -149,6 +149,28 @@
         )
 
 
+async def crowd_one_object(deployment: Deployment) -> list[ClientResponse]:
+    """Send eight deferrable requests for one object to servers that hang.
+
+    Its server has no room for all of them, while the others are idle.
+    """
+
+    async def hang(_request: web.Request) -> None:
+        await asyncio.sleep(2)
+
+    urgent = describe_route(prefix='/u/', priority=0)
+    deferrable = describe_route(prefix='/a/', priority=1, kind='non_idempotent')
+    deployment.configure(urgent, deferrable)
+    await deployment.wait_for_sync()
+    for backend in deployment.backends:
+        backend.override = hang
+    cookie = {'Cookie': f'{NAMES.affinity_cookie}=7'}
+    responses = await asyncio.gather(
+        *(deployment.send(method='POST', **cookie) for _ in range(8))
+    )
+    return [response for _status, _text, response in responses]
+
+
 @asynccontextmanager
 async def deploy(*names: str) -> AsyncIterator[Deployment]:
     """Run a host with backend servers of the given names."""
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -9,6 +9,7 @@
 from crocusshunt.front.tests._deployment import (
     NAMES,
     Deployment,
+    crowd_one_object,
     deploy,
 )
 from crocusshunt.logs import start_logging
@@ -93,22 +94,10 @@
 async def test_refusal_for_lack_of_room_shows_the_estimated_load(
     log: io.StringIO,
 ) -> None:
-    async def hang(request: web.Request) -> None:
-        await asyncio.sleep(2)
-
-    urgent = describe_route(prefix='/u/', priority=0)
-    deferrable = describe_route(prefix='/a/', priority=1, kind='non_idempotent')
     async with deploy('s1') as deployment:
-        deployment.configure(urgent, deferrable)
-        await deployment.wait_for_sync()
-        deployment.backends[0].override = hang
-        request_tasks = [
-            asyncio.create_task(deployment.send(method='POST'))
-            for _ in range(8)
-        ]
-        responses = await asyncio.gather(*request_tasks)
-        refused = [one[2] for one in responses if one[0] == 503]
-        name = refused[0].request_info.headers['X-Crocusshunt-Attempt-Id']
+        responses = await crowd_one_object(deployment)
+        refused = [one for one in responses if one.status == 503]
+        name = refused[0].request_info.headers[NAMES.request_id]
     explained = _explain(log, name)
     assert 'no-room' in explained
     assert 's1 had 5.0 requests for 4 slots' in explained
@@ -118,25 +107,9 @@
 async def test_refusal_beside_a_free_slot_names_the_rule(
     log: io.StringIO,
 ) -> None:
-    async def hang(request: web.Request) -> None:
-        await asyncio.sleep(2)
-
-    urgent = describe_route(prefix='/u/', priority=0)
-    deferrable = describe_route(
-        prefix='/a/', priority=1, kind='non_idempotent', sticky=True
-    )
     async with deploy('s1', 's2') as deployment:
-        deployment.configure(urgent, deferrable)
-        await deployment.wait_for_sync()
-        for backend in deployment.backends:
-            backend.override = hang
-        cookie = {'Cookie': f'{NAMES.affinity_cookie}=7'}
-        request_tasks = [
-            asyncio.create_task(deployment.send(method='POST', **cookie))
-            for _ in range(8)
-        ]
-        responses = await asyncio.gather(*request_tasks)
-        refused = [one[2] for one in responses if one[0] == 503]
+        responses = await crowd_one_object(deployment)
+        refused = [one for one in responses if one.status == 503]
         name = refused[0].request_info.headers[NAMES.request_id]
     explained = _explain(log, name)
     assert 'full  s' in explained
--- a/crocusshunt/reports/tests/test_losses.py
+++ b/crocusshunt/reports/tests/test_losses.py
@@ -1,13 +1,11 @@
 """Where requests were lost, from the log lines of hosts alone."""
 
-import asyncio
 import io
 from collections.abc import Iterator
 
 import pytest
-from aiohttp import web
 
-from crocusshunt.front.tests._deployment import NAMES, deploy
+from crocusshunt.front.tests._deployment import crowd_one_object, deploy
 from crocusshunt.logs import start_logging
 from crocusshunt.reports import (
     LossPlace,
@@ -16,7 +14,6 @@
     render_page,
     summarize,
 )
-from crocusshunt.standin import describe_route
 
 
 def _format_line(second: int, **fields: str) -> str:
@@ -84,20 +81,8 @@
 
 
 async def test_lines_of_a_host_tell_its_losses(log: io.StringIO) -> None:
-    async def hang(request: web.Request) -> None:
-        await asyncio.sleep(2)
-
-    urgent = describe_route(prefix='/u/', priority=0)
-    deferrable = describe_route(prefix='/a/', priority=1, kind='non_idempotent')
     async with deploy('s1', 's2') as deployment:
-        deployment.configure(urgent, deferrable)
-        await deployment.wait_for_sync()
-        for backend in deployment.backends:
-            backend.override = hang
-        cookie = {'Cookie': f'{NAMES.affinity_cookie}=7'}
-        await asyncio.gather(
-            *(deployment.send(method='POST', **cookie) for _ in range(8))
-        )
+        await crowd_one_object(deployment)
     losses = find_losses(log.getvalue().splitlines())
     assert sum(losses.refused.values()) == 3
     assert losses.rules == {'object-not-held': 3}
