--- /dev/null
+++ b/crocusshunt/front/tests/_region.py
@@ -0,0 +1,96 @@
+"""Hosts of one region whose datagrams are delivered immediately."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+from unittest.mock import Mock
+
+from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
+from crocusshunt.core import Clock, ManualClock
+from crocusshunt.fleet import (
+    DatagramEndpoint,
+    FleetSettings,
+    FleetView,
+    HostRecord,
+)
+from crocusshunt.front._followers import Followers
+from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._limits import SharedLimits
+from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._outbox import Outbox
+from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._tokens import TokenService
+from crocusshunt.placement import ServerEntry, ServerRegistry
+from crocusshunt.services import TaskGroup
+from crocusshunt.sharing import RetryLimit, RetryLimiter
+
+RULE = CustomerRule('court', rate=100, burst=100)
+
+
+def create_record(name: str) -> HostRecord:
+    """Return the record of a host of the region."""
+    return HostRecord(name, name, 7600, f'{name}:80', 'a1', 'a')
+
+
+def _create_idle_followers(_cluster: Mock) -> Followers:
+    return cast(Followers, Mock(versions=()))
+
+
+@dataclass(slots=True)
+class Region:
+    """Hosts of one region, and the servers that all of them know.
+
+    :param names: names of all hosts, which know each other's records.
+    :param create_followers: creates the followers of a host.
+    """
+
+    names: tuple[str, ...] = ('h1', 'h2')
+    clock: Clock = field(default_factory=ManualClock)
+    tasks: TaskGroup | Mock = field(default_factory=Mock)
+    create_followers: Callable[[Mock], Followers] = _create_idle_followers
+    hosts: dict[str, HeartbeatLoop] = field(default_factory=dict)
+
+    def start(self, name: str) -> HeartbeatLoop:
+        """Start a host that knows the records of all others."""
+        fleet = FleetView(create_record(name), FleetSettings())
+        for peer in self.names:
+            fleet.put(create_record(peer))
+        servers = ServerRegistry({'a1': 'a', 'b1': 'b'})
+        for number in range(4):
+            domain = 'a1' if number < 2 else 'b1'
+            entry = ServerEntry(f's{number}', 'p', f'x:{number}', domain, 4)
+            servers.put(entry, now=0)
+        cluster = Mock(
+            fleet=fleet,
+            servers=servers,
+            index=CatalogIndex(Catalog(1, customers=(RULE,))),
+        )
+        outbox = Outbox(fleet)
+        outbox.endpoint = cast(DatagramEndpoint, _LoopbackEndpoint(self))
+        limits = SharedLimits(cluster, RetryLimiter(RetryLimit(0, 0, 1)))
+        heartbeat_loop = HeartbeatLoop(
+            cluster=cluster,
+            followers=self.create_followers(cluster),
+            readiness=Mock(is_ready=True),
+            planner=LocalityPlanner(cluster, PlacerState()),
+            tokens=TokenService(limits, self.clock, outbox.send_to),
+            outbox=outbox,
+            tasks=cast(TaskGroup, self.tasks),
+            settings=FleetSettings(),
+            clock=self.clock,
+            started_at=len(self.hosts) + 1,
+        )
+        self.hosts[name] = heartbeat_loop
+        heartbeat_loop.run_once()
+        return heartbeat_loop
+
+
+@dataclass(frozen=True, slots=True)
+class _LoopbackEndpoint:
+    region: Region
+
+    def send(self, content: bytes, host: str, port: int) -> None:
+        """Deliver a datagram if the receiving host was started."""
+        heartbeat_loop = self.region.hosts.get(host)
+        if heartbeat_loop is not None:
+            heartbeat_loop.receive(content)
--- a/crocusshunt/front/tests/test_heartbeats.py
+++ b/crocusshunt/front/tests/test_heartbeats.py
@@ -1,88 +1,13 @@
 """Heartbeats between hosts, and what follows from them."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from itertools import pairwise
-from typing import cast
 from unittest.mock import Mock
 
-from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
 from crocusshunt.core import ManualClock
-from crocusshunt.fleet import (
-    DatagramEndpoint,
-    FleetSettings,
-    FleetView,
-    HostRecord,
-    encode,
-)
+from crocusshunt.fleet import encode
 from crocusshunt.front._heartbeats import HeartbeatLoop
-from crocusshunt.front._limits import SharedLimits
-from crocusshunt.front._localities import LocalityPlanner
-from crocusshunt.front._outbox import Outbox
-from crocusshunt.front._placer_state import PlacerState
-from crocusshunt.front._tokens import TokenService
-from crocusshunt.placement import ServerEntry, ServerRegistry
-from crocusshunt.sharing import RetryLimit, RetryLimiter
-
-_NAMES = ('h1', 'h2')
-_RULE = CustomerRule('court', rate=100, burst=100)
-
-
-@dataclass(slots=True)
-class _Region:
-    """Hosts of one region whose datagrams are delivered immediately."""
-
-    clock: ManualClock = field(default_factory=ManualClock)
-    hosts: dict[str, HeartbeatLoop] = field(default_factory=dict)
-
-    def start(self, name: str) -> HeartbeatLoop:
-        """Start a host that knows the records of all others."""
-        fleet = FleetView(_record(name), FleetSettings())
-        for peer in _NAMES:
-            fleet.put(_record(peer))
-        servers = ServerRegistry({'a1': 'a', 'b1': 'b'})
-        for number in range(4):
-            domain = 'a1' if number < 2 else 'b1'
-            entry = ServerEntry(f's{number}', 'p', f'x:{number}', domain, 4)
-            servers.put(entry, now=0)
-        cluster = Mock(
-            fleet=fleet,
-            servers=servers,
-            index=CatalogIndex(Catalog(1, customers=(_RULE,))),
-        )
-        outbox = Outbox(fleet)
-        outbox.endpoint = cast(DatagramEndpoint, _LoopbackEndpoint(self))
-        limits = SharedLimits(cluster, RetryLimiter(RetryLimit(0, 0, 1)))
-        heartbeat_loop = HeartbeatLoop(
-            cluster=cluster,
-            followers=Mock(versions=()),
-            readiness=Mock(is_ready=True),
-            planner=LocalityPlanner(cluster, PlacerState()),
-            tokens=TokenService(limits, self.clock, outbox.send_to),
-            outbox=outbox,
-            tasks=Mock(),
-            settings=FleetSettings(),
-            clock=self.clock,
-            started_at=len(self.hosts) + 1,
-        )
-        self.hosts[name] = heartbeat_loop
-        heartbeat_loop.run_once()
-        return heartbeat_loop
-
-
-@dataclass(frozen=True, slots=True)
-class _LoopbackEndpoint:
-    region: _Region
-
-    def send(self, content: bytes, host: str, port: int) -> None:
-        """Deliver a datagram if the receiving host was started."""
-        heartbeat_loop = self.region.hosts.get(host)
-        if heartbeat_loop is not None:
-            heartbeat_loop.receive(content)
-
-
-def _record(name: str) -> HostRecord:
-    return HostRecord(name, name, 7600, f'{name}:80', 'a1', 'a')
+from crocusshunt.front.tests._region import RULE, Region, create_record
 
 
 def _list_heard(heartbeat_loop: HeartbeatLoop, now: float) -> Iterable[str]:
@@ -90,8 +15,13 @@
     return [peer.record.name for peer in heard]
 
 
+def _advance(region: Region, seconds: float) -> None:
+    assert isinstance(region.clock, ManualClock)
+    region.clock.advance(seconds)
+
+
 def test_started_host_and_its_peers_discover_each_other_at_once() -> None:
-    region = _Region()
+    region = Region()
     first = region.start('h1')
     second = region.start('h2')
     now = region.clock.monotonic()
@@ -100,19 +30,19 @@
 
 
 def test_rates_are_divided_again_soon_after_a_host_started() -> None:
-    region = _Region()
+    region = Region()
     first = region.start('h1')
     second = region.start('h2')
     first.tokens.limits.demand.count('court', 0, amount=600)
     first.run_once()
     second._check_for_changes()
     shares = [one.tokens.limits.shares['court'].rate for one in (first, second)]
-    assert sum(shares) <= _RULE.rate + 1e-6
+    assert sum(shares) <= RULE.rate + 1e-6
     assert shares[0] > shares[1]
 
 
 def test_readiness_is_announced_before_the_next_heartbeat() -> None:
-    region = _Region()
+    region = Region()
     first = region.start('h1')
     second = region.start('h2')
     second.readiness = Mock(is_ready=False)
@@ -125,7 +55,7 @@
 
 
 def test_load_of_a_full_server_reaches_the_other_hosts() -> None:
-    region = _Region()
+    region = Region()
     first = region.start('h1')
     second = region.start('h2')
     first.planner.state.full_servers['s1'] = 20
@@ -136,12 +66,12 @@
 
 
 def test_full_region_serves_fewer_objects_until_it_has_room() -> None:
-    region = _Region()
+    region = Region()
     heartbeat_loop = region.start('h1')
     planner = heartbeat_loop.planner
     shares = []
     for second in range(12):
-        region.clock.advance(1)
+        _advance(region, 1)
         now = region.clock.monotonic()
         for name in ('s0', 's1'):
             load = planner.state.find_load(name)
@@ -155,7 +85,7 @@
 
 
 def test_state_of_removed_servers_is_dropped() -> None:
-    region = _Region()
+    region = Region()
     heartbeat_loop = region.start('h1')
     state = heartbeat_loop.planner.state
     for name in ('s0', 's1'):
@@ -169,21 +99,21 @@
 
 
 def test_undecodable_datagrams_are_ignored() -> None:
-    region = _Region()
+    region = Region()
     heartbeat_loop = region.start('h1')
     heartbeat_loop.receive(b'garbage')
-    heartbeat_loop.receive(encode(_record('h2')))
+    heartbeat_loop.receive(encode(create_record('h2')))
     assert not list(_list_heard(heartbeat_loop, region.clock.monotonic()))
 
 
 def test_emptied_domain_is_followed_at_once_and_traffic_in_steps() -> None:
-    region = _Region()
+    region = Region()
     heartbeat_loop = region.start('h1')
     planner = heartbeat_loop.planner
     shares = []
     for second in range(6):
         planner.state.offered.note('p', 6, region.clock.monotonic())
-        region.clock.advance(1)
+        _advance(region, 1)
         if second == 3:
             planner.cluster.servers.remove('s0')
         planner.plan(region.clock.monotonic())
