Follow changes soon after calls of feeds were lost

Cause: a call that waits for changes was the only evidence a host had, and its loss showed only when its own wait of 10 s and the time for an answer were over. An outage that begins while all hosts pause after the same change swallows the next call of every one of them; the connections stay open, so keep-alive probes and a newer version at a peer show nothing. Class: silence is taken for 'nothing has changed' for longer than a change may take.

Evidence: age_s is 12.00 s on all hosts at the failure (pause 0.5, wait 10, timeout 1.5), nothing about the configuration is logged in between, and the feeds of servers and hosts worked again from 12.5 s on.

Why this works: the first host of a region whose calls are answered lets its calls for configuration and servers wait 0.8 s only, so it notices a lost call or the end of an outage within about two seconds, and announces new versions at once. A host whose call under way withholds what a peer knows for 0.4 s calls again. One host a region does this, so calls don't grow with the hosts (test). If its calls fail, it stops or it falls silent, the next host takes over. The same holds for entries of servers, and a heartbeat of a host without a record has the table of hosts read again.

--- /dev/null
+++ b/crocusshunt/feeds/_calls.py
@@ -0,0 +1,43 @@
+"""Calls that may be abandoned while they wait."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from crocusshunt.core import Clock
+
+
+class AbandonableCall:
+    """Runs one call at a time, which may be abandoned from outside."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without a call."""
+        self._clock = clock
+        self._task: asyncio.Task[bool] | None = None
+        self._started_at: float = 0
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the call under way began, in seconds.
+
+        Zero if no call is under way.
+        """
+        if self._task is None or self._task.done():
+            return 0
+        return self._clock.monotonic() - self._started_at
+
+    async def run(self, call: Coroutine[Any, Any, bool]) -> bool | None:
+        """Return the result of a call, None if it was abandoned."""
+        self._started_at = self._clock.monotonic()
+        task = asyncio.create_task(call)
+        self._task = task
+        try:
+            await asyncio.wait((task,))
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        return None if task.cancelled() else task.result()
+
+    def abandon(self) -> bool:
+        """Cancel the call under way; return whether there was one."""
+        return self._task is not None and self._task.cancel()
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -1,21 +1,24 @@
 """Task that keeps a local copy of one table up to date."""
 
 import asyncio
-import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from result import Err, Result
 
 from crocusshunt.core import Clock
+from crocusshunt.feeds._availability import StoreAvailability
+from crocusshunt.feeds._calls import AbandonableCall
 from crocusshunt.feeds._errors import FeedError, HistoryLostError
 from crocusshunt.feeds._image import TableImage
+from crocusshunt.feeds._removals import DeferredRemovals
 from crocusshunt.feeds._rows import Changes, FeedStore, Row
 from crocusshunt.logs import log_event
 
 _INITIAL_PAUSE_S = 0.1
-_MAX_PAUSE_S = 0.6
+_MAX_PAUSE_S = 0.4
 _PAUSE_GROWTH = 2
 _JITTER = 0.3
 
@@ -28,7 +31,11 @@
 
     :param table: name of the table.
     :param wait_s: longest time for which one call waits for changes, in
-        seconds; a connection without answers is noticed soon after it.
+        seconds.
+    :param answer_s: time after that wait at which a call without an answer
+        counts as lost, in seconds.
+    :param slow_answer_s: the same while calls fail, in seconds, so that a slow
+        store is not taken for an unavailable one for ever.
     :param spacing_s: pause after an answer with changes, in seconds, so that
         the next call returns several changes at once.
     :param settle_s: time for which removals are deferred after an outage of
@@ -40,6 +47,8 @@
 
     table: str
     wait_s: float = 10
+    answer_s: float = 1
+    slow_answer_s: float = 1.5
     spacing_s: float = 0
     settle_s: float = 0
     outage_s: float = 1
@@ -50,6 +59,10 @@
 
     Changed rows are passed to the sink in order, except that removals are
     deferred after an outage. The copy never returns to an older version.
+
+    A call that waits for changes may have been lost, which shows only when
+    its answer is overdue. Whoever needs to know sooner limits the wait, or has
+    the store called again.
     """
 
     def __init__(
@@ -65,45 +78,67 @@
         """
         self.settings = settings
         self.image = TableImage()
+        self.call = AbandonableCall(clock)
         self._store = store
         self._clock = clock
         self._sink = sink
-        self._answered_at = clock.monotonic()
-        self._failing_since: float | None = None
-        self._is_loss_logged = False
+        self._max_wait_s = settings.wait_s
+        self._is_refreshing = False
+        self._store_state = StoreAvailability(settings.table, clock)
         self._has_changes = False
-        self._settle_until: float = 0
-        self._deferred_removals: dict[str, Row] = {}
+        self._removals = DeferredRemovals(clock)
 
     @property
     def age_s(self) -> float:
         """Return the time since the last answer of the store, in seconds."""
-        return self._clock.monotonic() - self._answered_at
+        return self._store_state.age_s
 
     @property
     def is_failing(self) -> bool:
         """Tell whether the last call to the store failed."""
-        return self._failing_since is not None
+        return self._store_state.is_failing
 
     async def run(self) -> None:
         """Poll the store until cancelled, with backoff after failures."""
         pause = _INITIAL_PAUSE_S
         while True:
-            if await self.poll():
+            has_answered = await self.call.run(self.poll())
+            if has_answered:
                 pause = _INITIAL_PAUSE_S
                 await asyncio.sleep(self._compute_pause())
-                continue
-            await asyncio.sleep(pause * (1 + _JITTER * random.random()))
-            pause = min(_MAX_PAUSE_S, pause * _PAUSE_GROWTH)
+            elif has_answered is False:
+                await asyncio.sleep(pause * (1 + _JITTER * random.random()))
+                pause = min(_MAX_PAUSE_S, pause * _PAUSE_GROWTH)
 
     async def poll(self) -> bool:
         """Call the store once; return whether it answered."""
-        answer = await self._call()
+        answer = await self._read()
+        self._is_refreshing = False
         if isinstance(answer, Err):
-            self._note_failure(answer.err_value)
+            self._store_state.note_failure(answer.err_value)
             return False
         return True
 
+    def limit_wait(self, wait_s: float) -> None:
+        """Wait for changes no longer than for a time from now on.
+
+        A call under way that may wait longer is sent again.
+
+        :param wait_s: in seconds; the wait of the settings is not exceeded.
+        """
+        is_shorter = wait_s < self._max_wait_s
+        self._max_wait_s = min(wait_s, self.settings.wait_s)
+        if is_shorter:
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Abandon a call that waits for changes, and call at once instead.
+
+        Calls that do not wait are left alone: they end soon.
+        """
+        if not self.is_failing and not self._is_refreshing:
+            self._is_refreshing = self.call.abandon()
+
     def apply_peer_image(self, changes: Changes) -> bool:
         """Apply a peer's copy of the table; return whether it was newer.
 
@@ -114,29 +149,33 @@
         self._publish(self.image.replace(changes))
         return True
 
-    async def _call(self) -> Result[Changes, FeedError]:
+    async def _read(self) -> Result[Changes, FeedError]:
         image = self.image
         table = self.settings.table
+        replace = partial(self._accept, image.replace)
+        merge = partial(self._accept, image.merge)
         if not image.is_known:
             answer = await self._store.read_table(table)
-            return answer.inspect(self._apply_table)
-        wait_s = self._compute_wait()
-        answer = await self._store.read_changes(table, image.version, wait_s)
+            return answer.inspect(replace)
+        settings = self.settings
+        answer = await self._store.read_changes(
+            table,
+            image.version,
+            self._compute_wait(),
+            settings.slow_answer_s if self.is_failing else settings.answer_s,
+        )
         if not isinstance(answer, Err):
-            return answer.inspect(self._apply_changes)
+            return answer.inspect(merge)
         if isinstance(answer.err_value, HistoryLostError):
             log_event('feed history lost, reading the table', table=table)
             answer = await self._store.read_table(table)
-            return answer.inspect(self._apply_table)
+            return answer.inspect(replace)
         return answer
 
     def _compute_wait(self) -> float:
-        if self.is_failing:
+        if self.is_failing or self._is_refreshing:
             return 0
-        if not self._deferred_removals:
-            return self.settings.wait_s
-        remaining_s = self._settle_until - self._clock.monotonic()
-        return min(self.settings.wait_s, max(0, remaining_s))
+        return self._removals.limit_wait(self._max_wait_s)
 
     def _compute_pause(self) -> float:
         """Return the pause after an answer, in seconds.
@@ -144,66 +183,27 @@
         It ends early when deferred removals are due.
         """
         spacing_s = self.settings.spacing_s if self._has_changes else 0
-        if not self._deferred_removals:
-            return spacing_s
-        remaining_s = self._settle_until - self._clock.monotonic()
-        return min(spacing_s, max(0, remaining_s))
+        return self._removals.limit_wait(spacing_s)
 
-    def _apply_table(self, changes: Changes) -> None:
-        self._note_answer()
-        self._publish(self.image.replace(changes))
+    def _accept(
+        self,
+        update: Callable[[Changes], tuple[Row, ...]],
+        changes: Changes,
+    ) -> None:
+        """Apply an answer of the store to the copy.
 
-    def _apply_changes(self, changes: Changes) -> None:
-        self._note_answer()
-        self._publish(self.image.merge(changes))
+        :param update: updates the copy, and returns the rows that changed.
+        """
+        settings = self.settings
+        failing_s = self._store_state.note_answer()
+        if failing_s >= settings.outage_s:
+            settled_at = self._clock.monotonic() + settings.settle_s
+            self._removals.defer_until(settled_at)
+        self._publish(update(changes))
 
     def _publish(self, changed_rows: tuple[Row, ...]) -> None:
-        """Pass changed rows to the sink.
-
-        Removals are deferred until the time to settle after an outage is over.
-        A row that is written again meanwhile is no longer removed.
-        """
+        """Pass changed rows to the sink, without removals to be deferred."""
         self._has_changes = bool(changed_rows)
-        now = self._clock.monotonic()
-        for changed_row in changed_rows:
-            self._deferred_removals.pop(changed_row.key, None)
-        if now < self._settle_until:
-            removed = {row.key: row for row in changed_rows if row.is_removed}
-            self._deferred_removals.update(removed)
-            changed_rows = tuple(
-                row for row in changed_rows if not row.is_removed
-            )
-        elif self._deferred_removals:
-            changed_rows = (*changed_rows, *self._deferred_removals.values())
-            self._deferred_removals = {}
-        if changed_rows:
-            self._sink(changed_rows)
-
-    def _note_answer(self) -> None:
-        now = self._clock.monotonic()
-        if self._failing_since is not None:
-            failing_s = now - self._failing_since
-            if failing_s >= self.settings.outage_s:
-                self._settle_until = now + self.settings.settle_s
-            if self._is_loss_logged:
-                log_event(
-                    'store regained',
-                    table=self.settings.table,
-                    outage_s=round(failing_s, 3),
-                )
-        self._failing_since = None
-        self._is_loss_logged = False
-        self._answered_at = now
-
-    def _note_failure(self, error: FeedError) -> None:
-        if self._failing_since is None:
-            self._failing_since = self._answered_at
-        if not self._is_loss_logged:
-            self._is_loss_logged = True
-            log_event(
-                'store lost',
-                logging.WARNING,
-                table=self.settings.table,
-                cause=str(error),
-                age_s=round(self.age_s, 3),
-            )
+        passed_on = self._removals.filter(changed_rows)
+        if passed_on:
+            self._sink(passed_on)
--- a/crocusshunt/feeds/_rows.py
+++ b/crocusshunt/feeds/_rows.py
@@ -50,12 +50,15 @@
         table: str,
         after: int,
         wait_s: float,
+        answer_s: float,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version.
 
         Wait for a change if there is none, then return without one.
 
-        :param wait_s: longest wait, in seconds.
+        :param wait_s: longest wait for a change, in seconds.
+        :param answer_s: time after that wait by which the answer must be
+            here, in seconds; without it the call counts as lost.
         """
 
     async def write(self, write: RowWrite) -> Result[None, FeedError]:
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -1,8 +1,9 @@
 """Following a table through outages, lost history and peers."""
 
+import asyncio
 from dataclasses import dataclass, field
 
-from crocusshunt.core import ManualClock
+from crocusshunt.core import ManualClock, SystemClock
 from crocusshunt.feeds import (
     Changes,
     Follower,
@@ -166,3 +167,43 @@
     setup.clock.advance(pause_s)
     await follower.poll()
     assert setup.received_rows[-1] == ('a', True)
+
+
+async def _wait_for_row(setup: _FollowerSetup) -> bool:
+    try:
+        async with asyncio.timeout(1):
+            while not setup.received_rows:
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        return False
+    return True
+
+
+async def test_call_that_an_outage_swallowed_is_abandoned() -> None:
+    setup = _FollowerSetup()
+    settings = FollowerSettings(_TABLE)
+    follower = Follower(setup.store, settings, SystemClock(), setup.record_rows)
+    await follower.poll()
+    setup.store.faults.is_silent = True
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.1)
+    setup.store.faults.is_silent = False
+    setup.store.put(_TABLE, 'a', b'')
+    assert follower.call.age_s > 0
+    follower.refresh()
+    assert await _wait_for_row(setup)
+    task.cancel()
+
+
+async def test_shorter_wait_applies_to_the_call_under_way() -> None:
+    setup = _FollowerSetup()
+    settings = FollowerSettings(_TABLE, answer_s=0.1)
+    follower = Follower(setup.store, settings, SystemClock(), setup.record_rows)
+    await follower.poll()
+    setup.store.faults.is_silent = True
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.1)
+    follower.limit_wait(0.1)
+    await asyncio.sleep(0.3)
+    assert follower.is_failing
+    task.cancel()
--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -35,6 +35,7 @@
         slot, by name of the server.
     :param pinned: slots needed by requests that only one region may serve, by
         that region and by pool.
+    :param is_following: whether the store answers its calls.
     """
 
     name: str
@@ -46,6 +47,7 @@
     busy: dict[str, float] = {}
     full: dict[str, int] = {}
     pinned: dict[str, dict[str, float]] = {}
+    is_following: bool = True
 
 
 class RegionSummary(
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -18,10 +18,13 @@
     :param heartbeat_s: time between heartbeats, in seconds.
     :param silent_after_s: time without a heartbeat after which callers are no
         longer directed to a host, in seconds.
+    :param watch_silent_after_s: time without a heartbeat after which a host is
+        no longer relied on to watch the store, in seconds.
     """
 
     heartbeat_s: float = 1
     silent_after_s: float = 3
+    watch_silent_after_s: float = 2.2
 
 
 @dataclass(slots=True)
@@ -35,6 +38,14 @@
     heartbeat: Heartbeat | None = None
     received_at: float = float('-inf')
 
+    @property
+    def is_following(self) -> bool:
+        """Tell whether it was ready and the store answered its calls."""
+        heartbeat = self.heartbeat
+        if heartbeat is None:
+            return False
+        return heartbeat.is_ready and heartbeat.is_following
+
     def is_live(self, now: float, max_age_s: float) -> bool:
         """Tell whether the last heartbeat is recent.
 
@@ -128,6 +139,20 @@
         live_names = (peer.record.name for peer in self.list_live(now))
         return all(self.own.name < name for name in live_names)
 
+    def is_watcher(self, now: float) -> bool:
+        """Tell whether this host watches the store closely for its region.
+
+        It does if its name is the first among the hosts of the region that
+        are ready and whose calls the store answers, so that the number of
+        calls does not grow with the hosts of a region.
+        """
+        max_age_s = self._settings.watch_silent_after_s
+        return all(
+            self.own.name < peer.record.name
+            for peer in self.peers.values()
+            if peer.is_live(now, max_age_s) and peer.is_following
+        )
+
     def handle_message(self, message: StatusMessage, now: float) -> Peer | None:
         """Record a message; return the host that sent it.
 
--- a/crocusshunt/fleet/tests/test_view.py
+++ b/crocusshunt/fleet/tests/test_view.py
@@ -84,6 +84,22 @@
     assert view.is_summary_sender(now=9)
 
 
+def test_first_host_that_follows_the_store_watches_it() -> None:
+    view = _create_view()
+    assert view.is_watcher(now=10)
+    view.handle_message(_create_heartbeat('h3'), now=10)
+    assert view.is_watcher(now=10)
+    view.handle_message(_create_heartbeat('h1'), now=10)
+    assert not view.is_watcher(now=12)
+    assert view.is_watcher(now=12.3)
+    for number, is_ready, is_following in ((2, True, False), (3, False, True)):
+        message = Heartbeat(
+            'h1', 5, number, is_ready=is_ready, is_following=is_following
+        )
+        view.handle_message(message, now=11)
+        assert view.is_watcher(now=11)
+
+
 def test_summary_of_another_region_expires() -> None:
     view = _create_view()
     view.handle_message(RegionSummary('h4', 5, 1, 'b', 1), now=0)
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -18,9 +18,15 @@
 from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
 
-# Longest wait of one feed call, in seconds. If a stalled connection withholds
-# changes for so long, heartbeats of peers still show that there are some.
+# Longest wait of one feed call, in seconds. Heartbeats of the host that
+# watches the store for the region show changes that a lost call withholds.
 _POLL_WAIT_S = 10
+# The same at the host that watches the store: it notices a lost call, and the
+# end of an outage, so soon that a later change is followed in time.
+_WATCH_WAIT_S = 0.8
+# A feed that works delivers a change to all hosts within about this time; a
+# call that did not is taken for lost.
+_MAX_CALL_LAG_S = 0.4
 # Pause after a change, so that the next call returns several at once.
 _CONFIGURATION_SPACING_S = 0.5
 _SERVERS_SPACING_S = 1.3
@@ -52,6 +58,7 @@
         """Create the followers of the tables; nothing is read yet."""
         self._clock = clock
         self._behind_since: dict[int, float] = {}
+        self._known_versions: dict[int, int] = {}
         self._session: ClientSession | None = None
         self.configuration = Follower(
             store,
@@ -94,6 +101,10 @@
         """Return the version of the newest known change of each table."""
         return tuple(one.image.changed_at for one in self.all)
 
+    def is_failing(self) -> bool:
+        """Tell whether the last call for configuration or servers failed."""
+        return self.configuration.is_failing or self.servers.is_failing
+
     def has_servers(self) -> bool:
         """Tell whether the table of backend servers was read."""
         return self.servers.image.is_known
@@ -109,6 +120,19 @@
         if self._session is not None:
             await self._session.close()
 
+    def watch(self, *, is_watcher: bool) -> None:
+        """Notice lost calls early, for the whole region if required.
+
+        :param is_watcher: whether this host watches the store for its region.
+        """
+        wait_s = _WATCH_WAIT_S if is_watcher else _POLL_WAIT_S
+        for watched in (self.configuration, self.servers):
+            watched.limit_wait(wait_s)
+        for position, follower in enumerate(self.all):
+            if self._has_lost_call(position, follower):
+                log_event('feed call lost', table=follower.settings.table)
+                follower.refresh()
+
     async def fetch_if_behind(
         self, peer: HostRecord, versions: tuple[int, ...]
     ) -> None:
@@ -118,10 +142,14 @@
         """
         now = self._clock.monotonic()
         for position, (follower, version) in enumerate(zip(self.all, versions)):
-            if version <= follower.image.version:
+            known = max(version, self._known_versions.get(position, -1))
+            self._known_versions[position] = known
+            if known <= follower.image.version:
                 self._behind_since.pop(position, None)
                 continue
             since = self._behind_since.setdefault(position, now)
+            if version <= follower.image.version:
+                continue
             max_lag_s = (
                 _MAX_LAG_WITHOUT_STORE_S if follower.is_failing else _MAX_LAG_S
             )
@@ -137,6 +165,14 @@
         image = self.all[int(position)].image
         return web.Response(body=msgspec.msgpack.encode(image.export()))
 
+    def _has_lost_call(self, position: int, follower: Follower) -> bool:
+        """Tell whether a call withholds a change that peers know."""
+        known = self._known_versions.get(position, -1)
+        if known <= follower.image.version or follower.is_failing:
+            return False
+        behind_s = self._clock.monotonic() - self._behind_since[position]
+        return min(behind_s, follower.call.age_s) > _MAX_CALL_LAG_S
+
     async def _fetch_image(self, peer: HostRecord, position: int) -> None:
         follower = self.all[position]
         url = f'http://{peer.ip}:{peer.internal_port}/image/{position}'
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -51,6 +51,7 @@
     started_at: int
     _sequence: int = 0
     _announced_ready: bool = False
+    _announced_versions: tuple[int, ...] = ()
     _has_new_hosts: bool = False
     _heard: frozenset[str] = frozenset()
 
@@ -58,7 +59,8 @@
         """Do the periodic work each heartbeat interval, until cancelled.
 
         In between, announce a change of this host's readiness at once, and
-        divide the limits again soon after another host started.
+        divide the limits again soon after another host started. The host that
+        watches the store also announces changes of its tables at once.
         """
         checks_per_heartbeat = round(
             self.settings.heartbeat_s / _CHECK_INTERVAL_S
@@ -68,6 +70,7 @@
                 self._check_for_changes()
             else:
                 self.run_once()
+            self.followers.watch(is_watcher=self._is_watcher())
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     def run_once(self) -> None:
@@ -90,6 +93,7 @@
         fleet = self.cluster.fleet
         self._sequence += 1
         self._announced_ready = self.readiness.is_ready
+        self._announced_versions = self.followers.versions
         self.outbox.send(self._create_heartbeat(now), fleet.same_region_hosts)
         self.planner.state.reset_full_servers()
         if fleet.is_summary_sender(now):
@@ -113,9 +117,15 @@
         if self._has_new_hosts:
             self._has_new_hosts = False
             self._divide_limits()
-        if self.readiness.is_ready != self._announced_ready:
+        is_announced = self.readiness.is_ready == self._announced_ready
+        if is_announced and self._is_watcher():
+            is_announced = self.followers.versions == self._announced_versions
+        if not is_announced:
             self.send_heartbeats()
 
+    def _is_watcher(self) -> bool:
+        return self.cluster.fleet.is_watcher(self.clock.monotonic())
+
     def _divide_limits(self) -> None:
         is_ready = self.readiness.is_ready
         self.tokens.limits.divide(self.clock.monotonic(), is_ready=is_ready)
@@ -141,6 +151,10 @@
     def _receive_heartbeat(self, message: StatusMessage) -> None:
         now = self.clock.monotonic()
         is_first = self._is_first_heartbeat(message)
+        if message.name not in self.cluster.fleet.names:
+            # Its record has not arrived; the call that waits for it may have
+            # been lost.
+            self.followers.hosts.refresh()
         peer = self.cluster.fleet.handle_message(message, now)
         if is_first:
             self._reply_to_new_host(message.name)
@@ -171,6 +185,7 @@
             busy=_round_values(self.planner.state.offered.averages),
             full=self.planner.state.full_servers,
             pinned=_round_regions(self.planner.state.offered.pinned),
+            is_following=not self.followers.is_failing(),
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -33,7 +33,9 @@
 
 
 def _create_idle_followers(_cluster: Mock) -> Followers:
-    return cast(Followers, Mock(versions=()))
+    return cast(
+        Followers, Mock(versions=(), is_failing=Mock(return_value=False))
+    )
 
 
 @dataclass(slots=True)
--- a/crocusshunt/front/tests/test_silent_feed.py
+++ b/crocusshunt/front/tests/test_silent_feed.py
@@ -6,7 +6,10 @@
 from dataclasses import dataclass, field
 from unittest.mock import Mock
 
+from result import Result
+
 from crocusshunt.core import SystemClock
+from crocusshunt.feeds import Changes, FeedError
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._settings import TableNames
 from crocusshunt.front.tests._region import Region
@@ -20,20 +23,37 @@
 _CHECK_S = 0.02
 
 
+@dataclass(slots=True)
+class _CountingStore(MemoryFeedStore):
+    """A store that counts the calls of feeds."""
+
+    calls: int = 0
+
+    async def read_changes(
+        self, table: str, after: int, wait_s: float, answer_s: float = 1
+    ) -> Result[Changes, FeedError]:
+        self.calls += 1
+        # Without an explicit class, super() fails in a class with slots.
+        return await MemoryFeedStore.read_changes(
+            self, table, after, wait_s, answer_s
+        )
+
+
 @dataclass(slots=True)
 class _Hosts:
     """Hosts of a region that follow one store."""
 
-    store: MemoryFeedStore = field(default_factory=MemoryFeedStore)
+    names: tuple[str, ...]
+    store: _CountingStore = field(default_factory=_CountingStore)
     tasks: TaskGroup = field(default_factory=TaskGroup)
     followers: list[Followers] = field(default_factory=list)
 
     def start(self) -> None:
         """Start all hosts."""
         region = Region(
-            _NAMES, SystemClock(), self.tasks, self._create_followers
+            self.names, SystemClock(), self.tasks, self._create_followers
         )
-        for name in _NAMES:
+        for name in self.names:
             self.tasks.start(region.start(name).run())
 
     async def is_followed_in_time(self, table: str) -> bool:
@@ -65,8 +85,8 @@
 
 
 @asynccontextmanager
-async def _run_hosts() -> AsyncIterator[_Hosts]:
-    hosts = _Hosts()
+async def _run_hosts(names: tuple[str, ...] = _NAMES) -> AsyncIterator[_Hosts]:
+    hosts = _Hosts(names=names)
     hosts.start()
     try:
         yield hosts
@@ -98,3 +118,16 @@
         await _swallow_calls(hosts.store, seconds=2)
         await asyncio.sleep(0.5)
         assert await hosts.is_followed_in_time(_TABLES.servers)
+
+
+async def test_calls_in_quiet_times_do_not_grow_with_the_hosts() -> None:
+    """One host of a region watches the store for all of them."""
+    calls = []
+    for count in (2, 8):
+        names = tuple(f'h{number}' for number in range(count))
+        async with _run_hosts(names) as hosts:
+            await asyncio.sleep(1.5)
+            before = hosts.store.calls
+            await asyncio.sleep(3)
+            calls.append(hosts.store.calls - before)
+    assert calls[1] <= calls[0] + 2
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -122,10 +122,13 @@
         table: str,
         after: int,
         wait_s: float,
+        answer_s: float,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version; wait for one if there is none.
 
-        :param wait_s: longest wait, in seconds.
+        :param wait_s: longest wait for a change, in seconds.
+        :param answer_s: time after that wait by which the answer must be
+            here, in seconds.
         """
         query = {
             'table': table,
@@ -135,7 +138,7 @@
         answer = await self._get(
             '/rows-feed',
             query,
-            wait_s + _CALL_TIMEOUT_S,
+            wait_s + answer_s,
         )
         return answer.map(_decode_changes)
 
--- a/crocusshunt/platform/tests/test_rows.py
+++ b/crocusshunt/platform/tests/test_rows.py
@@ -47,7 +47,9 @@
     store_and_client: StoreAndClient,
 ) -> None:
     store, client = store_and_client
-    pending_call = asyncio.create_task(client.read_changes('op', 0, wait_s=5))
+    pending_call = asyncio.create_task(
+        client.read_changes('op', 0, wait_s=5, answer_s=1)
+    )
     await asyncio.sleep(0.05)
     store.put('op', 'config', b'y')
     changes = (await pending_call).unwrap()
@@ -60,7 +62,9 @@
     store, client = store_and_client
     store.put('op', 'a', b'')
     store.remove('op', 'a')
-    changes = (await client.read_changes('op', 1, wait_s=0)).unwrap()
+    changes = (
+        await client.read_changes('op', 1, wait_s=0, answer_s=1)
+    ).unwrap()
     assert changes.rows[0].is_removed
 
 
@@ -79,10 +83,10 @@
     store, client = store_and_client
     store.put('op', 'a', b'')
     store.forget_history()
-    lost = await client.read_changes('op', 0, wait_s=0)
+    lost = await client.read_changes('op', 0, wait_s=0, answer_s=1)
     assert isinstance(lost.unwrap_err(), HistoryLostError)
     store.faults.is_down = True
-    refused = await client.read_changes('op', 1, wait_s=0)
+    refused = await client.read_changes('op', 1, wait_s=0, answer_s=1)
     assert isinstance(refused.unwrap_err(), FeedRefusedError)
 
 
@@ -92,7 +96,7 @@
     store, client = store_and_client
     store.faults.is_silent = True
     async with asyncio.timeout(3):
-        answer = await client.read_changes('op', 0, wait_s=0.1)
+        answer = await client.read_changes('op', 0, wait_s=0.1, answer_s=1)
     assert isinstance(answer.unwrap_err(), FeedUnreachableError)
 
 
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -108,13 +108,16 @@
         table: str,
         after: int,
         wait_s: float,
+        answer_s: float = _SILENCE_S,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version; wait for one if there is none.
 
         :param after: version after which changes are wanted.
-        :param wait_s: longest wait, in seconds.
+        :param wait_s: longest wait for a change, in seconds.
+        :param answer_s: time after that wait at which a call without an
+            answer fails, in seconds.
         """
-        failure = await self._apply_faults()
+        failure = await self._apply_faults(wait_s + answer_s)
         if failure is not None:
             return Err(failure)
         if after < self._dropped_until:
@@ -136,9 +139,11 @@
             self.put(write.table, write.key, write.content)
         return Ok(None)
 
-    async def _apply_faults(self) -> FeedError | None:
+    async def _apply_faults(
+        self, timeout_s: float = _SILENCE_S
+    ) -> FeedError | None:
         if self.faults.is_silent:
-            await asyncio.sleep(_SILENCE_S)
+            await asyncio.sleep(min(timeout_s, _SILENCE_S))
             return FeedUnreachableError('silent')
         return FeedRefusedError('down') if self.faults.is_down else None
 
