--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -1,7 +1,8 @@
-"""Hosts of one region whose datagrams are delivered immediately."""
+"""Hosts whose datagrams are delivered immediately."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from string import digits
 from typing import cast
 from unittest.mock import Mock
 
@@ -28,8 +29,9 @@
 
 
 def create_record(name: str) -> HostRecord:
-    """Return the record of a host of the region."""
-    return HostRecord(name, name, 7600, f'{name}:80', 'a1', 'a')
+    """Return the record of a host; the region is the start of its name."""
+    region = name.rstrip(digits)
+    return HostRecord(name, name, 7600, f'{name}:80', f'{region}1', region)
 
 
 def _create_idle_followers(_cluster: Mock) -> Followers:
@@ -40,13 +42,13 @@
 
 @dataclass(slots=True)
 class Region:
-    """Hosts of one region, and the servers that all of them know.
+    """Hosts, and the servers that all of them know.
 
     :param names: names of all hosts, which know each other's records.
     :param create_followers: creates the followers of a host.
     """
 
-    names: tuple[str, ...] = ('h1', 'h2')
+    names: tuple[str, ...] = ('a1', 'a2')
     clock: Clock = field(default_factory=ManualClock)
     tasks: TaskGroup | Mock = field(default_factory=Mock)
     create_followers: Callable[[Mock], Followers] = _create_idle_followers
--- a/crocusshunt/front/tests/test_heartbeats.py
+++ b/crocusshunt/front/tests/test_heartbeats.py
@@ -22,17 +22,17 @@
 
 def test_started_host_and_its_peers_discover_each_other_at_once() -> None:
     region = Region()
-    first = region.start('h1')
-    second = region.start('h2')
+    first = region.start('a1')
+    second = region.start('a2')
     now = region.clock.monotonic()
-    assert _list_heard(first, now) == ['h2']
-    assert _list_heard(second, now) == ['h1']
+    assert _list_heard(first, now) == ['a2']
+    assert _list_heard(second, now) == ['a1']
 
 
 def test_rates_are_divided_again_soon_after_a_host_started() -> None:
     region = Region()
-    first = region.start('h1')
-    second = region.start('h2')
+    first = region.start('a1')
+    second = region.start('a2')
     first.tokens.limits.demand.count('court', 0, amount=600)
     first.run_once()
     second._check_for_changes()
@@ -43,21 +43,21 @@
 
 def test_readiness_is_announced_before_the_next_heartbeat() -> None:
     region = Region()
-    first = region.start('h1')
-    second = region.start('h2')
+    first = region.start('a1')
+    second = region.start('a2')
     second.readiness = Mock(is_ready=False)
     second._check_for_changes()
     assert not first.cluster.fleet.list_ready(region.clock.monotonic())
     second.readiness = Mock(is_ready=True)
     second._check_for_changes()
     ready = first.cluster.fleet.list_ready(region.clock.monotonic())
-    assert [record.name for record in ready] == ['h2']
+    assert [record.name for record in ready] == ['a2']
 
 
 def test_load_of_a_full_server_reaches_the_other_hosts() -> None:
     region = Region()
-    first = region.start('h1')
-    second = region.start('h2')
+    first = region.start('a1')
+    second = region.start('a2')
     first.planner.state.full_servers['s1'] = 20
     first.run_once()
     now = region.clock.monotonic()
@@ -67,7 +67,7 @@
 
 def test_full_region_serves_fewer_objects_until_it_has_room() -> None:
     region = Region()
-    heartbeat_loop = region.start('h1')
+    heartbeat_loop = region.start('a1')
     planner = heartbeat_loop.planner
     shares = []
     for second in range(12):
@@ -86,7 +86,7 @@
 
 def test_state_of_removed_servers_is_dropped() -> None:
     region = Region()
-    heartbeat_loop = region.start('h1')
+    heartbeat_loop = region.start('a1')
     state = heartbeat_loop.planner.state
     for name in ('s0', 's1'):
         state.find_load(name)
@@ -100,15 +100,15 @@
 
 def test_undecodable_datagrams_are_ignored() -> None:
     region = Region()
-    heartbeat_loop = region.start('h1')
+    heartbeat_loop = region.start('a1')
     heartbeat_loop.receive(b'garbage')
-    heartbeat_loop.receive(encode(create_record('h2')))
+    heartbeat_loop.receive(encode(create_record('a2')))
     assert not list(_list_heard(heartbeat_loop, region.clock.monotonic()))
 
 
 def test_emptied_domain_is_followed_at_once_and_traffic_in_steps() -> None:
     region = Region()
-    heartbeat_loop = region.start('h1')
+    heartbeat_loop = region.start('a1')
     planner = heartbeat_loop.planner
     shares = []
     for second in range(6):
--- a/crocusshunt/front/tests/test_silent_feed.py
+++ b/crocusshunt/front/tests/test_silent_feed.py
@@ -16,7 +16,7 @@
 from crocusshunt.services import TaskGroup
 from crocusshunt.standin import MemoryFeedStore
 
-_NAMES = ('h1', 'h2', 'h3')
+_NAMES = ('a1', 'a2', 'a3')
 _TABLES = TableNames('op', 'servers', 'hosts')
 # A change is followed this long after it was made.
 _FOLLOWED_S = 2.5
@@ -124,7 +124,7 @@
     """One host of a region watches the store for all of them."""
     calls = []
     for count in (2, 8):
-        names = tuple(f'h{number}' for number in range(count))
+        names = tuple(f'a{number}' for number in range(count))
         async with _run_hosts(names) as hosts:
             await asyncio.sleep(1.5)
             before = hosts.store.calls
