Divide rates by what all hosts announced, and let shares grow last

Cause: a host divided a rate by its own demand of the moment and by that of the others as of their last heartbeat. When demand rises everywhere, each host sees only itself ask for more and takes what the others do not seem to need, until the next heartbeats. Class: in a division without messages, the sum keeps its bound only if all take part with the same inputs, and if what is taken is given up before.

Why this works: a host divides by its own demand as it announced it, so all divide by the same figures once a heartbeat went round, and a share grows only after the smallest one of the last 1.2 s, when the others have shrunk theirs. A share that shrinks does so at once.

--- a/crocusshunt/front/_demands.py
+++ b/crocusshunt/front/_demands.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.fleet import FleetView
-from crocusshunt.sharing import DemandMeter, GroupDemand
+from crocusshunt.sharing import GroupDemand
 
 # Key of the group of hosts, of any region, whose demand is unknown; each may
 # be using an equal share.
@@ -62,14 +62,15 @@
 
 def observe_demand(
     fleet: FleetView,
-    meter: DemandMeter,
+    own_rates: Mapping[str, float],
     now: float,
 ) -> FleetDemand:
-    """Combine this host's measured demand with that reported by others.
+    """Combine this host's demand with that announced by others.
 
+    :param own_rates: requests a second at this host, by customer.
     :param now: monotonic seconds.
     """
-    hosts: dict[str, Mapping[str, float]] = {fleet.own.name: meter.rates(now)}
+    hosts: dict[str, Mapping[str, float]] = {fleet.own.name: own_rates}
     for peer in fleet.list_live(now):
         if peer.heartbeat is not None:
             hosts[peer.record.name] = peer.heartbeat.demand
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -181,7 +181,7 @@
             sequence=self._sequence,
             is_ready=self.readiness.is_ready,
             versions=self.followers.versions,
-            demand=_round_values(self.tokens.limits.demand.rates(now)),
+            demand=_round_values(self.tokens.limits.announce_demand(now)),
             busy=_round_values(self.planner.state.offered.averages),
             full=self.planner.state.full_servers,
             pinned=_round_regions(self.planner.state.offered.pinned),
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -1,5 +1,6 @@
 """This host's shares of customer rates and of the retry limit."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from crocusshunt.catalog import CustomerRule
@@ -9,12 +10,16 @@
 from crocusshunt.sharing import (
     CustomerLimiter,
     CustomerShare,
+    DelayedGrowth,
     DemandMeter,
     RetryLimiter,
     choose_keeper,
     divide_rate,
 )
 
+# A heartbeat interval and a margin: within this time, all hosts have divided a
+# rate by the demand that the last heartbeats announced.
+_GROWTH_DELAY_S = 1.2
 # Where demand exceeds this fraction of a rate, waiting for a token is useless.
 _OVER_RATE_FRACTION = 0.95
 
@@ -23,7 +28,13 @@
 class SharedLimits:
     """Divides customer rates by demand, and retries by the number of hosts.
 
+    All hosts divide by the demand of all as last announced, this host's own
+    included. By its newest own demand, a host would take what others do not
+    seem to need, while these do the same.
+
     :param shares: this host's share of each limited customer's rate.
+    :param announced: demand at this host as last announced to the others, in
+        requests a second, by customer.
     """
 
     cluster: ClusterState
@@ -31,6 +42,8 @@
     customers: CustomerLimiter = field(default_factory=CustomerLimiter)
     demand: DemandMeter = field(default_factory=DemandMeter)
     shares: dict[str, CustomerShare] = field(default_factory=dict)
+    announced: Mapping[str, float] = field(default_factory=dict)
+    _growth: dict[str, DelayedGrowth] = field(default_factory=dict)
     _limited: frozenset[str] = frozenset()
     _over_rate: frozenset[str] = frozenset()
 
@@ -55,6 +68,7 @@
         for removed in self._limited - names:
             self.customers.release(removed)
             self.shares.pop(removed, None)
+            self._growth.pop(removed, None)
         self._limited = names
         fleet = self.cluster.fleet
         ready = [record.name for record in fleet.list_ready(now)]
@@ -63,9 +77,14 @@
         for rule in limited:
             self._divide_rate(rule, demand, ready, now)
 
+    def announce_demand(self, now: float) -> Mapping[str, float]:
+        """Return the demand at this host, to be announced to the others."""
+        self.announced = self.demand.rates(now)
+        return self.announced
+
     def observe(self, now: float) -> FleetDemand:
-        """Return the demand at all hosts, as far as it is known here."""
-        return observe_demand(self.cluster.fleet, self.demand, now)
+        """Return the announced demand at all hosts that are heard here."""
+        return observe_demand(self.cluster.fleet, self.announced, now)
 
     def _divide_rate(
         self,
@@ -92,6 +111,10 @@
         else:
             hosts = demand.group_hosts(rule.name)
             share = divide_rate(region_share, hosts)[self.own_name]
+        growth = self._growth.setdefault(
+            rule.name, DelayedGrowth(_GROWTH_DELAY_S)
+        )
+        share = growth.apply(share, now)
         self._apply_share(rule, keeper, share, now)
         offered = sum(one.rate or 0 for one in regions.values())
         self._update_over_rate(rule, share, offered, demand.registered)
--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -8,11 +8,13 @@
 from crocusshunt.sharing._keepers import CustomerShare, choose_keeper
 from crocusshunt.sharing._retries import RetryLimit, RetryLimiter
 from crocusshunt.sharing._shares import GroupDemand, divide_rate
+from crocusshunt.sharing._growth import DelayedGrowth
 from crocusshunt.sharing._intervals import MinIntervalLimiter
 
 __all__ = (
     'CustomerLimiter',
     'CustomerShare',
+    'DelayedGrowth',
     'DemandMeter',
     'Grant',
     'GroupDemand',
