Divide the limits that backend servers name among hosts of their region

A server that named a limit of 2.6 requests a second got 64 in 4 s, 21 allowed, and went on to get 10 to 19 a second.

Cause: no host read the header, which is new, and nothing could have kept it: what a host knows of a server it learns from its own answers and shares only as load. Class: a bound on the sum over all hosts that no host can keep by itself.

Why this works: every host keeps to its part of a limit that it knows. Equal parts for all would not do, since each host may send one request at any time; so as many hosts of the server's region as can each send one a second share the limit, and the others send nothing. They learn from heartbeats when it changes or ends. The log tells when a server's limit changes, refusals and free slots that were not taken name it, and a metric has each host's part.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -36,6 +36,9 @@
     :param pinned: slots needed by requests that only one region may serve, by
         that region and by pool.
     :param is_following: whether the store answers its calls.
+    :param limits: requests a second that backend servers take from all hosts,
+        None for any number, and the age of that report in seconds, by name of
+        the server; of servers that had a limit and recently told this host.
     """
 
     name: str
@@ -48,6 +51,7 @@
     full: dict[str, int] = {}
     pinned: dict[str, dict[str, float]] = {}
     is_following: bool = True
+    limits: dict[str, tuple[float | None, float]] = {}
 
 
 class RegionSummary(
@@ -69,6 +73,7 @@
     :param demand: offered requests a second, by customer.
     :param busy: see :class:`Heartbeat`.
     :param pinned: see :class:`Heartbeat`.
+    :param limits: see :class:`Heartbeat`, but told to any host of the region.
     """
 
     name: str
@@ -80,6 +85,7 @@
     demand: dict[str, float] = {}
     busy: dict[str, float] = {}
     pinned: dict[str, dict[str, float]] = {}
+    limits: dict[str, tuple[float | None, float]] = {}
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -26,6 +26,7 @@
 )
 
 _MILLISECONDS = 1000
+_STATUS_CLIENT_ERROR = 400
 _STATUS_MISDIRECTED = 421
 _STATUS_SERVER_ERROR = 500
 _MIN_SERVICE_S = 0.001
@@ -179,6 +180,7 @@
             connection,
         )
         self._record_load(entry, response)
+        self._record_limit(server, response)
         return response
 
     async def _send_on(
@@ -215,6 +217,20 @@
         if load.reported >= entry.slots:
             self._state.full_servers[entry.name] = load.reported
 
+    def _record_limit(
+        self, server: TrackedServer, response: UpstreamAnswer
+    ) -> None:
+        """Record the limit that a server names.
+
+        A failure without a limit does not tell that there is none.
+        """
+        header = response.find(self._names.rate_limit.lower().encode())
+        if header is None and response.status >= _STATUS_CLIENT_ERROR:
+            return
+        named = None if header is None else header.decode('latin-1')
+        now = self._clock.monotonic()
+        self._state.limited.note_answer(server, named, now)
+
     def _classify(self, response: UpstreamAnswer) -> Outcome:
         not_run = response.find(self._names.not_run.lower().encode())
         if response.status == _STATUS_MISDIRECTED:
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -127,8 +127,12 @@
         return self.cluster.fleet.is_watcher(self.clock.monotonic())
 
     def _divide_limits(self) -> None:
+        now = self.clock.monotonic()
         is_ready = self.readiness.is_ready
-        self.tokens.limits.divide(self.clock.monotonic(), is_ready=is_ready)
+        self.tokens.limits.divide(now, is_ready=is_ready)
+        self.planner.state.limited.divide(
+            self.cluster.servers, self.cluster.fleet, now, is_ready=is_ready
+        )
 
     def _is_first_heartbeat(self, message: StatusMessage) -> bool:
         """Tell whether a message is the first heartbeat after a host start."""
@@ -158,6 +162,8 @@
         peer = self.cluster.fleet.handle_message(message, now)
         if is_first:
             self._reply_to_new_host(message.name)
+        if peer is not None:
+            self.planner.state.limited.merge(message.limits, now)
         if peer is not None and isinstance(message, Heartbeat):
             self.planner.apply_full_servers(message.full, now)
         if peer is not None:
@@ -186,6 +192,7 @@
             full=self.planner.state.full_servers,
             pinned=_round_regions(self.planner.state.offered.pinned),
             is_following=not self.followers.is_failing(),
+            limits=dict(self.planner.state.limited.export_own(now)),
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
@@ -201,6 +208,7 @@
             demand=_round_values(region.rates),
             busy=_round_values(self.planner.sum_offered_load(now)),
             pinned=_round_regions(self.planner.sum_pinned_load(now)),
+            limits=dict(self.planner.state.limited.export_all(now)),
         )
 
 
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -45,6 +45,7 @@
         yield self._measure_feeds()
         yield self._count_servers()
         yield self._measure_shares()
+        yield self._measure_server_shares()
         yield GaugeMetricFamily(
             'crocus_requests_in_flight',
             'Requests that are not answered yet.',
@@ -87,3 +88,15 @@
         for customer, rate in sorted(limits.customers.rates.items()):
             family.add_metric((customer,), rate)
         return family
+
+    def _measure_server_shares(self) -> Metric:
+        family = GaugeMetricFamily(
+            'crocus_server_rate_share',
+            'Requests a second that this host sends to a server with a limit.',
+            labels=('server',),
+        )
+        planner = self._components.heartbeat_loop.planner
+        shares = planner.state.limited.shares
+        for server, rate in sorted(shares.items()):
+            family.add_metric((server,), rate)
+        return family
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -40,7 +40,8 @@
 
     A request goes to the first ranked server that is warm, or to the first one
     of another region where it would finish clearly sooner. A cold server gets
-    a limited rate of the requests that prefer it.
+    a limited rate of the requests that prefer it, and so does a server that
+    names a limit.
     """
 
     def __init__(
@@ -76,23 +77,18 @@
         eligible = self.list_eligible(request)
         if not eligible:
             return Placement(None, wait_s=_NO_SERVER_RETRY_S, cause='no-server')
-        locality = self._state.localities.get(request.pool, Locality())
-        fleet = self._cluster.fleet
-        ranked = rank_servers(
-            request.key,
-            eligible,
-            fleet.own.region,
-            locality,
-        )
-        preferred = next(ranked)
-        if self._may_try_cold(preferred, request, now):
-            return Placement(preferred, is_preferred=True)
-        all_servers = chain((preferred,), ranked)
-        warm = (one for one in all_servers if self.is_warm(one, now))
-        replicas = self._select_replicas(warm)
-        if replicas:
-            return self._choose(request, replicas, now)
-        return self._choose_cold(eligible, request, now)
+        limited = self._state.limited
+        within_limits = [
+            one for one in eligible if limited.may_send(one.entry.name, now)
+        ]
+        if not within_limits:
+            names = [one.entry.name for one in eligible]
+            wait_s = limited.estimate_wait(names)
+            return Placement(None, wait_s=wait_s, cause='server-limit')
+        placement = self._place_among(within_limits, request, now)
+        if placement.server is not None:
+            limited.take(placement.server.entry.name, now)
+        return placement
 
     def list_eligible(self, request: PlacementRequest) -> list[TrackedServer]:
         """Return the servers that a request may be sent to."""
@@ -136,6 +132,31 @@
             self._state.recent_objects.is_recent(name, request.key),
         )
 
+    def _place_among(
+        self,
+        eligible: list[TrackedServer],
+        request: PlacementRequest,
+        now: float,
+    ) -> Placement:
+        """Choose one of at least one server."""
+        locality = self._state.localities.get(request.pool, Locality())
+        fleet = self._cluster.fleet
+        ranked = rank_servers(
+            request.key,
+            eligible,
+            fleet.own.region,
+            locality,
+        )
+        preferred = next(ranked)
+        if self._may_try_cold(preferred, request, now):
+            return Placement(preferred, is_preferred=True)
+        all_servers = chain((preferred,), ranked)
+        warm = (one for one in all_servers if self.is_warm(one, now))
+        replicas = self._select_replicas(warm)
+        if replicas:
+            return self._choose(request, replicas, now)
+        return self._choose_cold(eligible, request, now)
+
     def _select_replicas(
         self,
         warm: Iterable[TrackedServer],
--- a/crocusshunt/front/_placer_state.py
+++ b/crocusshunt/front/_placer_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from crocusshunt.front._limited_servers import LimitedServers
 from crocusshunt.placement import (
     Locality,
     OfferedLoad,
@@ -42,6 +43,7 @@
     :param cold_limiter: spaces this host's requests to each cold server.
     :param overflow: limits requests not sent to their preferred server.
     :param returns: when refused requests were told to come back.
+    :param limited: parts of the limits that servers name.
     :param full_servers: requests at servers that reported no free slot since
         the last heartbeat.
     """
@@ -55,6 +57,7 @@
     cold_limiter: MinIntervalLimiter = field(default_factory=MinIntervalLimiter)
     overflow: RetryLimiter = field(default_factory=_create_overflow)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    limited: LimitedServers = field(default_factory=LimitedServers)
     full_servers: dict[str, int] = field(default_factory=dict)
 
     def reset_full_servers(self) -> None:
@@ -68,6 +71,7 @@
         self.recent_objects.forget(server)
         self.cold_limiter.forget(server)
         self.returns.forget(server)
+        self.limited.forget(server)
 
     def find_load(self, server: str) -> ServerLoad:
         """Return the load of a server, created on first use."""
--- a/crocusshunt/front/_refusals.py
+++ b/crocusshunt/front/_refusals.py
@@ -10,6 +10,7 @@
 from crocusshunt.placement import Candidate, SlotRate, TrackedServer
 
 _RULE_OBJECT_NOT_HELD = 'object-not-held'
+_RULE_SERVER_LIMIT = 'server-limit'
 _MAX_PASSED_OVER_COUNT = 3
 
 
@@ -89,11 +90,16 @@
             slots = server.entry.slots
             load = self._state.find_load(name).estimate(now)
             if load + 1 <= slots and self._placer.is_warm(server, now):
-                found.append(
-                    PassedOver(name, load, slots, _RULE_OBJECT_NOT_HELD)
-                )
+                rule = self._find_rule(name, now)
+                found.append(PassedOver(name, load, slots, rule))
         return tuple(found[:_MAX_PASSED_OVER_COUNT])
 
+    def _find_rule(self, server: str, now: float) -> str:
+        """Return why a warm server with a free slot was not compared."""
+        if self._state.limited.may_send(server, now):
+            return _RULE_OBJECT_NOT_HELD
+        return _RULE_SERVER_LIMIT
+
     def _reserve_return(
         self, server: Candidate, first_s: float, now: float
     ) -> float:
--- a/crocusshunt/front/tests/test_server_limits.py
+++ b/crocusshunt/front/tests/test_server_limits.py
@@ -39,7 +39,7 @@
     """Other servers of its pool get the rest, and no request fails."""
     async with deploy('s1', 's2') as deployment:
         arrivals = _name_limit(deployment.backends[0], _RATE)
-        statuses = []
+        statuses: list[int] = []
         while len(statuses) < _REQUESTS:
             status, _text, _response = await deployment.send()
             statuses.append(status)
@@ -53,7 +53,7 @@
         assert len(deployment.backends[1].received) > _REQUESTS / 2
 
 
-async def test_server_without_a_limit_any_more_gets_its_part_again() -> None:
+async def test_server_gets_its_part_again_once_it_names_no_limit() -> None:
     async with deploy('s1', 's2') as deployment:
         limited = deployment.backends[0]
         _name_limit(limited, _RATE)
@@ -68,3 +68,4 @@
 async def _send_many(deployment: Deployment, requests: int) -> None:
     for number in range(requests):
         await deployment.send(f'/a/{number}')
+        await asyncio.sleep(_SPACING_S)
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -27,6 +27,12 @@
 from crocusshunt.placement._offered_load import OfferedLoad
 from crocusshunt.placement._returns import ReturnSchedule, SlotRate
 from crocusshunt.placement._round_trips import RoundTrips
+from crocusshunt.placement._server_limits import (
+    LimitReport,
+    ServerLimits,
+    divide_limit,
+    parse_limit,
+)
 from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
 from crocusshunt.placement._entries import ServerEntry
@@ -43,6 +49,7 @@
     'ChoiceSettings',
     'HealthSettings',
     'HealthTracker',
+    'LimitReport',
     'LoadReport',
     'Locality',
     'OfferedLoad',
@@ -54,6 +61,7 @@
     'ServerEntry',
     'ServerFailure',
     'ServerHealth',
+    'ServerLimits',
     'ServerLoad',
     'ServerRegistry',
     'ServiceTimes',
@@ -67,7 +75,9 @@
     'choose_server',
     'compute_pause',
     'compute_wait_limit',
+    'divide_limit',
     'move_local_share',
+    'parse_limit',
     'parse_load',
     'plan_locality',
     'rank_servers',
--- a/crocusshunt/platform/_source_format.py
+++ b/crocusshunt/platform/_source_format.py
@@ -13,6 +13,8 @@
     expected_server='X-Crocusshunt-Expected-Instance',
     # Load of the server that answers: "running,waiting,slots".
     load='X-Crocusshunt-Backend-Load',
+    # Requests a second that the server takes from all hosts together.
+    rate_limit='Server-Limit',
     not_run='X-Crocusshunt-Not-Executed',
     # Marks an answer as sent by a backend server itself.
     signature='X-Crocusshunt-Response-Seal',
--- a/crocusshunt/sharing/_buckets.py
+++ b/crocusshunt/sharing/_buckets.py
@@ -65,18 +65,21 @@
         :param now: monotonic seconds.
         :param max_wait_s: longest wait for a token, in seconds.
         """
-        self._refill(now)
         if self.is_over_rate:
             max_wait_s = 0
-        missing = max(0, 1 - self.tokens)
-        wait_s = missing / max(_MIN_RATE, self.rate)
-        if wait_s < _WAIT_TOLERANCE_S:
-            wait_s = 0
+        wait_s = self.estimate_wait(now)
         is_granted = wait_s <= max_wait_s
         if is_granted:
             self.tokens -= 1
         return Grant(is_granted, wait_s)
 
+    def estimate_wait(self, now: float) -> float:
+        """Return the time until the next token is available, in seconds."""
+        self._refill(now)
+        missing = max(0, 1 - self.tokens)
+        wait_s = missing / max(_MIN_RATE, self.rate)
+        return 0 if wait_s < _WAIT_TOLERANCE_S else wait_s
+
     def put_back(self) -> None:
         """Put back the token of a request that was not sent."""
         self.tokens = min(max(1, self.capacity), self.tokens + 1)
