Pause after news of a table again

The settings are passed by name now. A test with changes in quick succession failed before; for it, the stand-in of the store answers a feed only when its own table changes, as the store does.

--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -27,7 +27,9 @@
 
     def create_follower(self) -> Follower:
         """Return a follower whose calls do not wait for changes."""
-        settings = FollowerSettings(_TABLE, 0, settle_s=_SETTLE_S, outage_s=1)
+        settings = FollowerSettings(
+            _TABLE, wait_s=0, settle_s=_SETTLE_S, outage_s=1
+        )
         return Follower(self.store, settings, self.clock, self.record_rows)
 
     def record_rows(self, rows: tuple[Row, ...]) -> None:
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -64,8 +64,8 @@
             store,
             FollowerSettings(
                 tables.configuration,
-                _POLL_WAIT_S,
-                _CONFIGURATION_SPACING_S,
+                wait_s=_POLL_WAIT_S,
+                spacing_s=_CONFIGURATION_SPACING_S,
             ),
             clock,
             cluster.apply_configuration,
@@ -74,16 +74,20 @@
             store,
             FollowerSettings(
                 tables.servers,
-                _POLL_WAIT_S,
-                _SERVERS_SPACING_S,
-                _SERVERS_SETTLE_S,
+                wait_s=_POLL_WAIT_S,
+                spacing_s=_SERVERS_SPACING_S,
+                settle_s=_SERVERS_SETTLE_S,
             ),
             clock,
             cluster.apply_servers,
         )
         self.hosts = Follower(
             store,
-            FollowerSettings(tables.hosts, _POLL_WAIT_S, _HOSTS_SPACING_S),
+            FollowerSettings(
+                tables.hosts,
+                wait_s=_POLL_WAIT_S,
+                spacing_s=_HOSTS_SPACING_S,
+            ),
             clock,
             cluster.apply_hosts,
         )
--- a/crocusshunt/front/tests/test_silent_feed.py
+++ b/crocusshunt/front/tests/test_silent_feed.py
@@ -131,3 +131,15 @@
             await asyncio.sleep(3)
             calls.append(hosts.store.calls - before)
     assert calls[1] <= calls[0] + 2
+
+
+async def test_changes_in_quick_succession_are_read_together() -> None:
+    """A call for each change of a server would grow with the servers."""
+    async with _run_hosts(_NAMES[:1]) as hosts:
+        await asyncio.sleep(1)
+        before = hosts.store.calls
+        for number in range(60):
+            hosts.store.put(_TABLES.servers, f's{number}', b'')
+            await asyncio.sleep(0.05)
+        # The pause between two calls is longer than a second.
+        assert hosts.store.calls - before <= 10
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -124,8 +124,7 @@
             return Err(HistoryLostError('forgotten'))
         rows = self._select_changes(table, after)
         if not rows and wait_s > 0:
-            await self._wait_for_change(wait_s)
-            rows = self._select_changes(table, after)
+            rows = await self._wait_for_changes(table, after, wait_s)
         return Ok(Changes(rows, self.version))
 
     async def write(self, write: RowWrite) -> Result[None, FeedError]:
@@ -147,12 +146,19 @@
             return FeedUnreachableError('silent')
         return FeedRefusedError('down') if self.faults.is_down else None
 
-    async def _wait_for_change(self, wait_s: float) -> None:
+    async def _wait_for_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> tuple[Row, ...]:
+        """Return the changes of a table as soon as there are any."""
+        rows: tuple[Row, ...] = ()
         try:
             async with asyncio.timeout(wait_s):
-                await self._changed.wait()
+                while not rows:
+                    await self._changed.wait()
+                    rows = self._select_changes(table, after)
         except TimeoutError:
-            return
+            return ()
+        return rows
 
     def _select_changes(self, table: str, after: int) -> tuple[Row, ...]:
         return tuple(
