Give up responses of servers that never end

A server in trouble may send bytes that are no answer without end. Heads were bounded, but a body, chunked or not, was read into memory until the deadline of the request, up to 20 s at the speed of the link, so one such server could end the whole host. Endless informational responses, and endless responses to other requests, kept it busy as long. Bodies are bounded, each and together; a response beyond that is broken off and counts as a failure of its server.

--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -1,5 +1,6 @@
 """Connections to backend servers, and single exchanges on them."""
 
+from crocusshunt.upstream._buffering import BufferLimit
 from crocusshunt.upstream._connection import Connection, open_connection
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
@@ -15,6 +16,7 @@
 
 __all__ = (
     'AnswerBrokenError',
+    'BufferLimit',
     'Connection',
     'ConnectionPool',
     'EchoPolicy',
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from crocusshunt.upstream._buffering import BodyBuffer, BufferLimit
 from crocusshunt.upstream._errors import AnswerBrokenError, NotConnectedError
 from crocusshunt.upstream._messages import (
     EchoPolicy,
@@ -14,6 +15,9 @@
 from crocusshunt.upstream._protocol import StreamProtocol
 
 _MAX_HEAD_BYTES = 65_536
+# Informational responses, or responses to other requests, that may come before
+# the one to a request.
+_MAX_RESPONSES = 16
 # Servers close idle connections after a timeout of their own; a request sent
 # at that moment would be lost.
 _IDLE_MARGIN_S = 1
@@ -33,10 +37,17 @@
     """
 
     def __init__(
-        self, protocol: StreamProtocol, echo_policy: EchoPolicy
+        self,
+        protocol: StreamProtocol,
+        echo_policy: EchoPolicy,
+        buffer_limit: BufferLimit,
     ) -> None:
-        """Wrap the protocol of an open connection."""
+        """Wrap the protocol of an open connection.
+
+        :param buffer_limit: bounds the bodies of all connections that use it.
+        """
         self._protocol = protocol
+        self._buffer_limit = buffer_limit
         self._echo_policy = echo_policy
         self._parser = _create_parser()
         self._is_persistent = True
@@ -87,28 +98,16 @@
         except h11.LocalProtocolError as error:
             raise NotConnectedError(f'invalid request: {error}') from error
         self._protocol.write(encoded)
-        response = await self._read_response()
-        while not self._is_response_to(response, request):
+        for _ in range(_MAX_RESPONSES):
+            response = await self._read_response()
+            if self._is_response_to(response, request):
+                return response
             self._is_persistent = False
             self._skip_mismatched_response(request)
-            response = await self._read_response()
-        return response
+        raise AnswerBrokenError('responses to other requests')
 
     async def _read_response(self) -> UpstreamAnswer:
-        head = await self._next_event()
-        while not isinstance(head, h11.Response):
-            if isinstance(head, _END_EVENTS):
-                raise AnswerBrokenError('closed')
-            head = await self._next_event()
-        body = bytearray()
-        event = await self._next_event()
-        while isinstance(event, h11.Data):
-            body += event.data
-            event = await self._next_event()
-        if not isinstance(event, h11.EndOfMessage):
-            raise AnswerBrokenError(
-                'connection closed before the end of the response'
-            )
+        head = await self._read_head()
         headers = tuple(
             (bytes(name), bytes(text)) for name, text in head.headers
         )
@@ -116,9 +115,31 @@
             head.status_code,
             bytes(head.reason),
             headers,
-            bytes(body),
+            await self._read_body(),
         )
 
+    async def _read_head(self) -> h11.Response:
+        """Return the head of a final response, after informational ones."""
+        for _ in range(_MAX_RESPONSES):
+            head = await self._next_event()
+            if isinstance(head, h11.Response):
+                return head
+            if isinstance(head, _END_EVENTS):
+                raise AnswerBrokenError('closed')
+        raise AnswerBrokenError('informational responses only')
+
+    async def _read_body(self) -> bytes:
+        with BodyBuffer(self._buffer_limit) as body:
+            event = await self._next_event()
+            while isinstance(event, h11.Data):
+                body.append(event.data)
+                event = await self._next_event()
+            if not isinstance(event, h11.EndOfMessage):
+                raise AnswerBrokenError(
+                    'connection closed before the end of the response'
+                )
+            return bytes(body.content)
+
     async def _next_event(self) -> Any:
         event = self._parser.next_event()
         while event is h11.NEED_DATA:
@@ -178,10 +199,12 @@
     address: str,
     echo_policy: EchoPolicy,
     timeout_s: float,
+    buffer_limit: BufferLimit,
 ) -> Connection:
     """Open a connection.
 
     :param address: ``ip:port`` of the backend server.
+    :param buffer_limit: bounds the bodies of all connections that use it.
     :param timeout_s: longest wait for the connection, in seconds.
     :raises NotConnectedError: it could not be opened in time.
     """
@@ -196,7 +219,7 @@
             )
     except (OSError, TimeoutError) as error:
         raise NotConnectedError(type(error).__name__) from error
-    return Connection(protocol, echo_policy)
+    return Connection(protocol, echo_policy, buffer_limit)
 
 
 def _create_parser() -> h11.Connection:
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.core import Clock
+from crocusshunt.upstream._buffering import BufferLimit
 from crocusshunt.upstream._connection import Connection, open_connection
 from crocusshunt.upstream._messages import EchoPolicy
 
@@ -61,6 +62,7 @@
         self._settings = settings
         self._echo_policy = echo_policy
         self._clock = clock
+        self._buffer_limit = BufferLimit()
         self._idle: dict[tuple[str, str], deque[_IdleConnection]] = {}
         self._reuse_idle_limit_s: float = 0
         self._reuse_limited_until: float = 0
@@ -125,6 +127,7 @@
             address,
             self._echo_policy,
             self._settings.connect_timeout_s,
+            self._buffer_limit,
         )
 
     def give_back(
--- a/crocusshunt/upstream/tests/test_connection.py
+++ b/crocusshunt/upstream/tests/test_connection.py
@@ -4,12 +4,13 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 
 from crocusshunt.upstream import (
     AnswerBrokenError,
+    BufferLimit,
     Connection,
     EchoPolicy,
     NotConnectedError,
@@ -43,7 +44,9 @@
 async def _serve(answer: Answer) -> AsyncIterator[Connection]:
     server = await asyncio.start_server(answer, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
-    connection = await open_connection(f'{host}:{port}', _ECHO, 1)
+    connection = await open_connection(
+        f'{host}:{port}', _ECHO, 1, BufferLimit()
+    )
     try:
         yield connection
     finally:
@@ -173,4 +176,47 @@
 
 async def test_refused_connection_sent_nothing() -> None:
     with pytest.raises(NotConnectedError):
-        await open_connection('127.0.0.1:1', _ECHO, 1)
+        await open_connection('127.0.0.1:1', _ECHO, 1, BufferLimit())
+
+
+def _send_without_end(head: bytes, chunk: bytes) -> Answer:
+    """Send bytes until the caller closes."""
+
+    async def answer(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        with suppress(ConnectionError):
+            while True:
+                writer.write(chunk)
+                await writer.drain()
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    ('head', 'chunk'),
+    [
+        (b'', b'garbage'),
+        (b'HTTP/1.1 200 OK\r\n', b'X-Filler: 0123456789\r\n'),
+        (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+        (b'', _encode_response('other')),
+        (b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n', b'0' * 65_536),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+            b'1000\r\n%b\r\n' % (b'0' * 4096),
+        ),
+    ],
+    ids=['no http', 'head', 'informational', 'foreign', 'body', 'chunked'],
+)
+async def test_bytes_without_end_are_given_up(
+    head: bytes, chunk: bytes
+) -> None:
+    """They filled the memory of the host until the request's deadline."""
+    async with _serve(_send_without_end(head, chunk)) as connection:
+        with pytest.raises(AnswerBrokenError):
+            async with asyncio.timeout(8):
+                await connection.exchange(_build_request())
+        assert not connection.is_reusable
