Let log handlers close the sink of a program

At its end absl closes the stream of its handler, which the sink could not do: every stopped host wrote a traceback of eleven lines. The new test failed before with AttributeError.

--- a/crocusshunt/logs/_sink.py
+++ b/crocusshunt/logs/_sink.py
@@ -54,6 +54,9 @@
     def flush(self) -> None:
         """Do nothing: lines are not buffered."""
 
+    def close(self) -> None:
+        """Do nothing: the descriptor belongs to the caller."""
+
     def _take_token(self) -> bool:
         now = self._monotonic()
         earned = _LINES_PER_S * (now - self._refilled_at)
--- a/crocusshunt/logs/tests/test_sink.py
+++ b/crocusshunt/logs/tests/test_sink.py
@@ -52,3 +52,10 @@
     sink = LineSink(writer, ManualClock().monotonic)
     sink.write('{}\n')
     assert sink.dropped == 1
+
+
+def test_log_handlers_may_close_the_sink(pipe: tuple[int, int]) -> None:
+    """Without it, every program ended with a traceback in its log."""
+    sink = LineSink(pipe[1])
+    sink.close()
+    assert sink.write('line') == len('line')
