Keep a host that gets SIGHUP while it starts

Callers found a host gone for the rest of a run: the settings changed soon after a restart, and SIGHUP ends a process that has not installed its handler yet, which takes until all modules are imported. The program ignores SIGHUP from its first import on; the settings are read later in any case.

--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -11,6 +11,9 @@
   --help  Show this text.
 """
 
+# Before all other modules, whose import takes a while.
+from crocusshunt.programs import _hangups  # noqa: F401
+
 import os
 import sys
 from functools import partial
--- a/crocusshunt/soak/tests/test_processes.py
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import subprocess  # noqa: S404
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -48,3 +49,18 @@
         one.kill()
         one.wait()
     assert len(running) == 1
+
+
+def test_hangup_while_a_host_starts_does_not_end_it() -> None:
+    """A reload soon after a restart ended the process."""
+    statement = (
+        'import signal; import crocusshunt.programs.host; '
+        'print(signal.getsignal(signal.SIGHUP).name)'
+    )
+    ran = subprocess.run(  # noqa: S603
+        [sys.executable, '-c', statement],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert ran.stdout.strip() == 'SIG_IGN'
