--- a/crocusshunt/front/_limited_servers.py
+++ b/crocusshunt/front/_limited_servers.py
@@ -101,9 +101,17 @@
             shares = divide_limit(name, rate, hosts)
             self._resize(name, shares.get(fleet.own.name, 0), now)
 
+    def select(
+        self, servers: list[TrackedServer], now: float
+    ) -> list[TrackedServer]:
+        """Return the servers that this host may send a request to now."""
+        if not self.limits.has_reports:
+            return servers
+        return [one for one in servers if self.may_send(one.entry.name, now)]
+
     def may_send(self, server: str, now: float) -> bool:
         """Tell whether this host may send a request to a server now."""
-        if server not in self.limits.rates:
+        if not self.limits.is_limited(server):
             return True
         bucket = self._buckets.get(server)
         return bucket is not None and bucket.estimate_wait(now) <= 0
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -78,9 +78,7 @@
         if not eligible:
             return Placement(None, wait_s=_NO_SERVER_RETRY_S, cause='no-server')
         limited = self._state.limited
-        within_limits = [
-            one for one in eligible if limited.may_send(one.entry.name, now)
-        ]
+        within_limits = limited.select(eligible, now)
         if not within_limits:
             names = [one.entry.name for one in eligible]
             wait_s = limited.estimate_wait(names)
--- a/crocusshunt/placement/_server_limits.py
+++ b/crocusshunt/placement/_server_limits.py
@@ -58,6 +58,16 @@
             if report.rate is not None
         }
 
+    @property
+    def has_reports(self) -> bool:
+        """Tell whether any server named a limit."""
+        return bool(self._reports)
+
+    def is_limited(self, server: str) -> bool:
+        """Tell whether a server has a limit."""
+        report = self._reports.get(server)
+        return report is not None and report.rate is not None
+
     def note(self, server: str, report: LimitReport) -> bool:
         """Record a report unless a newer one is known.
 
