--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -117,6 +117,10 @@
         share = growth.apply(share, now)
         self._apply_share(rule, keeper, share, now)
         offered = sum(one.rate or 0 for one in regions.values())
+        # Whether requests wait concerns this host alone, so its newest demand
+        # counts here.
+        offered += self.demand.rate(rule.name, now)
+        offered -= self.announced.get(rule.name, 0)
         self._update_over_rate(rule, share, offered, demand.registered)
 
     def _apply_share(
