--- a/crocusshunt/placement/_server_limits.py
+++ b/crocusshunt/placement/_server_limits.py
@@ -11,8 +11,8 @@
 _MIN_RATE_PER_HOST = 1
 
 
-# A server that takes fewer requests still gets one in some seconds, whose
-# answer tells whether it takes more by now.
+# In requests a second. A server that takes fewer still gets one in some
+# seconds, whose answer tells whether it takes more by now.
 _MIN_RATE = 0.2
 
 
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -77,6 +77,10 @@
         'all open backend servers of the pool were cold or passed over',
         'look for "server passed over" and cold_left_s in the logs',
     ),
+    'server-limit': (
+        'the servers of the pool take no more requests now, by their limits',
+        'look for "server limit changed"; ask who runs the servers',
+    ),
     'not-run-shed': (
         'a backend server rejected it and said that it did not run it',
         'see the load of the named server; look for others that shed',
