Log which requests lost the connection of their server

A request under which a server ended the connection is now logged with a digest of customer, method, host, path and body. A connection that the server ended is told apart from one that timed out and from a wrong answer. The tests' deployment can run several hosts. No decision changes.

--- a/crocusshunt/front/_attempts.py
+++ b/crocusshunt/front/_attempts.py
@@ -37,12 +37,15 @@
     :param detail: cause of a failure, for the log.
     :param took_s: time from sending the request on an open connection to its
         response, in seconds.
+    :param is_connection_lost: whether the server ended the connection before
+        a complete response came.
     """
 
     verdict: Verdict
     response: UpstreamAnswer | None = None
     detail: str = ''
     took_s: float = 0
+    is_connection_lost: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -55,6 +58,7 @@
     """The parts of a request that are the same in every attempt.
 
     :param headers: without those that depend on the server or the time.
+    :param fingerprint: the same for each repeat of the request by its caller.
     """
 
     request_id: str
@@ -62,6 +66,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes | None
+    fingerprint: str
 
     def build(self, added: list[tuple[str, str]]) -> UpstreamRequest:
         """Return the request for one server.
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -118,6 +118,8 @@
             pending.request,
         )
         pending.trace.record_outcome(outcome)
+        if outcome.is_connection_lost:
+            pending.trace.fingerprint = pending.template.fingerprint
         pending.last_outcome = outcome
         pending.last_server = server
         if outcome.may_have_run:
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -20,6 +20,7 @@
 from crocusshunt.upstream import (
     AnswerBrokenError,
     Connection,
+    ConnectionLostError,
     NotConnectedError,
     UpstreamAnswer,
     UpstreamRequest,
@@ -128,7 +129,11 @@
         except NotConnectedError as unreachable:
             return Outcome(Verdict.unreachable, detail=unreachable.detail)
         except AnswerBrokenError as broken:
-            return Outcome(Verdict.broken, detail=broken.detail)
+            return Outcome(
+                Verdict.broken,
+                detail=broken.detail,
+                is_connection_lost=isinstance(broken, ConnectionLostError),
+            )
         except TimeoutError:
             return Outcome(
                 Verdict.timed_out, detail='route timeout or deadline'
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -8,6 +8,7 @@
 
 from crocusshunt.catalog import RequestLimits
 from crocusshunt.core import Clock
+from crocusshunt.crashes import compute_fingerprint
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._cluster import ClusterState
@@ -143,7 +144,7 @@
         if isinstance(body_result, Err):
             return body_result
         body = body_result.ok_value
-        template = self._create_template(request, request_info, body)
+        template = self._create_template(request, request_info, admission, body)
         try:
             return await self._components.dispatcher.run(
                 self._create_pending_request(
@@ -201,15 +202,25 @@
         self,
         request: web.BaseRequest,
         request_info: RequestInfo,
+        admission: Admission,
         body: bytes | None,
     ) -> RequestTemplate:
         headers = select_headers(request.headers, self._names, request_info.key)
+        customer = admission.customer
+        fingerprint = compute_fingerprint(
+            '' if customer is None else customer.name,
+            request_info.method,
+            request_info.host,
+            request_info.target,
+            body,
+        )
         return RequestTemplate(
             request_info.request_id,
             request_info.method,
             request_info.target,
             tuple(headers),
             body,
+            fingerprint,
         )
 
     async def _read_body(
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -73,6 +73,8 @@
     :param expected_s: expected seconds until the response when the request was
         refused for lack of room.
     :param considered: servers that it did not get when it was refused.
+    :param fingerprint: digest by which repeats are recognized, empty unless a
+        server ended the connection of an attempt.
     """
 
     request_id: str
@@ -89,6 +91,7 @@
     expected_s: float | None = None
     attempts: list[AttemptRecord] = field(default_factory=list)
     considered: list[ConsideredServer] = field(default_factory=list)
+    fingerprint: str = ''
 
     def record_admission(
         self,
@@ -191,5 +194,6 @@
             retry_after_s=self.retry_after_s,
             sendings=self.attempts,
             considered=self.considered,
+            fingerprint=self.fingerprint,
         )
         return record
--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -1,4 +1,4 @@
-"""A host with a store and backend servers, on the loopback address."""
+"""Hosts with a store and backend servers, on the loopback address."""
 
 import asyncio
 import random
@@ -57,6 +57,15 @@
         host, port = self.runner.addresses[0]
         self.address = f'{host}:{port}'
 
+    async def crash(self) -> None:
+        """Reset all connections, and refuse new ones."""
+        assert self.runner is not None
+        for site in tuple(self.runner.sites):
+            await site.stop()
+        for request in self.received:
+            if request.transport is not None:
+                request.transport.abort()
+
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self.runner is not None:
@@ -81,15 +90,23 @@
 
 @dataclass(slots=True)
 class Deployment:
-    """One host, its store and its backend servers."""
+    """Hosts, their store and their backend servers.
+
+    :param hosts: at least one.
+    """
 
     store: MemoryFeedStore
-    service: FrontService
+    hosts: list[FrontService]
     session: ClientSession
     backends: list[Backend]
     _version: int = 0
     _requests: int = 0
 
+    @property
+    def service(self) -> FrontService:
+        """Return the first host."""
+        return self.hosts[0]
+
     def configure(
         self,
         *routes: dict[str, Any],
@@ -114,7 +131,25 @@
         key: str | None = KEY,
         **headers: str,
     ) -> tuple[int, str, ClientResponse]:
-        """Send a request; return status, body and response."""
+        """Send a request to the first host.
+
+        :return: status, body and response.
+        """
+        return await self.send_to(0, path, method, key, **headers)
+
+    async def send_to(
+        self,
+        host: int,
+        /,
+        path: str = '/a/x',
+        method: str = 'GET',
+        key: str | None = KEY,
+        **headers: str,
+    ) -> tuple[int, str, ClientResponse]:
+        """Send a request to a host; return status, body and response.
+
+        :param host: number of the host, from 0.
+        """
         self._requests += 1
         sent = {
             'Host': 'a.example',
@@ -124,12 +159,12 @@
         }
         if key is not None:
             sent['Authorization'] = f'Token {key}'
-        url = f'http://{self.service.settings.front_address}{path}'
+        url = f'http://{self.hosts[host].settings.front_address}{path}'
         async with self.session.request(method, url, headers=sent) as response:
             return response.status, await response.text(), response
 
     async def wait_for_sync(self, seconds: float = 0) -> None:
-        """Wait until the host has read the newest changes in the store.
+        """Wait until all hosts have read the newest changes in the store.
 
         :param seconds: time to wait before that.
         """
@@ -141,11 +176,11 @@
     def _has_caught_up(self) -> bool:
         if self.store.faults.is_down or self.store.faults.is_silent:
             return True
-        followers = self.service._components.followers.all  # noqa: SLF001
         return all(
             one.image.version
             >= self.store.find_last_version(one.settings.table)
-            for one in followers
+            for host in self.hosts
+            for one in host._components.followers.all  # noqa: SLF001
         )
 
 
@@ -172,17 +207,47 @@
 
 
 @asynccontextmanager
-async def deploy(*names: str) -> AsyncIterator[Deployment]:
-    """Run a host with backend servers of the given names."""
+async def deploy(
+    *names: str, domains: tuple[str, ...] = ('a1',)
+) -> AsyncIterator[Deployment]:
+    """Run hosts with backend servers of the given names.
+
+    :param domains: failure domain of each host.
+    """
     store = MemoryFeedStore()
+    hosts = [
+        _create_host(f'h{number}', domain, store)
+        for number, domain in enumerate(domains, 1)
+    ]
+    backends = [Backend(name) for name in names]
+    async with ClientSession() as session:
+        deployment = Deployment(store, hosts, session, backends)
+        deployment.configure(describe_route())
+        for backend in backends:
+            await backend.start()
+            deployment.announce(backend)
+        for started in hosts:
+            await started.start()
+        await deployment.wait_for_sync()
+        try:
+            yield deployment
+        finally:
+            await asyncio.gather(*(one.stop() for one in hosts))
+            for backend in backends:
+                await backend.stop()
+
+
+def _create_host(
+    name: str, domain: str, store: MemoryFeedStore
+) -> FrontService:
     # The metrics are served at the port after the internal one.
     ports = draw_free_ports(5, random.Random())
     front, ready, directory, internal = ports[:4]
     settings = FrontSettings(
-        name='h1',
+        name=name,
         ip=LOOPBACK,
-        region='a',
-        failure_domain='a1',
+        region=domain[0],
+        failure_domain=domain,
         front_address=f'{LOOPBACK}:{front}',
         ready_address=f'{LOOPBACK}:{ready}',
         directory_address=f'{LOOPBACK}:{directory}',
@@ -190,25 +255,10 @@
         regions={'a1': 'a', 'b1': 'b'},
         store_address='',
     )
-    service = FrontService(
+    return FrontService(
         settings,
         SOURCE_FORMAT,
         store,
         lambda: Ok(settings),
         SystemClock(),
     )
-    backends = [Backend(name) for name in names]
-    async with ClientSession() as session:
-        deployment = Deployment(store, service, session, backends)
-        deployment.configure(describe_route())
-        for backend in backends:
-            await backend.start()
-            deployment.announce(backend)
-        await service.start()
-        await deployment.wait_for_sync()
-        try:
-            yield deployment
-        finally:
-            await service.stop()
-            for backend in backends:
-                await backend.stop()
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -4,6 +4,7 @@
 from crocusshunt.upstream._connection import Connection, open_connection
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
+    ConnectionLostError,
     NotConnectedError,
     UpstreamError,
 )
@@ -18,6 +19,7 @@
     'AnswerBrokenError',
     'BufferLimit',
     'Connection',
+    'ConnectionLostError',
     'ConnectionPool',
     'EchoPolicy',
     'NotConnectedError',
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -6,7 +6,11 @@
 import h11
 
 from crocusshunt.upstream._buffering import BodyBuffer, BufferLimit
-from crocusshunt.upstream._errors import AnswerBrokenError, NotConnectedError
+from crocusshunt.upstream._errors import (
+    AnswerBrokenError,
+    ConnectionLostError,
+    NotConnectedError,
+)
 from crocusshunt.upstream._messages import (
     EchoPolicy,
     UpstreamAnswer,
@@ -70,6 +74,7 @@
         The connection is closed if the exchange fails or is cancelled.
 
         :raises AnswerBrokenError: no complete response came.
+        :raises ConnectionLostError: the server ended the connection before.
         :raises NotConnectedError: the request is not valid HTTP; nothing was
             sent.
         """
@@ -80,6 +85,8 @@
             is_complete = True
         except (h11.RemoteProtocolError, OSError) as error:
             detail = f'{type(error).__name__}: {error}'
+            if self._protocol.is_ended_by_peer:
+                raise ConnectionLostError(detail) from error
             raise AnswerBrokenError(detail) from error
         finally:
             if not is_complete:
@@ -125,7 +132,7 @@
             if isinstance(head, h11.Response):
                 return head
             if isinstance(head, _END_EVENTS):
-                raise AnswerBrokenError('closed')
+                raise ConnectionLostError('closed')
         raise AnswerBrokenError('informational responses only')
 
     async def _read_body(self) -> bytes:
@@ -135,7 +142,7 @@
                 body.append(event.data)
                 event = await self._next_event()
             if not isinstance(event, h11.EndOfMessage):
-                raise AnswerBrokenError(
+                raise ConnectionLostError(
                     'connection closed before the end of the response'
                 )
             return bytes(body.content)
--- a/crocusshunt/upstream/_errors.py
+++ b/crocusshunt/upstream/_errors.py
@@ -29,3 +29,10 @@
     """No complete and valid HTTP response came; the request may have run."""
 
     code = 'answer-broken'
+
+
+@dataclass(unsafe_hash=True)
+class ConnectionLostError(AnswerBrokenError):
+    """The server ended the connection before a complete response came."""
+
+    code = 'connection-lost'
--- a/crocusshunt/upstream/_protocol.py
+++ b/crocusshunt/upstream/_protocol.py
@@ -35,6 +35,14 @@
             return False
         return not self.transport.is_closing()
 
+    @property
+    def is_ended_by_peer(self) -> bool:
+        """Tell whether the peer closed or reset the connection.
+
+        False if it ended because the peer did not respond.
+        """
+        return self._is_ended and not isinstance(self._error, TimeoutError)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set timeouts on its socket."""
         self.transport = cast(asyncio.Transport, transport)
