Quarantine requests under which server after server crashes

Cause: hosts remembered nothing of a request between two arrivals, so each could end as many servers as its route has attempts.

Hosts now remember a fingerprint of requests at servers that ended their connection and took no new one, tell each other at once, and refuse the one with three crashes or more; copies that wait at servers are taken back. One host tries it again rarely, so that a frequent request is released after a common failure of servers. A host that reaches no other server blames nobody.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from crocusshunt.crashes import CrashReport
+
 
 class HostRecord(msgspec.Struct, frozen=True):
     """Record that a host writes to the store at its start.
@@ -39,6 +41,8 @@
     :param limits: requests a second that backend servers take from all hosts,
         None for any number, and the age of that report in seconds, by name of
         the server; of servers that had a limit and recently told this host.
+    :param crashes: requests under which backend servers crashed recently, as
+        this host saw it.
     """
 
     name: str
@@ -52,6 +56,7 @@
     pinned: dict[str, dict[str, float]] = {}
     is_following: bool = True
     limits: dict[str, tuple[float | None, float]] = {}
+    crashes: list[CrashReport] = []
 
 
 class RegionSummary(
@@ -74,6 +79,8 @@
     :param busy: see :class:`Heartbeat`.
     :param pinned: see :class:`Heartbeat`.
     :param limits: see :class:`Heartbeat`, but told to any host of the region.
+    :param crashes: see :class:`Heartbeat`, but seen by any host, and all
+        requests that are quarantined.
     """
 
     name: str
@@ -86,6 +93,7 @@
     busy: dict[str, float] = {}
     pinned: dict[str, dict[str, float]] = {}
     limits: dict[str, tuple[float | None, float]] = {}
+    crashes: list[CrashReport] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -4,14 +4,16 @@
 
 from crocusshunt.core import Clock
 from crocusshunt.feeds import FeedStore
-from crocusshunt.fleet import FleetSettings, FleetView, HostRecord
-from crocusshunt.front._cluster import ClusterComponents, ClusterState
+from crocusshunt.fleet import FleetSettings
+from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._cluster_assembly import create_cluster_state
+from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._dispatch import Dispatcher
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._handler import HandlerComponents, RequestHandler
 from crocusshunt.front._heartbeats import HeartbeatLoop
-from crocusshunt.front._limits import SharedLimits
+from crocusshunt.front._limits import create_shared_limits
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placement import Placer
@@ -19,28 +21,16 @@
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._settings import (
-    DeploymentLimits,
     FrontSettings,
     HeaderNames,
     SourceFormat,
 )
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
-from crocusshunt.placement import (
-    ChoiceSettings,
-    HealthSettings,
-    HealthTracker,
-    ServerRegistry,
-)
+from crocusshunt.placement import ChoiceSettings
 from crocusshunt.services import TaskGroup
-from crocusshunt.sharing import RetryLimit, RetryLimiter
-from crocusshunt.upstream import ConnectionPool, EchoPolicy, PoolSettings
 
 _MILLISECONDS = 1000
-_STATUS_MISDIRECTED = 421
-# A retry is counted when it is sent but may reach its server in a later
-# window; the margin keeps each window at the servers within the limit.
-_RETRY_MARGIN = 0.8
 
 
 @dataclass(slots=True)
@@ -55,6 +45,19 @@
     metrics: RequestMetrics
 
 
+@dataclass(frozen=True, slots=True)
+class _SharedParts:
+    """Components that requests and background tasks share."""
+
+    cluster: ClusterState
+    state: PlacerState
+    tasks: TaskGroup
+    crashes: CrashWatch
+    outbox: Outbox
+    tokens: TokenService
+    metrics: RequestMetrics
+
+
 def assemble_host(
     settings: FrontSettings,
     source: SourceFormat,
@@ -62,35 +65,20 @@
     clock: Clock,
 ) -> HostComponents:
     """Create the components of a host without opening any connection."""
-    cluster = _create_cluster_state(settings, source, clock)
-    state = PlacerState()
+    parts = _create_shared_parts(settings, source, clock)
+    cluster = parts.cluster
     followers = Followers(store, source.tables, cluster, clock)
-    metrics = RequestMetrics(MetricsSettings())
-    outbox = Outbox(cluster.fleet)
-    tokens = TokenService(
-        SharedLimits(
-            cluster, RetryLimiter(_create_retry_limit(settings.limits))
-        ),
-        clock,
-        outbox.send_to,
-    )
-    handler = _create_handler(
-        cluster,
-        state,
-        tokens,
-        source.headers,
-        metrics,
-        clock,
-    )
+    handler = _create_handler(parts, source.headers, clock)
     readiness = Readiness(cluster, handler.in_flight, followers.has_servers)
     heartbeat_loop = HeartbeatLoop(
         cluster=cluster,
         followers=followers,
         readiness=readiness,
-        planner=LocalityPlanner(cluster, state),
-        tokens=tokens,
-        outbox=outbox,
-        tasks=TaskGroup(),
+        planner=LocalityPlanner(cluster, parts.state),
+        tokens=parts.tokens,
+        crashes=parts.crashes,
+        outbox=parts.outbox,
+        tasks=parts.tasks,
         settings=FleetSettings(),
         clock=clock,
         started_at=round(clock.wall() * _MILLISECONDS),
@@ -101,69 +89,45 @@
         readiness,
         heartbeat_loop,
         handler,
-        metrics,
+        parts.metrics,
+    )
+
+
+def _create_shared_parts(
+    settings: FrontSettings, source: SourceFormat, clock: Clock
+) -> _SharedParts:
+    cluster = create_cluster_state(settings, source, clock)
+    tasks = TaskGroup()
+    outbox = Outbox(cluster.fleet)
+    limits = create_shared_limits(cluster, settings.limits)
+    return _SharedParts(
+        cluster=cluster,
+        state=PlacerState(),
+        tasks=tasks,
+        crashes=CrashWatch(cluster, tasks, clock),
+        outbox=outbox,
+        tokens=TokenService(limits, clock, outbox.send_to),
+        metrics=RequestMetrics(MetricsSettings()),
     )
 
 
 def _create_handler(
-    cluster: ClusterState,
-    state: PlacerState,
-    tokens: TokenService,
-    names: HeaderNames,
-    metrics: RequestMetrics,
-    clock: Clock,
+    parts: _SharedParts, names: HeaderNames, clock: Clock
 ) -> RequestHandler:
-    placer = Placer(cluster, state, ChoiceSettings(), clock)
+    cluster = parts.cluster
+    placer = Placer(cluster, parts.state, ChoiceSettings(), clock)
     dispatcher = Dispatcher(
         placer,
-        RefusalAdvisor(cluster, state, placer, clock),
-        Exchanger(cluster, state, names, clock),
-        tokens.limits.retries,
+        RefusalAdvisor(cluster, parts.state, placer, clock),
+        Exchanger(cluster, parts.state, parts.crashes, names, clock),
+        parts.crashes,
+        parts.tokens.limits.retries,
         clock,
     )
     components = HandlerComponents(
         cluster=cluster,
-        tokens=tokens,
+        tokens=parts.tokens,
         dispatcher=dispatcher,
-        recorder=metrics,
+        recorder=parts.metrics,
     )
     return RequestHandler(components, names, clock)
-
-
-def _create_cluster_state(
-    settings: FrontSettings,
-    source: SourceFormat,
-    clock: Clock,
-) -> ClusterState:
-    own = HostRecord(
-        name=settings.name,
-        ip=settings.ip,
-        internal_port=settings.internal_port,
-        front_address=settings.front_address,
-        failure_domain=settings.failure_domain,
-        region=settings.region,
-    )
-    echo = _create_echo_policy(source.headers)
-    components = ClusterComponents(
-        ServerRegistry(dict(settings.regions)),
-        HealthTracker(HealthSettings()),
-        FleetView(own, FleetSettings()),
-        ConnectionPool(PoolSettings(), echo, clock),
-    )
-    return ClusterState(components, source, clock)
-
-
-def _create_echo_policy(names: HeaderNames) -> EchoPolicy:
-    return EchoPolicy(
-        names.request_id.lower().encode(),
-        names.not_run.lower().encode(),
-        frozenset((_STATUS_MISDIRECTED,)),
-    )
-
-
-def _create_retry_limit(limits: DeploymentLimits) -> RetryLimit:
-    return RetryLimit(
-        limits.retry_ratio * _RETRY_MARGIN,
-        limits.retry_extra * _RETRY_MARGIN,
-        limits.retry_window_s,
-    )
--- /dev/null
+++ b/crocusshunt/front/_crash_watch.py
@@ -0,0 +1,184 @@
+"""Search for requests under which backend servers crash."""
+
+import asyncio
+import logging
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from crocusshunt.core import Clock, rank_by_rendezvous
+from crocusshunt.crashes import CrashLedger, CrashReport, CrashSettings
+from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._server_probe import ServerProbe
+from crocusshunt.logs import log_event
+from crocusshunt.placement import TrackedServer
+from crocusshunt.services import TaskGroup
+
+
+def _create_ledger() -> CrashLedger:
+    return CrashLedger(CrashSettings())
+
+
+@dataclass(slots=True)
+class CrashWatch:
+    """Quarantines requests under which one server after the other crashes.
+
+    A request that lost its connection is suspect if its server accepts no new
+    connection while another server does. The hosts tell each other, since a
+    caller may repeat a request at any host.
+
+    :param has_news: whether other hosts should hear of a crash at once.
+    """
+
+    cluster: ClusterState
+    tasks: TaskGroup
+    clock: Clock
+    ledger: CrashLedger = field(default_factory=_create_ledger)
+    has_news: bool = False
+    _suspects: dict[str, set[str]] = field(default_factory=dict)
+    _in_flight: dict[str, list[asyncio.Timeout]] = field(default_factory=dict)
+
+    def begin_trial(self, fingerprint: str) -> bool:
+        """Tell whether a quarantined request is to be sent once more.
+
+        One host, which rendezvous hashing names, does so for all.
+        """
+        if not self.is_quarantined(fingerprint):
+            return False
+        fleet = self.cluster.fleet
+        chosen = rank_by_rendezvous(fingerprint, fleet.names)[0]
+        if chosen != fleet.own.name:
+            return False
+        is_begun = self.ledger.begin_trial(fingerprint, self.clock.monotonic())
+        if is_begun:
+            log_event('quarantined request tried', fingerprint=fingerprint)
+        return is_begun
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Tell whether a request must not be sent to a server."""
+        return fingerprint in self.ledger.quarantined
+
+    def count_quarantined(self) -> int:
+        """Return how many requests must not be sent to a server."""
+        return len(self.ledger.quarantined)
+
+    def estimate_release(self, fingerprint: str) -> float:
+        """Return when a request may be sent once more, in seconds."""
+        return self.ledger.estimate_release(fingerprint, self.clock.monotonic())
+
+    @contextmanager
+    def track(
+        self, fingerprint: str, timeout: asyncio.Timeout
+    ) -> Iterator[None]:
+        """End an attempt early if its request is quarantined meanwhile.
+
+        It may wait at a server that it would crash.
+
+        :param timeout: that of the attempt.
+        """
+        attempts = self._in_flight.setdefault(fingerprint, [])
+        attempts.append(timeout)
+        try:
+            yield
+        finally:
+            attempts.remove(timeout)
+            if not attempts:
+                self._in_flight.pop(fingerprint)
+
+    def note_answer(self, fingerprint: str) -> None:
+        """Record that a server answered a request."""
+        self.ledger.note_served(fingerprint, self.clock.monotonic())
+
+    def note_lost_connection(
+        self, fingerprint: str, server: TrackedServer
+    ) -> None:
+        """Find out whether a server crashed while it had a request."""
+        name = server.entry.name
+        suspects = self._suspects.get(name)
+        if suspects is None:
+            self._suspects[name] = {fingerprint}
+            self.tasks.start(self._investigate(server))
+        else:
+            suspects.add(fingerprint)
+
+    def merge(self, reports: Iterable[CrashReport], now: float) -> None:
+        """Record the crashes that another host reports.
+
+        The host that speaks for its region passes them on.
+        """
+        known = self.ledger.quarantined
+        is_news = self.ledger.merge(reports, now)
+        if is_news and self.cluster.fleet.is_summary_sender(now):
+            self.has_news = True
+        self._apply_changes(known)
+
+    def export(self, now: float) -> list[CrashReport]:
+        """Return the crashes that other hosts are told.
+
+        The host that speaks for its region also tells those that it heard of,
+        so that a host that just started learns them.
+        """
+        if self.cluster.fleet.is_summary_sender(now):
+            return self.ledger.export_all(now)
+        return self.ledger.export_own(now)
+
+    def expire(self, now: float) -> None:
+        """Forget crashes that no longer count."""
+        known = self.ledger.quarantined
+        self.ledger.expire(now)
+        self._apply_changes(known)
+
+    async def _investigate(self, server: TrackedServer) -> None:
+        lost_at = self.clock.monotonic()
+        name = server.entry.name
+        try:
+            has_crashed = await self._has_crashed(server)
+        finally:
+            suspects = self._suspects.pop(name)
+        if not has_crashed:
+            return
+        known = self.ledger.quarantined
+        crash = f'{name}@{server.entry.started_ms}'
+        for fingerprint in suspects:
+            self.has_news |= self.ledger.note_crash(
+                fingerprint, crash, lost_at, is_own=True
+            )
+        log_event(
+            'server crashed under requests',
+            logging.WARNING,
+            server=name,
+            fingerprints=sorted(suspects),
+        )
+        self._apply_changes(known)
+
+    async def _has_crashed(self, server: TrackedServer) -> bool:
+        """Tell whether a server is gone and this host is not cut off."""
+        probe = ServerProbe(self.cluster, self.clock)
+        if await probe.is_reachable(server):
+            return False
+        return await probe.is_other_reachable(server)
+
+    def _apply_changes(self, known: frozenset[str]) -> None:
+        """Act on requests that are quarantined or released now.
+
+        :param known: those that were quarantined before.
+        """
+        quarantined = self.ledger.quarantined
+        if quarantined == known:
+            return
+        for added in sorted(quarantined - known):
+            log_event(
+                'request quarantined',
+                logging.WARNING,
+                fingerprint=added,
+                crashes=self.ledger.count_crashes(added),
+            )
+            self._end_attempts(added)
+        for released in sorted(known - quarantined):
+            log_event('request released', fingerprint=released)
+
+    def _end_attempts(self, fingerprint: str) -> None:
+        now = asyncio.get_running_loop().time()
+        for timeout in self._in_flight.get(fingerprint, ()):
+            if not timeout.expired():
+                timeout.reschedule(now)
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -7,6 +7,7 @@
 
 from crocusshunt.core import Clock
 from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
+from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 from crocusshunt.front._placement import Placer
@@ -30,6 +31,7 @@
 _MIN_REMAINING_S = 0.02
 # Health of servers that could not be reached changes within about this time.
 _OTHER_SERVER_RETRY_S = 0.2
+_CAUSE_QUARANTINED = 'quarantined'
 
 DispatchResult = Result[UpstreamAnswer, Refusal]
 
@@ -66,6 +68,7 @@
         placer: Placer,
         advisor: RefusalAdvisor,
         exchanger: Exchanger,
+        crashes: CrashWatch,
         retries: RetryLimiter,
         clock: Clock,
     ) -> None:
@@ -73,6 +76,7 @@
         self._placer = placer
         self._advisor = advisor
         self._exchanger = exchanger
+        self._crashes = crashes
         self._retries = retries
         self._clock = clock
         self._waiters = SlotWaiters()
@@ -83,7 +87,9 @@
         now = self._clock.monotonic()
         self._retries.note_request(pending.request.pool, now)
         self._placer.note_request(pending.request)
-        while True:
+        fingerprint = pending.template.fingerprint
+        is_trial = self._crashes.begin_trial(fingerprint)
+        while is_trial or not self._crashes.is_quarantined(fingerprint):
             placement = self._placer.place(pending.request)
             if placement.server is None:
                 refused = self._refuse_if_due(pending, placement, now)
@@ -91,15 +97,43 @@
                     return refused
                 await self._wait_for_slot(pending, placement)
                 continue
-            outcome = await self._send(pending, placement.server, placement)
-            self._waiters.offer(placement.server.entry.name)
-            if not self._may_retry(pending, outcome):
-                return self._create_result(pending, outcome)
-            tried = {
-                *pending.request.tried,
-                placement.server.entry.name,
-            }
-            pending.request = replace(pending.request, tried=frozenset(tried))
+            is_trial = False
+            ended = await self._try_server(pending, placement.server, placement)
+            if ended is not None:
+                return ended
+        return Err(self._refuse_quarantined(pending))
+
+    async def _try_server(
+        self,
+        pending: PendingRequest,
+        server: TrackedServer,
+        placement: Placement,
+    ) -> DispatchResult | None:
+        """Send a request; return the result, None to try another server."""
+        outcome = await self._send(pending, server, placement)
+        self._waiters.offer(server.entry.name)
+        if self._is_ended_by_quarantine(pending, outcome):
+            return Err(self._refuse_quarantined(pending))
+        if not self._may_retry(pending, outcome):
+            return self._create_result(pending, outcome)
+        tried = {*pending.request.tried, server.entry.name}
+        pending.request = replace(pending.request, tried=frozenset(tried))
+        return None
+
+    def _is_ended_by_quarantine(
+        self, pending: PendingRequest, outcome: Outcome
+    ) -> bool:
+        if outcome.verdict is not Verdict.timed_out:
+            return False
+        return self._crashes.is_quarantined(pending.template.fingerprint)
+
+    def _refuse_quarantined(self, pending: PendingRequest) -> Refusal:
+        """Return the refusal of a request under which servers crash."""
+        if pending.executions:
+            return Refusal(Status.bad_gateway, _CAUSE_QUARANTINED)
+        fingerprint = pending.template.fingerprint
+        wait_s = self._crashes.estimate_release(fingerprint)
+        return refuse_unavailable(_CAUSE_QUARANTINED, wait_s)
 
     async def _send(
         self,
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -4,8 +4,10 @@
 from dataclasses import replace
 
 from crocusshunt.core import Clock
+from crocusshunt.front._answers import classify_answer
 from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._settings import HeaderNames
@@ -28,8 +30,6 @@
 
 _MILLISECONDS = 1000
 _STATUS_CLIENT_ERROR = 400
-_STATUS_MISDIRECTED = 421
-_STATUS_SERVER_ERROR = 500
 _MIN_SERVICE_S = 0.001
 # A server that was unreachable may be cold when it returns, before its entry
 # in the store shows that.
@@ -51,12 +51,14 @@
         self,
         cluster: ClusterState,
         state: PlacerState,
+        crashes: CrashWatch,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
         """Use the components of a host."""
         self._cluster = cluster
         self._state = state
+        self._crashes = crashes
         self._names = names
         self._clock = clock
 
@@ -79,7 +81,10 @@
         finally:
             load.in_flight -= 1
         self._update_health(server, outcome)
+        if outcome.is_connection_lost:
+            self._crashes.note_lost_connection(template.fingerprint, server)
         if outcome.verdict is Verdict.answered:
+            self._crashes.note_answer(template.fingerprint)
             self._record_timing(
                 server, placement_request, outcome.took_s, load_before
             )
@@ -117,15 +122,16 @@
     ) -> Outcome:
         remaining_s = placement_request.final_at - self._clock.monotonic()
         try:
-            async with asyncio.timeout(remaining_s):
-                connection = await self._connect(server, placement_request)
-                sent_at = self._clock.monotonic()
-                response = await self._exchange(
-                    template,
-                    server,
-                    placement_request,
-                    connection,
-                )
+            async with asyncio.timeout(remaining_s) as timeout:
+                with self._crashes.track(template.fingerprint, timeout):
+                    connection = await self._connect(server, placement_request)
+                    sent_at = self._clock.monotonic()
+                    response = await self._exchange(
+                        template,
+                        server,
+                        placement_request,
+                        connection,
+                    )
         except NotConnectedError as unreachable:
             return Outcome(Verdict.unreachable, detail=unreachable.detail)
         except AnswerBrokenError as broken:
@@ -136,10 +142,15 @@
             )
         except TimeoutError:
             return Outcome(
-                Verdict.timed_out, detail='route timeout or deadline'
+                Verdict.timed_out, detail=self._describe_timeout(template)
             )
         took_s = self._clock.monotonic() - sent_at
-        return replace(self._classify(response), took_s=took_s)
+        return replace(classify_answer(response, self._names), took_s=took_s)
+
+    def _describe_timeout(self, template: RequestTemplate) -> str:
+        if self._crashes.is_quarantined(template.fingerprint):
+            return 'request quarantined'
+        return 'route timeout or deadline'
 
     async def _connect(
         self,
@@ -236,20 +247,6 @@
         now = self._clock.monotonic()
         self._state.limited.note_answer(server, named, now)
 
-    def _classify(self, response: UpstreamAnswer) -> Outcome:
-        not_run = response.find(self._names.not_run.lower().encode())
-        if response.status == _STATUS_MISDIRECTED:
-            return Outcome(Verdict.misdirected, detail='another server')
-        if not_run is not None:
-            return Outcome(Verdict.shed, detail=f'status {response.status}')
-        if response.status >= _STATUS_SERVER_ERROR:
-            detail = f'status {response.status}'
-            return Outcome(Verdict.failed, response, detail)
-        signature = response.find(self._names.signature.lower().encode())
-        if signature is None:
-            return Outcome(Verdict.broken, detail='unsigned answer')
-        return Outcome(Verdict.answered, response)
-
     def _update_health(self, server: TrackedServer, outcome: Outcome) -> None:
         cluster = self._cluster
         name = server.entry.name
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -17,6 +17,7 @@
     decode_message,
 )
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
@@ -44,6 +45,7 @@
     readiness: Readiness
     planner: LocalityPlanner
     tokens: TokenService
+    crashes: CrashWatch
     outbox: Outbox
     tasks: TaskGroup
     settings: FleetSettings
@@ -80,6 +82,7 @@
         self._divide_limits()
         self.send_heartbeats()
         self._log_heard_changes(now)
+        self.crashes.expire(now)
         self.cluster.connections.expire()
         self.planner.forget_removed_servers()
 
@@ -94,6 +97,7 @@
         self._sequence += 1
         self._announced_ready = self.readiness.is_ready
         self._announced_versions = self.followers.versions
+        self.crashes.has_news = False
         self.outbox.send(self._create_heartbeat(now), fleet.same_region_hosts)
         self.planner.state.reset_full_servers()
         if fleet.is_summary_sender(now):
@@ -120,7 +124,7 @@
         is_announced = self.readiness.is_ready == self._announced_ready
         if is_announced and self._is_watcher():
             is_announced = self.followers.versions == self._announced_versions
-        if not is_announced:
+        if not is_announced or self.crashes.has_news:
             self.send_heartbeats()
 
     def _is_watcher(self) -> bool:
@@ -164,6 +168,7 @@
             self._reply_to_new_host(message.name)
         if peer is not None:
             self.planner.state.limited.merge(message.limits, now)
+            self.crashes.merge(message.crashes, now)
         if peer is not None and isinstance(message, Heartbeat):
             self.planner.apply_full_servers(message.full, now)
         if peer is not None:
@@ -193,6 +198,7 @@
             pinned=_round_regions(self.planner.state.offered.pinned),
             is_following=not self.followers.is_failing(),
             limits=dict(self.planner.state.limited.export_own(now)),
+            crashes=self.crashes.export(now),
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
@@ -209,6 +215,7 @@
             busy=_round_values(self.planner.sum_offered_load(now)),
             pinned=_round_regions(self.planner.sum_pinned_load(now)),
             limits=dict(self.planner.state.limited.export_all(now)),
+            crashes=self.crashes.export(now),
         )
 
 
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -6,12 +6,14 @@
 from crocusshunt.catalog import CustomerRule
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._demands import FleetDemand, observe_demand
+from crocusshunt.front._settings import DeploymentLimits
 from crocusshunt.logs import log_event
 from crocusshunt.sharing import (
     CustomerLimiter,
     CustomerShare,
     DelayedGrowth,
     DemandMeter,
+    RetryLimit,
     RetryLimiter,
     choose_keeper,
     divide_rate,
@@ -22,6 +24,9 @@
 _GROWTH_DELAY_S = 1.2
 # Where demand exceeds this fraction of a rate, waiting for a token is useless.
 _OVER_RATE_FRACTION = 0.95
+# A retry is counted when it is sent but may reach its server in a later
+# window; the margin keeps each window at the servers within the limit.
+_RETRY_MARGIN = 0.8
 
 
 @dataclass(slots=True)
@@ -161,3 +166,15 @@
             own_share=round(share, 2),
             hosts=hosts,
         )
+
+
+def create_shared_limits(
+    cluster: ClusterState, limits: DeploymentLimits
+) -> SharedLimits:
+    """Create the limits of a host that knows no demand yet."""
+    retry_limit = RetryLimit(
+        limits.retry_ratio * _RETRY_MARGIN,
+        limits.retry_extra * _RETRY_MARGIN,
+        limits.retry_window_s,
+    )
+    return SharedLimits(cluster, RetryLimiter(retry_limit))
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -46,6 +46,11 @@
         yield self._count_servers()
         yield self._measure_shares()
         yield self._measure_server_shares()
+        yield GaugeMetricFamily(
+            'crocus_requests_quarantined',
+            'Requests that are not sent, since servers crash under them.',
+            self._components.heartbeat_loop.crashes.count_quarantined(),
+        )
         yield GaugeMetricFamily(
             'crocus_requests_in_flight',
             'Requests that are not answered yet.',
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -14,6 +14,7 @@
     FleetView,
     HostRecord,
 )
+from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._heartbeats import HeartbeatLoop
 from crocusshunt.front._limits import SharedLimits
@@ -78,6 +79,9 @@
             readiness=Mock(is_ready=True),
             planner=LocalityPlanner(cluster, PlacerState()),
             tokens=TokenService(limits, self.clock, outbox.send_to),
+            crashes=CrashWatch(
+                cluster, cast(TaskGroup, self.tasks), self.clock
+            ),
             outbox=outbox,
             tasks=cast(TaskGroup, self.tasks),
             settings=FleetSettings(),
--- a/crocusshunt/front/tests/test_crashing_requests.py
+++ b/crocusshunt/front/tests/test_crashing_requests.py
@@ -1,13 +1,24 @@
 """A request that crashes each backend server that runs it."""
 
 import asyncio
+import io
+import json
+import time
 from collections.abc import Iterator
 from itertools import cycle
 
 import pytest
 from aiohttp import web
 
-from crocusshunt.front.tests._deployment import Backend, Deployment, deploy
+from crocusshunt.crashes import CrashSettings
+from crocusshunt.front.tests._deployment import (
+    NAMES,
+    Backend,
+    Deployment,
+    deploy,
+)
+from crocusshunt.logs import start_logging
+from crocusshunt.upstream import Connection, NotConnectedError
 
 _SERVERS = tuple(f's{number}' for number in range(1, 13))
 _BAD_PATH = '/a/bad'
@@ -31,6 +42,14 @@
     backend.override = crash
 
 
+def _reset_connection(backend: Backend) -> None:
+    async def reset(request: web.Request) -> None:
+        assert request.transport is not None
+        request.transport.abort()
+
+    backend.override = reset
+
+
 def _list_bad(deployment: Deployment) -> list[web.Request]:
     return [
         request
@@ -79,3 +98,112 @@
         ]
         assert len(_list_bad(deployment)) - before <= _MAX_LATER_SENDINGS
         assert set(statuses[-3:]) == {503}
+
+
+async def test_server_that_goes_on_after_a_reset_has_not_crashed() -> None:
+    async with deploy('s1', 's2') as deployment:
+        for backend in deployment.backends:
+            _reset_connection(backend)
+        for _ in range(5):
+            status, _text, _response = await deployment.send(_BAD_PATH)
+            assert status == 502
+
+
+async def test_host_cut_off_from_all_servers_blames_no_request() -> None:
+    """Once it reaches them again, the request is served."""
+    async with deploy('s1', 's2', 's3') as deployment:
+        components = deployment.service._components  # noqa: SLF001
+        connections = components.cluster.connections
+        patch = pytest.MonkeyPatch()
+
+        async def refuse(_address: str) -> Connection:
+            raise NotConnectedError('refused')
+
+        async def cut_off(request: web.Request) -> None:
+            assert request.transport is not None
+            patch.setattr(connections, 'open', refuse)
+            request.transport.abort()
+
+        for backend in deployment.backends:
+            backend.override = cut_off
+        for _ in deployment.backends:
+            assert (await deployment.send(_BAD_PATH))[0] == 502
+            patch.undo()
+            await asyncio.sleep(1)
+        for backend in deployment.backends:
+            backend.override = None
+        await asyncio.sleep(_SETTLING_S)
+        assert (await deployment.send(_BAD_PATH))[0] == 200
+
+
+async def test_frequent_request_is_served_after_a_common_failure() -> None:
+    """Three servers that had it crash at once, for another reason.
+
+    It is refused until it was sent once more, and answered.
+    """
+    async with deploy('s1', 's2', 's3', 's4') as deployment:
+
+        async def delay(_request: web.Request) -> None:
+            await asyncio.sleep(0.3)
+
+        for backend in deployment.backends:
+            backend.override = delay
+        running = [
+            asyncio.create_task(
+                deployment.send(
+                    _BAD_PATH, Cookie=f'{NAMES.affinity_cookie}={number}'
+                )
+            )
+            for number in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        for backend in deployment.backends[:3]:
+            assert backend.received
+            await backend.crash()
+        await asyncio.gather(*running)
+        await asyncio.sleep(CrashSettings().trial_after_s)
+        statuses = {(await deployment.send(_BAD_PATH))[0] for _ in range(4)}
+        assert statuses == {200}
+
+
+async def test_copy_that_waits_at_a_server_is_taken_back() -> None:
+    """The server would crash as soon as it ran the copy."""
+    async with deploy(*_SERVERS) as deployment:
+        waiting, *others = deployment.backends
+
+        async def wait(_request: web.Request) -> None:
+            await asyncio.sleep(3)
+
+        waiting.override = wait
+        for backend in others:
+            _crash_when_asked(backend)
+        started_at = time.monotonic()
+        copies = [
+            asyncio.create_task(
+                deployment.send(
+                    _BAD_PATH,
+                    method='POST',
+                    Cookie=f'{NAMES.affinity_cookie}={number}',
+                )
+            )
+            for number in range(30)
+        ]
+        await asyncio.gather(*copies)
+        assert waiting.received
+        assert time.monotonic() - started_at < 2
+
+
+async def test_log_tells_that_arrivals_are_the_same_request() -> None:
+    log = io.StringIO()
+    start_logging(stream=log)
+    async with deploy(*_SERVERS) as deployment:
+        for backend in deployment.backends:
+            _crash_when_asked(backend)
+        await _send_until_third_crash(deployment, cycle((0,)))
+        await deployment.send('/a/good')
+    lines = [json.loads(line) for line in log.getvalue().splitlines()]
+    requests = [line for line in lines if line['event'] == 'request ended']
+    *bad, good = [request['fingerprint'] for request in requests]
+    assert len(bad) > 1
+    assert len(set(bad)) == 1
+    assert (bool(bad[0]), good) == (True, '')
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -81,6 +81,10 @@
         'the servers of the pool take no more requests now, by their limits',
         'look for "server limit changed"; ask who runs the servers',
     ),
+    'quarantined': (
+        'backend servers crashed under this request at its earlier arrivals',
+        'look for "request quarantined" and its fingerprint; tell the owner',
+    ),
     'not-run-shed': (
         'a backend server rejected it and said that it did not run it',
         'see the load of the named server; look for others that shed',
