Repeat requests that crash servers in the soak

A new kind of fault, crash-request, has callers repeat a request under which servers end for 2.5 s; the check crashing-requests counts what hosts without a fault of their own still send 4 s after the third crash.

--- a/crocusshunt/soak/__init__.py
+++ b/crocusshunt/soak/__init__.py
@@ -1,6 +1,6 @@
 """Soak tests: random faults against real processes, guarantees checked."""
 
-from crocusshunt.soak import _faults  # noqa: F401
+from crocusshunt.soak import _faults, _server_faults  # noqa: F401
 from crocusshunt.soak._checks import CheckLimits, Violation, find_violations
 from crocusshunt.soak._plan import PlannedFault, SoakSettings, plan_faults
 from crocusshunt.soak._records import (
--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.soak._change_checks import find_late_runs, find_reversals
+from crocusshunt.soak._crash_checks import find_repeated_crashes
 from crocusshunt.soak._limit_checks import find_overruns
 from crocusshunt.soak._records import CallOutcome, ChangeKind, Records
 from crocusshunt.soak._stop_checks import find_cut_calls
@@ -135,6 +136,11 @@
     yield from find_overruns(records)
 
 
+@register_check('crashing-requests')
+def _check_crashes(records: Records, _limits: CheckLimits) -> Iterator[str]:
+    yield from find_repeated_crashes(records)
+
+
 @register_check('changes-in-force')
 def _check_changes(records: Records, _limits: CheckLimits) -> Iterator[str]:
     yield from find_late_runs(records)
--- a/crocusshunt/soak/_faults.py
+++ b/crocusshunt/soak/_faults.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import signal
-import time
 
 from crocusshunt.soak._plan import PlannedFault
 from crocusshunt.soak._processes import HostProcess
 from crocusshunt.soak._proxy import LinkFault, Proxy
-from crocusshunt.soak._records import ServerLimit
 from crocusshunt.soak._registry import register_fault
 from crocusshunt.soak._system import SoakSystem
 
@@ -21,10 +19,6 @@
     LinkFault.silence,
     LinkFault.lose_answers,
 )
-# Requests a second that a limited server takes, and how much longer than the
-# planned time it is limited.
-_SERVER_LIMIT_RATE = 2
-_LIMITED_S = 8
 
 
 def _pick_host(system: SoakSystem, planned: PlannedFault) -> HostProcess:
@@ -129,27 +123,12 @@
     system.store.faults.is_silent = False
 
 
-@register_fault('limit-server')
-async def _limit_server(system: SoakSystem, planned: PlannedFault) -> None:
-    """Let a server name a limit for long enough that it must be kept."""
-    server = system.pick_server(planned.place)
-    if server.limit is not None:
-        return
-    server.limit = _SERVER_LIMIT_RATE
-    start_at = time.monotonic()
-    await asyncio.sleep(planned.for_s + _LIMITED_S)
-    server.limit = None
-    system.records.limits.append(
-        ServerLimit(server.name, _SERVER_LIMIT_RATE, start_at, time.monotonic())
-    )
-
-
 @register_fault('rush-customer')
 async def _rush_customer(system: SoakSystem, planned: PlannedFault) -> None:
     """Let most calls come from the limited customer."""
-    system.demand.rushes += 1
+    system.mix.rushes += 1
     await asyncio.sleep(planned.for_s)
-    system.demand.rushes -= 1
+    system.mix.rushes -= 1
 
 
 @register_fault('store-forgets')
--- a/crocusshunt/soak/_load.py
+++ b/crocusshunt/soak/_load.py
@@ -31,18 +31,22 @@
 _GROUP_COUNT = 3
 # Share of the calls of a customer that sends many times its usual.
 _RUSH_SHARE = 0.75
+# Share of the idempotent calls that crash servers, while there are such calls.
+_CRASH_SHARE = 0.2
 
 
 @dataclass(slots=True)
-class CustomerDemand:
-    """Whether one customer sends more than its part of the calls.
+class CallMix:
+    """What is special about the calls that are sent now.
 
-    :param key: API key of that customer.
+    :param key: API key of a customer that may send more than its part.
     :param rushes: times in which it does so and that are not over yet.
+    :param crash_paths: paths of calls that crash servers and are repeated.
     """
 
     key: str = ''
     rushes: int = 0
+    crash_paths: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -59,7 +63,7 @@
     hosts: list[HostProcess]
     keys: tuple[str, ...]
     rng: random.Random
-    demand: CustomerDemand = field(default_factory=CustomerDemand)
+    mix: CallMix = field(default_factory=CallMix)
     _session: ClientSession | None = None
     _sent_calls: int = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -104,13 +108,17 @@
             is_idempotent=is_idempotent,
             sent_at=time.monotonic(),
         )
+        crash_paths = self.mix.crash_paths
+        if is_idempotent and crash_paths and self.rng.random() < _CRASH_SHARE:
+            call.path = self.rng.choice(crash_paths)
+            call.key = self.keys[-2]
         self.records.calls.append(call)
         return call
 
     def _choose_key(self) -> str:
-        is_rush = self.demand.rushes > 0
+        is_rush = self.mix.rushes > 0
         if is_rush and self.rng.random() < _RUSH_SHARE:
-            return self.demand.key
+            return self.mix.key
         return self.rng.choice(self.keys)
 
     def _start_task(self, sending: Coroutine[Any, Any, None]) -> None:
@@ -122,7 +130,8 @@
         """Send calls on one connection, without waiting for responses."""
         fronts = {host.name: host.document.front for host in self.hosts}
         requests = [
-            encode_get('/read/x', self._build_headers(call)) for call in calls
+            encode_get(f'/read/{call.path}', self._build_headers(call))
+            for call in calls
         ]
         waiting = list(calls)
         responses = exchange_pipelined(fronts[calls[0].host], requests)
@@ -144,7 +153,7 @@
         try:
             async with self._session.request(
                 method,
-                f'http://{fronts[call.host]}/{path}/x',
+                f'http://{fronts[call.host]}/{path}/{call.path}',
                 headers=self._build_headers(call),
                 data=body,
             ) as response:
--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -45,17 +45,24 @@
     _server: asyncio.Server | None = None
     _open_writers: set[Writer] = field(default_factory=set)
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the proxy accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self) -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve,
-            LOOPBACK,
-            0,
-        )
+        await self._listen(0)
+        assert self._server is not None  # noqa: S101
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f'{host}:{port}'
 
-    async def stop(self) -> None:
+    async def reopen(self) -> None:
+        """Listen again on the port that was closed."""
+        _host, _separator, port = self.address.rpartition(':')
+        await self._listen(int(port))
+
+    def stop(self) -> None:
         """Close the port and all connections."""
         self.reset_all()
         if self._server is not None:
@@ -66,6 +73,9 @@
         for writer in tuple(self._open_writers):
             writer.transport.abort()
 
+    async def _listen(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
+
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         if self.link_fault is LinkFault.reset:
             writer.transport.abort()
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -40,6 +40,7 @@
     :param host: name of the host that it was sent to.
     :param key: API key of the caller.
     :param status: HTTP status of the response, 0 without one.
+    :param path: rest of its path, after the route's prefix.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     ended_at: float = 0
     outcome: CallOutcome = CallOutcome.closed
     status: int = 0
+    path: str = 'x'
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,8 @@
     :param at: monotonic time of its start, in seconds.
     :param customer: name of the customer that the host sent along.
     :param exposes_key: whether the request's headers held an API key.
+    :param crash_path: path of a request that made the server crash, empty for
+        other requests.
     """
 
     request_id: str
@@ -67,6 +71,7 @@
     at: float
     customer: str
     exposes_key: bool
+    crash_path: str = ''
 
 
 class ChangeKind(str, Enum):
--- a/crocusshunt/soak/_run.py
+++ b/crocusshunt/soak/_run.py
@@ -68,7 +68,7 @@
         system.hosts,
         tuple(system.keys),
         random.Random(settings.seed),
-        system.demand,
+        system.mix,
     )
     async with asyncio.TaskGroup() as tasks:
         for planned in faults:
--- /dev/null
+++ b/crocusshunt/soak/_server_faults.py
@@ -0,0 +1,44 @@
+"""Faults of backend servers that callers or the servers bring about."""
+
+import asyncio
+import time
+
+from crocusshunt.soak._plan import PlannedFault
+from crocusshunt.soak._records import ServerLimit
+from crocusshunt.soak._registry import register_fault
+from crocusshunt.soak._servers import CRASH_MARK
+from crocusshunt.soak._system import SoakSystem
+
+# Requests a second that a limited server takes, and how much longer than the
+# planned time it is limited.
+_SERVER_LIMIT_RATE = 2
+_LIMITED_S = 8
+# How much longer than the planned time a request that crashes servers is
+# repeated.
+_REPEATED_S = 10
+
+
+@register_fault('limit-server')
+async def _limit_server(system: SoakSystem, planned: PlannedFault) -> None:
+    """Let a server name a limit for long enough that it must be kept."""
+    server = system.pick_server(planned.place)
+    if server.limit is not None:
+        return
+    server.limit = _SERVER_LIMIT_RATE
+    start_at = time.monotonic()
+    await asyncio.sleep(planned.for_s + _LIMITED_S)
+    server.limit = None
+    system.records.limits.append(
+        ServerLimit(server.name, _SERVER_LIMIT_RATE, start_at, time.monotonic())
+    )
+
+
+@register_fault('crash-request')
+async def _repeat_crashing_request(
+    system: SoakSystem, planned: PlannedFault
+) -> None:
+    """Repeat a request that crashes the servers that run it."""
+    path = f'{CRASH_MARK}{planned.place}'
+    system.mix.crash_paths.append(path)
+    await asyncio.sleep(planned.for_s + _REPEATED_S)
+    system.mix.crash_paths.remove(path)
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
@@ -10,6 +11,7 @@
 from aiohttp import web
 
 from crocusshunt.platform import SOURCE_FORMAT
+from crocusshunt.services import TaskGroup
 from crocusshunt.soak._proxy import Proxy
 from crocusshunt.soak._records import Run
 from crocusshunt.standin import LOOPBACK
@@ -21,6 +23,10 @@
 _STATUS_MISDIRECTED = 421
 _STATUS_FULL = 503
 _DIGEST_REPEATS = 40
+# How long a server is down after a crash.
+_RESTART_S = 2.5
+# Part of the paths of requests that crash the server that runs them.
+CRASH_MARK = 'crash-'
 
 
 def build_response_text(request_id: str) -> str:
@@ -43,6 +49,8 @@
     :param keys: API keys, which no server may see.
     :param limit: requests a second that it names in its answers, None to name
         no limit.
+    :param announce: writes its entry, with the state that it is to have.
+    :param state: state in its entry, empty once that is removed.
     """
 
     name: str
@@ -53,6 +61,9 @@
     rng: random.Random
     proxy: Proxy | None = None
     limit: float | None = None
+    announce: Callable[['SoakServer', str], None] | None = None
+    state: str = ''
+    _tasks: TaskGroup = field(default_factory=TaskGroup)
     _in_progress: int = 0
     _runner: web.ServerRunner | None = None
     _free_slots: asyncio.Semaphore = field(
@@ -76,11 +87,24 @@
 
     async def stop(self) -> None:
         """Stop the proxy and the server."""
+        await self._tasks.stop()
         if self.proxy is not None:
-            await self.proxy.stop()
+            self.proxy.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _crash(self) -> None:
+        """Close the port and all connections for some time."""
+        if self.proxy is not None and self.proxy.is_open:
+            self.proxy.stop()
+            self._tasks.start(self._restart(self.proxy))
+
+    async def _restart(self, proxy: Proxy) -> None:
+        await asyncio.sleep(_RESTART_S)
+        await proxy.reopen()
+        if self.state and self.announce is not None:
+            self.announce(self, self.state)
+
     async def _handle(self, request: Any) -> web.StreamResponse:
         await request.read()
         request_id = request.headers.get(_HEADERS.request_id, '')
@@ -99,6 +123,7 @@
 
     async def _process(self, request: Any, request_id: str) -> web.Response:
         header_text = str(request.headers)
+        is_crash = CRASH_MARK in request.path
         self.runs.append(
             Run(
                 request_id=request_id,
@@ -107,9 +132,12 @@
                 at=time.monotonic(),
                 customer=request.headers.get(_HEADERS.customer, ''),
                 exposes_key=any(key in header_text for key in self.keys),
+                crash_path=request.path if is_crash else '',
             ),
         )
         await asyncio.sleep(self.rng.expovariate(1 / _MEAN_PROCESSING_S))
+        if is_crash:
+            self._crash()
         headers = {
             _HEADERS.request_id: request_id,
             _HEADERS.signature: request_id,
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -9,7 +9,7 @@
 
 from aiohttp import ClientError, ClientSession, web
 
-from crocusshunt.soak._load import CustomerDemand
+from crocusshunt.soak._load import CallMix
 from crocusshunt.soak._plan import SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._proxy import Proxy
@@ -66,7 +66,7 @@
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     keys: list[str] = field(default_factory=list)
     pool: str = 'pool-0'
-    demand: CustomerDemand = field(default_factory=CustomerDemand)
+    mix: CallMix = field(default_factory=CallMix)
     _move_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _version: int = 0
     _started_servers: int = 0
@@ -78,7 +78,7 @@
         self.keys = [f'secret-key-{number}' for number in range(6)]
         self.records.customers_by_key = {key: 'court' for key in self.keys[:-1]}
         self.records.customers_by_key[self.keys[-1]] = LIMITED_CUSTOMER
-        self.demand.key = self.keys[-1]
+        self.mix.key = self.keys[-1]
         self.write_configuration()
         await self.add_servers(self.pool)
         for number in range(self.settings.hosts):
@@ -90,7 +90,7 @@
         for host in self.hosts:
             host.close()
         for proxy in self.store_proxies.values():
-            await proxy.stop()
+            proxy.stop()
         for server in self.servers:
             await server.stop()
         if self._store_runner is not None:
@@ -156,6 +156,7 @@
             runs=self.records.runs,
             keys=frozenset(self.keys),
             rng=self.rng,
+            announce=self._write_server_entry,
         )
         await server.start()
         self.servers.append(server)
@@ -171,6 +172,7 @@
         self._write_server_entry(server, 'draining')
         self._record_change(ChangeKind.draining_server, server.name)
         await asyncio.sleep(seconds + 3)
+        server.state = ''
         self.store.remove(SERVERS_TABLE, server.name)
 
     def record_fault(
@@ -201,6 +203,7 @@
         return servers[int(place * len(servers))]
 
     def _write_server_entry(self, server: SoakServer, state: str) -> None:
+        server.state = state
         content = encode_server(
             server.address,
             server.pool,
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -122,6 +122,16 @@
         records.runs.append(_make_run(number, 30.01))
 
 
+def _send_crashing_request_on(records: Records) -> None:
+    for number in range(200, 207):
+        at = float(number - 190)
+        records.calls.append(_make_call(number, at, is_idempotent=True))
+        records.runs.append(_make_run(number, at, crash_path='/read/crash-1'))
+    # The first three crashed at 10 to 12 s; the others are sent from 16.5 s.
+    for call in records.calls[-4:]:
+        call.sent_at += 4
+
+
 def _cut_call_at_stop(records: Records) -> None:
     stop = FaultInterval('stop-host', 'h1', 5, 8, is_planned=True)
     records.fault_intervals.append(stop)
@@ -149,6 +159,7 @@
         (_use_wrong_customer, 'keys'),
         (_exceed_rate, 'rate'),
         (_exceed_server_limit, 'server-limit'),
+        (_send_crashing_request_on, 'crashing-requests'),
         (_ignore_withdrawal, 'changes-in-force'),
         (_ignore_drain, 'changes-in-force'),
         (_revert_version, 'version-never-reverts'),
