Draw the ports of all hosts of a soak together

Two hosts could draw the same ports, since neither had opened them yet; then one did not start and the soak ended after 60 s.

--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -81,8 +81,11 @@
         self.mix.key = self.keys[-1]
         self.write_configuration()
         await self.add_servers(self.pool)
+        # Drawn together: a host's ports are free until its process opens them.
+        ports = draw_free_ports(PORTS_PER_HOST * self.settings.hosts, self.rng)
         for number in range(self.settings.hosts):
-            await self._start_host(number, store_address)
+            first_port = ports[number * PORTS_PER_HOST]
+            await self._start_host(number, first_port, store_address)
         await wait_until_ready(self.hosts)
 
     async def stop(self) -> None:
@@ -225,7 +228,9 @@
         host, port = self._store_runner.addresses[0]
         return f'{host}:{port}'
 
-    async def _start_host(self, number: int, store_address: str) -> None:
+    async def _start_host(
+        self, number: int, first_port: int, store_address: str
+    ) -> None:
         name = f'h{number}'
         proxy = Proxy(store_address)
         await proxy.start()
@@ -233,7 +238,7 @@
         document = HostDocument(
             name=name,
             failure_domain=_FAILURE_DOMAINS[number % len(_FAILURE_DOMAINS)],
-            first_port=draw_free_ports(PORTS_PER_HOST, self.rng)[0],
+            first_port=first_port,
             store=proxy.address,
         )
         host = HostProcess(document, Path(self.settings.workdir))
