Pass requests on where a host is cut off from all servers

Cause: a host led to servers only by its own connections, and nothing told callers or other hosts that it had none, so look-ups went on naming it.

A host finds out by connecting to servers of all pools after a failed attempt, tells the others at once, is left out of look-ups, and passes requests on to hosts that reach servers, once, with the time that is left and the caller's key; it answers 'not run' only on that host's word. Afterwards it uses servers again that it passed over for the cut.

--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -16,6 +16,7 @@
     decode_message,
     encode,
 )
+from crocusshunt.fleet._reaching import list_reaching, list_reaching_elsewhere
 from crocusshunt.fleet._view import FleetSettings, FleetView, Peer
 
 __all__ = (
@@ -33,5 +34,7 @@
     'decode_host',
     'decode_message',
     'encode',
+    'list_reaching',
+    'list_reaching_elsewhere',
     'open_datagram_endpoint',
 )
--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -43,6 +43,8 @@
         the server; of servers that had a limit and recently told this host.
     :param crashes: requests under which backend servers crashed recently, as
         this host saw it.
+    :param lost_pools: pools of which it reaches no backend server.
+    :param is_cut_off: whether it reaches no backend server at all.
     """
 
     name: str
@@ -57,6 +59,8 @@
     is_following: bool = True
     limits: dict[str, tuple[float | None, float]] = {}
     crashes: list[CrashReport] = []
+    lost_pools: tuple[str, ...] = ()
+    is_cut_off: bool = False
 
 
 class RegionSummary(
@@ -81,6 +85,7 @@
     :param limits: see :class:`Heartbeat`, but told to any host of the region.
     :param crashes: see :class:`Heartbeat`, but seen by any host, and all
         requests that are quarantined.
+    :param relays: names of some ready hosts that reach backend servers.
     """
 
     name: str
@@ -94,6 +99,7 @@
     pinned: dict[str, dict[str, float]] = {}
     limits: dict[str, tuple[float | None, float]] = {}
     crashes: list[CrashReport] = []
+    relays: tuple[str, ...] = ()
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -46,6 +46,19 @@
             return False
         return heartbeat.is_ready and heartbeat.is_following
 
+    @property
+    def reaches_servers(self) -> bool:
+        """Tell whether it was ready and reached backend servers."""
+        heartbeat = self.heartbeat
+        if heartbeat is None:
+            return False
+        return heartbeat.is_ready and not heartbeat.is_cut_off
+
+    @property
+    def lost_pools(self) -> tuple[str, ...]:
+        """Return the pools of which it reached no backend server."""
+        return () if self.heartbeat is None else self.heartbeat.lost_pools
+
     def is_live(self, now: float, max_age_s: float) -> bool:
         """Tell whether the last heartbeat is recent.
 
@@ -205,20 +218,28 @@
         now: float,
         *,
         is_ready: bool,
+        is_cut_off: bool = False,
     ) -> tuple[str, ...]:
         """Return the addresses to which a caller should connect.
 
         These are the ready hosts of the caller's failure domain if there are
         two or more, else those of its region, else those of this host's
-        region, else all ready hosts.
+        region, else all ready hosts. Hosts that are cut off from all backend
+        servers are left out as long as there are others.
 
         :param failure_domain: failure domain of the caller.
         :param region: region of the caller.
         :param is_ready: whether this host is ready itself.
+        :param is_cut_off: whether it is cut off itself.
         """
-        ready = list(self.list_ready(now))
-        if is_ready:
+        ready = [
+            one.record for one in self.list_live(now) if one.reaches_servers
+        ]
+        if is_ready and not is_cut_off:
             ready.append(self.own)
+        if not ready:
+            ready.extend(self.list_ready(now))
+            ready.extend([self.own] if is_ready else [])
         domain_hosts = _filter_by_domain(ready, failure_domain)
         if len(domain_hosts) >= _MIN_ADDRESSES:
             return _list_addresses(domain_hosts)
--- a/crocusshunt/front/_crash_watch.py
+++ b/crocusshunt/front/_crash_watch.py
@@ -153,10 +153,10 @@
 
     async def _has_crashed(self, server: TrackedServer) -> bool:
         """Tell whether a server is gone and this host is not cut off."""
-        probe = ServerProbe(self.cluster, self.clock)
+        probe = ServerProbe(self.cluster)
         if await probe.is_reachable(server):
             return False
-        return await probe.is_other_reachable(server)
+        return await probe.is_any_reachable(besides=server.entry.name)
 
     def _apply_changes(self, known: frozenset[str]) -> None:
         """Act on requests that are quarantined or released now.
--- a/crocusshunt/front/_directory.py
+++ b/crocusshunt/front/_directory.py
@@ -7,6 +7,7 @@
 from crocusshunt.core import Clock
 from crocusshunt.fleet import FleetView
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.web import json_response
 
 _MAX_ENTRIES = 64
@@ -22,6 +23,7 @@
         self,
         fleet: FleetView,
         readiness: Readiness,
+        reach: ServerReach,
         clock: Clock,
         max_ttl_s: float,
     ) -> None:
@@ -31,6 +33,7 @@
         """
         self._fleet = fleet
         self._readiness = readiness
+        self._reach = reach
         self._clock = clock
         self._ttl_s = max_ttl_s
 
@@ -43,6 +46,7 @@
             request.query.get('region', ''),
             self._clock.monotonic(),
             is_ready=self._readiness.is_ready,
+            is_cut_off=self._reach.is_cut_off,
         )
         if not entries:
             return web.Response(status=_STATUS_UNAVAILABLE)
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -13,6 +13,7 @@
 from crocusshunt.front._placement import Placer
 from crocusshunt.front._placements import Placement, PlacementRequest
 from crocusshunt.front._refusals import RefusalAdvisor
+from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._trace import RequestTrace
 from crocusshunt.front._waiting import SlotWaiters
 from crocusshunt.placement import (
@@ -69,6 +70,7 @@
         advisor: RefusalAdvisor,
         exchanger: Exchanger,
         crashes: CrashWatch,
+        reach: ServerReach,
         retries: RetryLimiter,
         clock: Clock,
     ) -> None:
@@ -77,6 +79,7 @@
         self._advisor = advisor
         self._exchanger = exchanger
         self._crashes = crashes
+        self._reach = reach
         self._retries = retries
         self._clock = clock
         self._waiters = SlotWaiters()
@@ -242,7 +245,7 @@
         if pending.request.final_at - now <= _MIN_REMAINING_S:
             return False
         if outcome.verdict is Verdict.unreachable:
-            return True
+            return not self._reach.is_cut_off
         route = pending.request.admission.route
         if outcome.may_have_run:
             if (
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -10,6 +10,7 @@
 from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.logs import log_event
 from crocusshunt.placement import (
@@ -42,6 +43,9 @@
     Verdict.broken: ServerFailure.broken,
     Verdict.unreachable: ServerFailure.unreachable,
 }
+_UNANSWERED = frozenset(
+    (Verdict.unreachable, Verdict.broken, Verdict.timed_out)
+)
 
 
 class Exchanger:
@@ -52,6 +56,7 @@
         cluster: ClusterState,
         state: PlacerState,
         crashes: CrashWatch,
+        reach: ServerReach,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
@@ -59,6 +64,7 @@
         self._cluster = cluster
         self._state = state
         self._crashes = crashes
+        self._reach = reach
         self._names = names
         self._clock = clock
 
@@ -81,6 +87,7 @@
         finally:
             load.in_flight -= 1
         self._update_health(server, outcome)
+        self._update_reach(outcome)
         if outcome.is_connection_lost:
             self._crashes.note_lost_connection(template.fingerprint, server)
         if outcome.verdict is Verdict.answered:
@@ -90,6 +97,12 @@
             )
         return outcome
 
+    def _update_reach(self, outcome: Outcome) -> None:
+        if outcome.verdict in _UNANSWERED:
+            self._reach.note_failure()
+        else:
+            self._reach.note_answer()
+
     def _record_timing(
         self,
         server: TrackedServer,
--- /dev/null
+++ b/crocusshunt/front/_forwarding.py
@@ -0,0 +1,58 @@
+"""Delivery of a request to servers, or to a host that reaches them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from crocusshunt.front._attempts import RequestTemplate
+from crocusshunt.front._dispatch import (
+    Dispatcher,
+    DispatchResult,
+    PendingRequest,
+)
+from crocusshunt.front._outcomes import Status
+from crocusshunt.front._relay import Relay
+from crocusshunt.front._server_reach import ServerReach
+
+CreateTemplate = Callable[[], RequestTemplate]
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarder:
+    """Sends requests to servers, and passes on those that cannot reach one."""
+
+    dispatcher: Dispatcher
+    relay: Relay
+    reach: ServerReach
+
+    async def run(
+        self, pending: PendingRequest, create_template: CreateTemplate
+    ) -> DispatchResult:
+        """Return the response for the caller, or the reason for a refusal.
+
+        A host that is cut off from all servers passes a request on at once,
+        and one that reaches no server of the pool after it has tried them.
+
+        :param create_template: creates the request for another host.
+        """
+        if self.reach.is_cut_off:
+            relayed = await self.relay.send(pending, create_template())
+            if relayed is not None:
+                return relayed
+        dispatched = await self.dispatcher.run(pending)
+        if self._is_unreached(pending, dispatched):
+            relayed = await self.relay.send(pending, create_template())
+            if relayed is not None:
+                return relayed
+        return dispatched
+
+    def _is_unreached(
+        self, pending: PendingRequest, dispatched: DispatchResult
+    ) -> bool:
+        """Tell whether a request was not run since no server was reached."""
+        if not isinstance(dispatched, Err) or pending.executions:
+            return False
+        if dispatched.err_value.status is not Status.unavailable:
+            return False
+        return self.reach.has_lost(pending.request.pool)
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,25 +1,29 @@
 """HTTP handler of callers' requests: admission, body, dispatch, response."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from aiohttp import web
-from result import Err, Ok, Result
+from result import Err, Result
 
-from crocusshunt.catalog import RequestLimits
 from crocusshunt.core import Clock
 from crocusshunt.crashes import compute_fingerprint
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._attempts import RequestTemplate
+from crocusshunt.front._bodies import get_max_body_bytes, read_body
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._dispatch import Dispatcher, PendingRequest
+from crocusshunt.front._dispatch import PendingRequest
+from crocusshunt.front._forwarding import Forwarder
 from crocusshunt.front._headers import (
+    RELAY_REFUSAL,
+    RELAYED_BY,
     RequestInfo,
     inspect_request,
     select_headers,
+    select_relay_headers,
     select_response_headers,
 )
-from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._outcomes import Refusal, Status
 from crocusshunt.front._pipelining import InFlight
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._settings import HeaderNames
@@ -30,9 +34,6 @@
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
-_MAX_BUFFERED_BYTES = 67_108_864
-_BUFFERS_FULL_RETRY_S = 1
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # The response leaves this long before the route timeout ends.
 _ANSWER_MARGIN_S = 0.01
 # How long a request may wait for a token, as a fraction of the latency
@@ -49,7 +50,7 @@
 
     cluster: ClusterState
     tokens: TokenService
-    dispatcher: Dispatcher
+    forwarder: Forwarder
     recorder: Recorder
     targets: TargetChooser = field(default_factory=TargetChooser)
 
@@ -81,7 +82,20 @@
         return admitted.ok_value.route.is_idempotent
 
     async def respond(self, request: web.BaseRequest) -> web.Response:
-        """Return the response to one request."""
+        """Return the response to one request of a caller."""
+        return await self._respond(request, '')
+
+    async def respond_relayed(self, request: web.BaseRequest) -> web.Response:
+        """Return the response to a request that another host passes on."""
+        self.in_flight.begin(request.protocol)
+        try:
+            return await self._respond(request, request.headers[RELAYED_BY])
+        finally:
+            self.in_flight.end(request.protocol)
+
+    async def _respond(
+        self, request: web.BaseRequest, relayed_by: str
+    ) -> web.Response:
         request_info = inspect_request(request, self._names)
         trace = RequestTrace(
             request_info.request_id,
@@ -89,6 +103,7 @@
             self._clock.wall(),
             self._components.cluster.fleet.own,
             caller_timeout_s=request_info.caller_timeout_s,
+            relayed_by=relayed_by,
         )
         try:
             return await self._process(request, request_info, trace)
@@ -107,7 +122,10 @@
             refusal = dispatch_result.err_value
             trace.retry_after_s = refusal.retry_after_s
             self._finish(trace, refusal.status, refusal.kind, refusal.cause)
-            return self._create_refusal_response(refusal, request_info)
+            response = self._create_refusal_response(refusal, request_info)
+            if trace.relayed_by:
+                response.headers[RELAY_REFUSAL] = refusal.cause
+            return response
         upstream_response = dispatch_result.ok_value
         self._finish(trace, upstream_response.status, OutcomeKind.answered, '')
         return _create_response(upstream_response)
@@ -121,7 +139,8 @@
     ) -> None:
         now = self._clock.monotonic()
         record = trace.finish(now, status, outcome, code)
-        self._components.recorder.record(record)
+        if not trace.relayed_by:
+            self._components.recorder.record(record)
 
     async def _serve(
         self,
@@ -135,21 +154,27 @@
             return admission_result
         admission = admission_result.ok_value
         trace.record_admission(admission, cluster.index)
-        refused = await self._apply_rate_limit(admission)
-        if refused is not None:
-            return Err(refused)
-        body_result = await self._read_body(
-            request, _get_max_body_bytes(cluster)
+        # The host that passes a request on has taken a token for it.
+        if not trace.relayed_by:
+            refused = await self._apply_rate_limit(admission)
+            if refused is not None:
+                return Err(refused)
+        body_result = await read_body(
+            request, self.in_flight, get_max_body_bytes(cluster.index)
         )
         if isinstance(body_result, Err):
             return body_result
         body = body_result.ok_value
         template = self._create_template(request, request_info, admission, body)
+        pending = self._create_pending_request(
+            request_info, admission, trace, template
+        )
+        forwarder = self._components.forwarder
         try:
-            return await self._components.dispatcher.run(
-                self._create_pending_request(
-                    request_info, admission, trace, template
-                ),
+            if trace.relayed_by:
+                return await forwarder.dispatcher.run(pending)
+            return await forwarder.run(
+                pending, lambda: self._create_relay_template(request, template)
             )
         finally:
             self.in_flight.buffered_bytes -= len(body or b'')
@@ -223,40 +248,11 @@
             fingerprint,
         )
 
-    async def _read_body(
-        self,
-        request: web.BaseRequest,
-        max_bytes: int,
-    ) -> Result[bytes | None, Refusal]:
-        """Return the whole body, None for a request without one.
-
-        :param max_bytes: a longer body is refused.
-        """
-        if not request.body_exists:
-            return Ok(None)
-        if request.headers.get('Expect') and request.transport is not None:
-            request.transport.write(_CONTINUE)
-        in_flight = self.in_flight
-        body = bytearray()
-        try:
-            async for chunk in request.content.iter_any():
-                body += chunk
-                in_flight.buffered_bytes += len(chunk)
-                refusal = self._check_size(len(body), max_bytes)
-                if refusal is not None:
-                    in_flight.buffered_bytes -= len(body)
-                    return Err(refusal)
-        except BaseException:
-            in_flight.buffered_bytes -= len(body)
-            raise
-        return Ok(bytes(body))
-
-    def _check_size(self, size: int, max_bytes: int) -> Refusal | None:
-        if size > max_bytes:
-            return Refusal(Status.too_large, 'body-too-large')
-        if self.in_flight.buffered_bytes > _MAX_BUFFERED_BYTES:
-            return refuse_unavailable('buffers-full', _BUFFERS_FULL_RETRY_S)
-        return None
+    def _create_relay_template(
+        self, request: web.BaseRequest, template: RequestTemplate
+    ) -> RequestTemplate:
+        headers = select_relay_headers(request.headers, self._names)
+        return replace(template, headers=tuple(headers))
 
     def _create_refusal_response(
         self, refusal: Refusal, request_info: RequestInfo
@@ -271,12 +267,6 @@
         return response
 
 
-def _get_max_body_bytes(cluster: ClusterState) -> int:
-    index = cluster.index
-    limits = RequestLimits() if index is None else index.catalog.limits
-    return limits.body_bytes
-
-
 def _create_response(upstream_response: UpstreamAnswer) -> web.Response:
     return web.Response(
         status=upstream_response.status,
--- a/crocusshunt/front/_headers.py
+++ b/crocusshunt/front/_headers.py
@@ -16,6 +16,11 @@
 _COOKIE = 'Cookie'
 _MILLISECONDS = 1000
 _MIN_REDACTED_KEY_LENGTH = 8
+# Between hosts. On a request: name of the host that passes it on. On a
+# response: the cause of a refusal by the host that got the request, in place of
+# a server's response.
+RELAYED_BY = 'Crocus-Relayed-By'
+RELAY_REFUSAL = 'Crocus-Relay-Refusal'
 
 Headers = CIMultiDictProxy[str] | CIMultiDict[str]
 
@@ -83,18 +88,8 @@
     Left out are hop-by-hop headers, those that only this system sets, and
     each whose value contains the caller's key.
     """
-    dropped = HOP_BY_HOP | find_connection_options(headers)
-    dropped |= {
-        normalize_header_name(name)
-        for name in (
-            _AUTHORIZATION,
-            'Content-Length',
-            'Expect',
-            names.deadline_ms,
-            names.customer,
-            names.expected_server,
-        )
-    }
+    dropped = _list_own_headers(headers, names)
+    dropped.add(normalize_header_name(_AUTHORIZATION))
     secret = (
         key
         if key is not None and len(key) >= _MIN_REDACTED_KEY_LENGTH
@@ -108,6 +103,34 @@
     ]
 
 
+def select_relay_headers(
+    headers: Headers, names: HeaderNames
+) -> list[tuple[str, str]]:
+    """Return the headers of a request that another host gets, with its key."""
+    dropped = _list_own_headers(headers, names)
+    return [
+        (name, text)
+        for name, text in headers.items()
+        if normalize_header_name(name) not in dropped
+    ]
+
+
+def _list_own_headers(headers: Headers, names: HeaderNames) -> set[str]:
+    """Return the names of headers that each host sets for itself."""
+    dropped = {
+        normalize_header_name(name)
+        for name in (
+            'Content-Length',
+            'Expect',
+            names.deadline_ms,
+            names.customer,
+            names.expected_server,
+            RELAYED_BY,
+        )
+    }
+    return dropped | HOP_BY_HOP | find_connection_options(headers)
+
+
 def select_response_headers(
     headers: tuple[tuple[bytes, bytes], ...],
 ) -> CIMultiDict[str]:
@@ -116,7 +139,8 @@
         (name.decode('latin-1'), text.decode('utf-8', 'surrogateescape'))
         for name, text in headers
     )
-    dropped = HOP_BY_HOP | find_connection_options(decoded) | {'content-length'}
+    dropped = HOP_BY_HOP | find_connection_options(decoded)
+    dropped |= {'content-length', RELAY_REFUSAL.lower()}
     return CIMultiDict(
         (name, text)
         for name, text in decoded.items()
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -15,6 +15,7 @@
     TokenReply,
     TokenRequest,
     decode_message,
+    list_reaching,
 )
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._crash_watch import CrashWatch
@@ -22,6 +23,7 @@
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
@@ -31,6 +33,8 @@
 # Interval of the check for changes that are announced before the next
 # heartbeat is due.
 _CHECK_INTERVAL_S = 0.2
+# Hosts of this region that the hosts of others may pass requests on to.
+_MAX_RELAYS = 8
 
 
 @dataclass(slots=True)
@@ -46,6 +50,7 @@
     planner: LocalityPlanner
     tokens: TokenService
     crashes: CrashWatch
+    reach: ServerReach
     outbox: Outbox
     tasks: TaskGroup
     settings: FleetSettings
@@ -53,6 +58,7 @@
     started_at: int
     _sequence: int = 0
     _announced_ready: bool = False
+    _announced_cut_off: bool = False
     _announced_versions: tuple[int, ...] = ()
     _has_new_hosts: bool = False
     _heard: frozenset[str] = frozenset()
@@ -96,6 +102,7 @@
         fleet = self.cluster.fleet
         self._sequence += 1
         self._announced_ready = self.readiness.is_ready
+        self._announced_cut_off = self.reach.is_cut_off
         self._announced_versions = self.followers.versions
         self.crashes.has_news = False
         self.outbox.send(self._create_heartbeat(now), fleet.same_region_hosts)
@@ -124,7 +131,8 @@
         is_announced = self.readiness.is_ready == self._announced_ready
         if is_announced and self._is_watcher():
             is_announced = self.followers.versions == self._announced_versions
-        if not is_announced or self.crashes.has_news:
+        has_news = self.reach.is_cut_off != self._announced_cut_off
+        if not is_announced or has_news or self.crashes.has_news:
             self.send_heartbeats()
 
     def _is_watcher(self) -> bool:
@@ -134,8 +142,9 @@
         now = self.clock.monotonic()
         is_ready = self.readiness.is_ready
         self.tokens.limits.divide(now, is_ready=is_ready)
+        may_send = is_ready and not self.reach.is_cut_off
         self.planner.state.limited.divide(
-            self.cluster.servers, self.cluster.fleet, now, is_ready=is_ready
+            self.cluster.servers, self.cluster.fleet, now, may_send=may_send
         )
 
     def _is_first_heartbeat(self, message: StatusMessage) -> bool:
@@ -199,8 +208,18 @@
             is_following=not self.followers.is_failing(),
             limits=dict(self.planner.state.limited.export_own(now)),
             crashes=self.crashes.export(now),
+            lost_pools=self.reach.lost_pools,
+            is_cut_off=self.reach.is_cut_off,
         )
 
+    def _list_relays(self, now: float) -> tuple[str, ...]:
+        """Return some ready hosts of this region that reach servers."""
+        fleet = self.cluster.fleet
+        names = [one.name for one in list_reaching(fleet, '', now)]
+        if self.readiness.is_ready and not self.reach.is_cut_off:
+            names.append(fleet.own.name)
+        return tuple(names[:_MAX_RELAYS])
+
     def _create_summary(self, now: float) -> RegionSummary:
         fleet = self.cluster.fleet
         region = self.tokens.limits.observe(now).regions[fleet.own.region]
@@ -216,6 +235,7 @@
             pinned=_round_regions(self.planner.sum_pinned_load(now)),
             limits=dict(self.planner.state.limited.export_all(now)),
             crashes=self.crashes.export(now),
+            relays=self._list_relays(now),
         )
 
 
--- a/crocusshunt/front/_limited_servers.py
+++ b/crocusshunt/front/_limited_servers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from crocusshunt.core import rank_by_rendezvous
-from crocusshunt.fleet import FleetView
+from crocusshunt.fleet import FleetView, list_reaching
 from crocusshunt.logs import log_event
 from crocusshunt.placement import (
     LimitReport,
@@ -83,11 +83,12 @@
         fleet: FleetView,
         now: float,
         *,
-        is_ready: bool,
+        may_send: bool,
     ) -> None:
         """Recompute this host's part of each limit.
 
-        :param is_ready: whether this host accepts requests.
+        :param may_send: whether this host accepts requests and reaches
+            servers.
         """
         rates = self.limits.rates
         for unlimited in self._buckets.keys() - rates.keys():
@@ -97,7 +98,7 @@
             if server is None:
                 self.forget(name)
                 continue
-            hosts = _list_senders(server, fleet, now, is_ready=is_ready)
+            hosts = _list_senders(server, fleet, now, may_send=may_send)
             shares = divide_limit(name, rate, hosts)
             self._resize(name, shares.get(fleet.own.name, 0), now)
 
@@ -145,12 +146,12 @@
 
 
 def _list_senders(
-    server: TrackedServer, fleet: FleetView, now: float, *, is_ready: bool
+    server: TrackedServer, fleet: FleetView, now: float, *, may_send: bool
 ) -> list[str]:
     """Return the hosts among which a server's limit is divided.
 
-    These are the ready hosts of its region; where no host of it is heard,
-    those of another region that rendezvous hashing names.
+    These are the ready hosts of its region that reach it; where no host of it
+    is heard, those of another region that rendezvous hashing names.
     """
     own_region = fleet.own.region
     heard = {one.region for one in fleet.list_summaries(now)} | {own_region}
@@ -159,10 +160,11 @@
         region = rank_by_rendezvous(server.entry.name, sorted(heard))[0]
     if region != own_region:
         return []
-    ready = [record.name for record in fleet.list_ready(now)]
-    if is_ready:
-        ready.append(fleet.own.name)
-    return ready
+    pool = server.entry.pool
+    senders = [record.name for record in list_reaching(fleet, pool, now)]
+    if may_send:
+        senders.append(fleet.own.name)
+    return senders
 
 
 def _describe(
--- /dev/null
+++ b/crocusshunt/front/_relay.py
@@ -0,0 +1,170 @@
+"""Requests passed on to hosts that reach the servers this host does not."""
+
+import asyncio
+import itertools
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from crocusshunt.core import Clock
+from crocusshunt.fleet import (
+    HostRecord,
+    list_reaching,
+    list_reaching_elsewhere,
+)
+from crocusshunt.front._attempts import RequestTemplate
+from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._dispatch import DispatchResult, PendingRequest
+from crocusshunt.front._headers import RELAY_REFUSAL, RELAYED_BY
+from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._settings import HeaderNames
+from crocusshunt.front._trace import RelayRecord
+from crocusshunt.logs import log_event
+from crocusshunt.upstream import (
+    AnswerBrokenError,
+    Connection,
+    NotConnectedError,
+    UpstreamAnswer,
+)
+
+_MILLISECONDS = 1000
+# The other host answers so long before this one gives up, besides the time for
+# the way.
+_MARGIN_S = 0.02
+# Hosts that are tried if they cannot be reached, or reach no server.
+_MAX_HOSTS = 2
+_UNREACHED = frozenset(('no-warm-server', 'not-run-unreachable'))
+_OTHER_HOST_RETRY_S = 0.2
+
+
+@dataclass(slots=True)
+class Relay:
+    """Passes requests on to hosts that reach the servers of their pool.
+
+    A request is passed on once: the host that gets it does not pass it on.
+    """
+
+    cluster: ClusterState
+    state: PlacerState
+    names: HeaderNames
+    clock: Clock
+    _turns: Iterator[int] = field(default_factory=itertools.count)
+
+    async def send(
+        self, pending: PendingRequest, template: RequestTemplate
+    ) -> DispatchResult | None:
+        """Return another host's result, None if no host takes the request.
+
+        :param template: the request with the caller's key.
+        """
+        for host in self._choose_hosts(pending):
+            relayed = await self._send_to(host, pending, template)
+            if relayed is not None:
+                return relayed
+        return None
+
+    def _choose_hosts(self, pending: PendingRequest) -> Sequence[HostRecord]:
+        """Return hosts that reach servers, those of this region first.
+
+        A request that some regions alone may serve goes to hosts of these.
+        """
+        fleet = self.cluster.fleet
+        now = self.clock.monotonic()
+        pool = pending.request.pool
+        allowed = pending.request.admission.allowed_regions
+        for hosts in (
+            list_reaching(fleet, pool, now),
+            list_reaching_elsewhere(fleet, now),
+        ):
+            fitting = [
+                one for one in hosts if allowed is None or one.region in allowed
+            ]
+            if fitting:
+                first = next(self._turns) % len(fitting)
+                return (fitting[first:] + fitting[:first])[:_MAX_HOSTS]
+        return ()
+
+    async def _send_to(
+        self,
+        host: HostRecord,
+        pending: PendingRequest,
+        template: RequestTemplate,
+    ) -> DispatchResult | None:
+        pending.trace.relays.append(RelayRecord(host.name))
+        remaining_s = pending.request.final_at - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining_s):
+                connection = await self._connect(host, pending)
+                request = template.build(self._list_headers(host, pending))
+                response = await connection.exchange(request)
+        except NotConnectedError as unreachable:
+            log_event(
+                'host not reached', host=host.name, cause=str(unreachable)
+            )
+            return None
+        except AnswerBrokenError as broken:
+            pending.trace.relays[-1].detail = broken.detail
+            return Err(Refusal(Status.bad_gateway, 'relay-broken'))
+        except TimeoutError:
+            return Err(Refusal(Status.timeout, 'timeout'))
+        self._give_back(host, connection)
+        return _read_result(response)
+
+    async def _connect(
+        self, host: HostRecord, pending: PendingRequest
+    ) -> Connection:
+        address = f'{host.ip}:{host.internal_port}'
+        connections = self.cluster.connections
+        reused = connections.take(
+            host.name,
+            address,
+            is_repeatable=pending.request.admission.route.is_idempotent,
+        )
+        return reused or await connections.open(address)
+
+    def _list_headers(
+        self, host: HostRecord, pending: PendingRequest
+    ) -> list[tuple[str, str]]:
+        """Return the headers for the other host: deadline and own name."""
+        margin_s = _MARGIN_S + self.state.round_trips.estimate(host.region)
+        final_at = pending.request.final_at - margin_s
+        remaining_s = max(0, final_at - self.clock.monotonic())
+        return [
+            (self.names.deadline_ms, str(int(remaining_s * _MILLISECONDS))),
+            (RELAYED_BY, self.cluster.fleet.own.name),
+        ]
+
+    def _give_back(self, host: HostRecord, connection: Connection) -> None:
+        address = f'{host.ip}:{host.internal_port}'
+        self.cluster.connections.give_back(host.name, address, connection)
+
+
+def _read_result(response: UpstreamAnswer) -> DispatchResult | None:
+    """Return a server's response, or the refusal of the other host.
+
+    Return None if that host reached no server either.
+    """
+    cause = response.find(RELAY_REFUSAL.lower().encode())
+    if cause is None:
+        return Ok(response)
+    code = cause.decode('latin-1')
+    if code in _UNREACHED:
+        return None
+    if response.status == Status.unavailable:
+        retry_after = response.find(b'retry-after') or b''
+        return Err(refuse_unavailable(code, _parse_wait(retry_after)))
+    if response.status in _REFUSALS:
+        return Err(Refusal(Status(response.status), code))
+    return Err(Refusal(Status.bad_gateway, code))
+
+
+_REFUSALS = frozenset(Status)
+
+
+def _parse_wait(retry_after: bytes) -> float:
+    try:
+        return float(retry_after)
+    except ValueError:
+        return _OTHER_HOST_RETRY_S
--- a/crocusshunt/front/_server_probe.py
+++ b/crocusshunt/front/_server_probe.py
@@ -1,13 +1,17 @@
 """Attempts to connect to backend servers without sending a request."""
 
-from dataclasses import dataclass
+import asyncio
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
-from crocusshunt.core import Clock, rank_by_rendezvous
+from crocusshunt.core import rank_by_rendezvous
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.placement import TrackedServer
 from crocusshunt.upstream import NotConnectedError
 
-# Servers that are tried before all are taken for unreachable.
+# Servers that are tried before all are taken for unreachable. They are drawn
+# from all pools, since a whole pool may be down.
 _MAX_SERVERS = 4
 
 
@@ -16,7 +20,7 @@
     """Finds out whether servers accept connections, and keeps these."""
 
     cluster: ClusterState
-    clock: Clock
+    _draws: Iterator[int] = field(default_factory=itertools.count)
 
     async def is_reachable(self, server: TrackedServer) -> bool:
         """Tell whether a server accepts a connection."""
@@ -29,20 +33,22 @@
         connections.give_back(entry.name, entry.address, opened)
         return True
 
-    async def is_other_reachable(self, server: TrackedServer) -> bool:
-        """Tell whether any server but one accepts a connection."""
-        now = self.clock.monotonic()
+    async def is_any_reachable(self, besides: str = '') -> bool:
+        """Tell whether some servers accept a connection, or there are none.
+
+        :param besides: name of a server that is not tried.
+        """
         servers = self.cluster.servers
         others = {
             one.entry.name: one
             for pool in servers.pools
             for one in servers.select(pool)
-            if one.entry.name != server.entry.name
-            and not self.cluster.health.is_ejected(one.entry.name, now)
+            if one.entry.name != besides
         }
-        # Drawn from all pools, since a whole pool may be down.
-        drawn = rank_by_rendezvous(server.entry.name, others)
-        for name in drawn[:_MAX_SERVERS]:
-            if await self.is_reachable(others[name]):
-                return True
-        return False
+        if not others:
+            return not besides
+        drawn = rank_by_rendezvous(str(next(self._draws)), others)
+        found = await asyncio.gather(
+            *(self.is_reachable(others[name]) for name in drawn[:_MAX_SERVERS])
+        )
+        return any(found)
--- /dev/null
+++ b/crocusshunt/front/_server_reach.py
@@ -0,0 +1,94 @@
+"""Whether this host reaches any backend server."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from crocusshunt.core import Clock
+from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._server_probe import ServerProbe
+from crocusshunt.logs import log_event
+from crocusshunt.services import TaskGroup
+
+# Servers are checked after a failed attempt if none answers for so long.
+_MAX_SILENCE_S = 0.4
+_CHECK_INTERVAL_S = 0.5
+
+
+@dataclass(slots=True)
+class ServerReach:
+    """Finds out when this host is cut off from all servers, and when not.
+
+    After an attempt that failed while no server answers, some servers are
+    tried. Until one of them accepts a connection, this host is cut off.
+
+    :param is_cut_off: whether no server accepts a connection.
+    """
+
+    cluster: ClusterState
+    tasks: TaskGroup
+    clock: Clock
+    is_cut_off: bool = False
+    _answered_at: float = float('-inf')
+    _is_checking: bool = False
+
+    @property
+    def lost_pools(self) -> tuple[str, ...]:
+        """Return the pools of which this host reaches no server."""
+        pools = sorted(self.cluster.servers.pools)
+        return tuple(pool for pool in pools if self.has_lost(pool))
+
+    def has_lost(self, pool: str) -> bool:
+        """Tell whether the last attempt to reach each server failed."""
+        if self.is_cut_off:
+            return True
+        servers = self.cluster.servers.select(pool)
+        health = self.cluster.health
+        return bool(servers) and all(
+            health.is_unreachable(one.entry.name) for one in servers
+        )
+
+    def note_answer(self) -> None:
+        """Record that a server answered an attempt."""
+        self._answered_at = self.clock.monotonic()
+
+    def note_failure(self) -> None:
+        """Check servers after a failed attempt, unless one answers soon."""
+        if not self._is_checking:
+            self._is_checking = True
+            self.tasks.start(self._check())
+
+    async def _check(self) -> None:
+        try:
+            if await self._is_silent():
+                await self._wait_for_servers()
+        finally:
+            self._is_checking = False
+
+    async def _is_silent(self) -> bool:
+        """Tell whether no server answers within a short time."""
+        silent_s = self.clock.monotonic() - self._answered_at
+        known = self._answered_at
+        await asyncio.sleep(max(0, _MAX_SILENCE_S - silent_s))
+        return self._answered_at == known
+
+    async def _wait_for_servers(self) -> None:
+        """Try servers until one accepts a connection."""
+        probe = ServerProbe(self.cluster)
+        while not await probe.is_any_reachable():
+            self._enter_cut()
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+        self.note_answer()
+        self._leave_cut()
+
+    def _enter_cut(self) -> None:
+        if not self.is_cut_off:
+            log_event('no server reached', logging.WARNING)
+        self.is_cut_off = True
+
+    def _leave_cut(self) -> None:
+        """Use all servers again: they were ejected for the cut alone."""
+        if self.is_cut_off:
+            log_event('servers reached again')
+            self.cluster.health.forget_unreachable()
+        self.is_cut_off = False
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -16,6 +16,7 @@
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runner
+from crocusshunt.front._headers import RELAYED_BY
 from crocusshunt.front._metrics import MetricsEndpoint
 from crocusshunt.front._pipelining import PipelinedServer
 from crocusshunt.front._reload import ReadSettings, SettingsReload
@@ -125,6 +126,7 @@
         directory = Directory(
             components.cluster.fleet,
             components.readiness,
+            components.reach,
             self._clock,
             settings.limits.max_lookup_ttl_s,
         )
@@ -134,10 +136,16 @@
         await self._listen_with(settings.front_address, front)
         await self._listen(settings.directory_address, directory.handle)
         await self._listen(settings.ready_address, ready.handle)
-        await self._listen(internal, components.followers.serve_image)
+        await self._listen(internal, self._serve_host)
         metrics = f'{settings.ip}:{settings.internal_port + 1}'
         await self._listen(metrics, MetricsEndpoint(components).handle)
 
+    async def _serve_host(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer another host: a request passed on, or a copy of a table."""
+        if RELAYED_BY in request.headers:
+            return await self._components.handler.respond_relayed(request)
+        return await self._components.followers.serve_image(request)
+
     async def _listen(self, address: str, handle: Handler) -> None:
         server = web.Server(handle, **_SERVER_OPTIONS)
         await self._listen_with(address, server)
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -60,6 +60,19 @@
     rule: str = ''
 
 
+@dataclass(slots=True)
+class RelayRecord:
+    """One attempt to pass a request on to another host.
+
+    Written to the request's log line under these names.
+
+    :param detail: cause of a failure, empty if the host answered.
+    """
+
+    host: str
+    detail: str = ''
+
+
 @dataclass(slots=True)
 class RequestTrace:
     """Collects what happened to a request until it ends.
@@ -75,6 +88,9 @@
     :param considered: servers that it did not get when it was refused.
     :param fingerprint: digest by which repeats are recognized, empty unless a
         server ended the connection of an attempt.
+    :param relays: attempts to pass it on to other hosts.
+    :param relayed_by: the host that passed it on to this one, empty for a
+        caller's own connection.
     """
 
     request_id: str
@@ -92,6 +108,8 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     considered: list[ConsideredServer] = field(default_factory=list)
     fingerprint: str = ''
+    relays: list[RelayRecord] = field(default_factory=list)
+    relayed_by: str = ''
 
     def record_admission(
         self,
@@ -195,5 +213,7 @@
             sendings=self.attempts,
             considered=self.considered,
             fingerprint=self.fingerprint,
+            relays=self.relays,
+            relayed_by=self.relayed_by,
         )
         return record
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -21,6 +21,7 @@
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.placement import ServerEntry, ServerRegistry
 from crocusshunt.services import TaskGroup
@@ -82,6 +83,7 @@
             crashes=CrashWatch(
                 cluster, cast(TaskGroup, self.tasks), self.clock
             ),
+            reach=ServerReach(cluster, cast(TaskGroup, self.tasks), self.clock),
             outbox=outbox,
             tasks=cast(TaskGroup, self.tasks),
             settings=FleetSettings(),
--- a/crocusshunt/metrics/_records.py
+++ b/crocusshunt/metrics/_records.py
@@ -9,6 +9,7 @@
 from crocusshunt.logs import log_event
 
 _EVENT = 'request ended'
+_RELAYED_EVENT = 'relayed request ended'
 _STATUS_CLIENT_ERROR = 400
 _STATUS_SERVER_ERROR = 500
 _STATUS_TOO_MANY = 429
@@ -93,11 +94,15 @@
 def log_request(ended: EndedRequest, **inputs: Any) -> None:
     """Write a request to the logs; see :func:`parse_request`.
 
+    A request that another host passed on counts there, and is written under
+    another name here.
+
     :param inputs: further fields: what the decisions on it were based on.
     """
     fields = msgspec.to_builtins(ended)
     arrived = fields.pop('time')
-    log_event(_EVENT, arrived=arrived, **fields, **inputs)
+    event = _RELAYED_EVENT if inputs.get('relayed_by') else _EVENT
+    log_event(event, arrived=arrived, **fields, **inputs)
 
 
 def parse_request(line: str) -> EndedRequest | None:
--- a/crocusshunt/placement/_health.py
+++ b/crocusshunt/placement/_health.py
@@ -161,6 +161,19 @@
         known = self._servers.get(name)
         return known is not None and known.is_returning
 
+    def is_unreachable(self, name: str) -> bool:
+        """Tell whether the last attempt to reach a server failed."""
+        known = self._servers.get(name)
+        return known is not None and known.unreachable > 0
+
+    def forget_unreachable(self) -> None:
+        """Use servers again that were ejected because they were unreachable."""
+        for health in self._servers.values():
+            if health.unreachable:
+                health.unreachable = 0
+                health.ejected_until = 0
+                health.is_returning = False
+
     def note_success(self, name: str) -> bool:
         """Record an answer; return whether the server was unreachable."""
         health = self.find(name)
--- a/crocusshunt/reports/_decision_inputs.py
+++ b/crocusshunt/reports/_decision_inputs.py
@@ -51,6 +51,20 @@
         return f'full  {self.server} had {requests}, {wait}'
 
 
+class RelayLine(msgspec.Struct, frozen=True):
+    """A host that a request was passed on to.
+
+    :param detail: cause of a failure, empty if the host answered.
+    """
+
+    host: str
+    detail: str = ''
+
+    def describe(self) -> str:
+        """Return one line of text for operators."""
+        return f'{self.host}: {self.detail or "answered"}'
+
+
 class RequestInputs(msgspec.Struct, frozen=True):
     """Inputs of the decisions on one request.
 
@@ -60,6 +74,7 @@
         seconds.
     :param sendings: the attempts, in order.
     :param considered: backend servers that it did not get.
+    :param relays: other hosts that it was passed on to.
     """
 
     configuration: int = 0
@@ -67,11 +82,13 @@
     retry_after_s: float | None = None
     sendings: tuple[SendingLine, ...] = ()
     considered: tuple[ConsideredLine, ...] = ()
+    relays: tuple[RelayLine, ...] = ()
 
     def describe(self) -> tuple[str, ...]:
         """Return lines of text for operators."""
         lines = [f'  sent  {one.describe()}' for one in self.sendings]
         lines.extend(f'  {one.describe()}' for one in self.considered)
+        lines.extend(f'  host  {one.describe()}' for one in self.relays)
         if self.configuration:
             lines.append(f'  by    configuration {self.configuration}')
         if self.patience_s is not None:
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -101,6 +101,10 @@
         'the connection broke after the request was sent',
         'the outcome is unknown; ask the service by the request id',
     ),
+    'relay-broken': (
+        'the connection to the host that it was passed on to broke',
+        'the outcome is unknown; look for the id in the logs of that host',
+    ),
     'server-failed': (
         'the backend server answered with a failure of its own',
         'give the request id to the owner of the service',
