Cut hosts off from all servers in the soak

Each host has a proxy of its own to each server, whose address the store names to it, so that one host can be cut off at a time: its connections are reset, or live on, and new ones are refused. The check cut-hosts compares what callers get there from 4 s on with other hosts, by the users' bound.

--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -6,8 +6,9 @@
 
 from crocusshunt.soak._change_checks import find_late_runs, find_reversals
 from crocusshunt.soak._crash_checks import find_repeated_crashes
+from crocusshunt.soak._cut_checks import find_idle_hosts
 from crocusshunt.soak._limit_checks import find_overruns
-from crocusshunt.soak._records import CallOutcome, ChangeKind, Records
+from crocusshunt.soak._records import CallOutcome, Records
 from crocusshunt.soak._stop_checks import find_cut_calls
 
 _RATE_WINDOW_S = 5
@@ -141,6 +142,11 @@
     yield from find_repeated_crashes(records)
 
 
+@register_check('cut-hosts')
+def _check_cut_hosts(records: Records, limits: CheckLimits) -> Iterator[str]:
+    yield from find_idle_hosts(records, limits.limited_customer)
+
+
 @register_check('changes-in-force')
 def _check_changes(records: Records, _limits: CheckLimits) -> Iterator[str]:
     yield from find_late_runs(records)
@@ -164,7 +170,7 @@
         if call.sent_at >= limits.recovery_from
         and records.customers_by_key.get(call.key)
         not in {None, limits.limited_customer}
-        and not _is_withdrawn(records, call.key)
+        and not records.is_withdrawn(call.key)
     ]
     served = sum(call.outcome is CallOutcome.answered for call in calls)
     if len(calls) < _MIN_CALLS_AFTER_FAULTS:
@@ -172,10 +178,3 @@
     elif served < _MIN_ANSWERED_SHARE * len(calls):
         outcomes = Counter(call.outcome.value for call in calls)
         yield f'{served} of {len(calls)} served after the faults: {outcomes}'
-
-
-def _is_withdrawn(records: Records, key: str) -> bool:
-    return any(
-        change.kind is ChangeKind.withdrawn_key and change.subject == key
-        for change in records.changes
-    )
--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -65,6 +65,10 @@
     def stop(self) -> None:
         """Close the port and all connections."""
         self.reset_all()
+        self.close_port()
+
+    def close_port(self) -> None:
+        """Refuse new connections."""
         if self._server is not None:
             self._server.close()
 
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -128,6 +128,19 @@
     end_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostCut:
+    """A span of time in which a host was cut off from all servers.
+
+    :param start_at: monotonic time of its start, in seconds.
+    :param end_at: monotonic time of its end, in seconds.
+    """
+
+    host: str
+    start_at: float
+    end_at: float
+
+
 @dataclass(slots=True)
 class Records:
     """Everything recorded in one soak test.
@@ -140,6 +153,7 @@
     changes: list[Change] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
     limits: list[ServerLimit] = field(default_factory=list)
+    cuts: list[HostCut] = field(default_factory=list)
     customers_by_key: dict[str, str] = field(default_factory=dict)
 
     def is_fault_free(self, host: str, start_at: float, end_at: float) -> bool:
@@ -150,3 +164,10 @@
             and fault.end_at >= start_at
             for fault in self.fault_intervals
         )
+
+    def is_withdrawn(self, key: str) -> bool:
+        """Tell whether a key was withdrawn at any time."""
+        return any(
+            change.kind is ChangeKind.withdrawn_key and change.subject == key
+            for change in self.changes
+        )
--- a/crocusshunt/soak/_server_faults.py
+++ b/crocusshunt/soak/_server_faults.py
@@ -4,7 +4,7 @@
 import time
 
 from crocusshunt.soak._plan import PlannedFault
-from crocusshunt.soak._records import ServerLimit
+from crocusshunt.soak._records import HostCut, ServerLimit
 from crocusshunt.soak._registry import register_fault
 from crocusshunt.soak._servers import CRASH_MARK
 from crocusshunt.soak._system import SoakSystem
@@ -13,6 +13,8 @@
 # planned time it is limited.
 _SERVER_LIMIT_RATE = 2
 _LIMITED_S = 8
+# How much longer than the planned time a host is cut off.
+_CUT_S = 8
 # How much longer than the planned time a request that crashes servers is
 # repeated.
 _REPEATED_S = 10
@@ -42,3 +44,14 @@
     system.mix.crash_paths.append(path)
     await asyncio.sleep(planned.for_s + _REPEATED_S)
     system.mix.crash_paths.remove(path)
+
+
+@register_fault('cut-host')
+async def _cut_host(system: SoakSystem, planned: PlannedFault) -> None:
+    """Cut a host off from all servers, for long enough that it must cope."""
+    host = system.hosts[int(planned.place * len(system.hosts))].name
+    start_at = time.monotonic()
+    system.links.cut(host, keeps_old=planned.pick((True, False)))
+    await asyncio.sleep(planned.for_s + _CUT_S)
+    await system.links.restore(host)
+    system.records.cuts.append(HostCut(host, start_at, time.monotonic()))
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -12,6 +12,7 @@
 
 from crocusshunt.platform import SOURCE_FORMAT
 from crocusshunt.services import TaskGroup
+from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._proxy import Proxy
 from crocusshunt.soak._records import Run
 from crocusshunt.standin import LOOPBACK
@@ -50,6 +51,7 @@
     :param limit: requests a second that it names in its answers, None to name
         no limit.
     :param announce: writes its entry, with the state that it is to have.
+    :param links: the ways of the hosts to it.
     :param state: state in its entry, empty once that is removed.
     """
 
@@ -62,6 +64,7 @@
     proxy: Proxy | None = None
     limit: float | None = None
     announce: Callable[['SoakServer', str], None] | None = None
+    links: ServerLinks = field(default_factory=ServerLinks)
     state: str = ''
     _tasks: TaskGroup = field(default_factory=TaskGroup)
     _in_progress: int = 0
@@ -96,12 +99,14 @@
     def _crash(self) -> None:
         """Close the port and all connections for some time."""
         if self.proxy is not None and self.proxy.is_open:
+            self.links.close_server(self.name)
             self.proxy.stop()
             self._tasks.start(self._restart(self.proxy))
 
     async def _restart(self, proxy: Proxy) -> None:
         await asyncio.sleep(_RESTART_S)
         await proxy.reopen()
+        await self.links.reopen_server(self.name)
         if self.state and self.announce is not None:
             self.announce(self, self.state)
 
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -5,10 +5,12 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from aiohttp import ClientError, ClientSession, web
 
+from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._load import CallMix
 from crocusshunt.soak._plan import SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
@@ -67,14 +69,14 @@
     keys: list[str] = field(default_factory=list)
     pool: str = 'pool-0'
     mix: CallMix = field(default_factory=CallMix)
+    links: ServerLinks = field(default_factory=ServerLinks)
     _move_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _version: int = 0
     _started_servers: int = 0
-    _store_runner: web.AppRunner | None = None
+    _store_runners: list[web.AppRunner] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start store, servers and hosts; wait until all hosts are ready."""
-        store_address = await self._start_store()
         self.keys = [f'secret-key-{number}' for number in range(6)]
         self.records.customers_by_key = {key: 'court' for key in self.keys[:-1]}
         self.records.customers_by_key[self.keys[-1]] = LIMITED_CUSTOMER
@@ -85,7 +87,7 @@
         ports = draw_free_ports(PORTS_PER_HOST * self.settings.hosts, self.rng)
         for number in range(self.settings.hosts):
             first_port = ports[number * PORTS_PER_HOST]
-            await self._start_host(number, first_port, store_address)
+            await self._start_host(_name_host(number), number, first_port)
         await wait_until_ready(self.hosts)
 
     async def stop(self) -> None:
@@ -96,8 +98,9 @@
             proxy.stop()
         for server in self.servers:
             await server.stop()
-        if self._store_runner is not None:
-            await self._store_runner.cleanup()
+        self.links.stop()
+        for runner in self._store_runners:
+            await runner.cleanup()
 
     def write_configuration(self) -> None:
         """Write the next version of the configuration."""
@@ -160,8 +163,13 @@
             keys=frozenset(self.keys),
             rng=self.rng,
             announce=self._write_server_entry,
+            links=self.links,
         )
         await server.start()
+        for number in range(self.settings.hosts):
+            await self.links.add(
+                _name_host(number), server.name, server.address
+            )
         self.servers.append(server)
         self._write_server_entry(server, 'ready')
 
@@ -220,19 +228,21 @@
         change = Change(kind, subject, time.monotonic())
         self.records.changes.append(change)
 
-    async def _start_store(self) -> str:
-        application = FeedStoreApplication(self.store).create()
-        self._store_runner = web.AppRunner(application, shutdown_timeout=0)
-        await self._store_runner.setup()
-        await web.TCPSite(self._store_runner, LOOPBACK, 0).start()
-        host, port = self._store_runner.addresses[0]
+    async def _start_store(self, reader: str) -> str:
+        """Serve the store to a host; return the address."""
+        translate = partial(self.links.translate, reader)
+        application = FeedStoreApplication(self.store, translate).create()
+        runner = web.AppRunner(application, shutdown_timeout=0)
+        self._store_runners.append(runner)
+        await runner.setup()
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+        host, port = runner.addresses[0]
         return f'{host}:{port}'
 
     async def _start_host(
-        self, number: int, first_port: int, store_address: str
+        self, name: str, number: int, first_port: int
     ) -> None:
-        name = f'h{number}'
-        proxy = Proxy(store_address)
+        proxy = Proxy(await self._start_store(name))
         await proxy.start()
         self.store_proxies[name] = proxy
         document = HostDocument(
@@ -246,6 +256,10 @@
         host.start()
 
 
+def _name_host(number: int) -> str:
+    return f'h{number}'
+
+
 async def wait_until_ready(hosts: Iterable[HostProcess]) -> None:
     """Wait until all hosts report that they take requests."""
     async with asyncio.timeout(_READY_TIMEOUT_S), ClientSession() as session:
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -11,6 +11,7 @@
     ChangeKind,
     CheckLimits,
     FaultInterval,
+    HostCut,
     Records,
     Run,
     ServerLimit,
@@ -132,6 +133,13 @@
         call.sent_at += 4
 
 
+def _idle_while_cut_off(records: Records) -> None:
+    records.cuts.append(HostCut('h2', 10, 40))
+    for number in range(200, 212):
+        call = _make_call(number, 20, host='h2', outcome=CallOutcome.refused)
+        records.calls.append(call)
+
+
 def _cut_call_at_stop(records: Records) -> None:
     stop = FaultInterval('stop-host', 'h1', 5, 8, is_planned=True)
     records.fault_intervals.append(stop)
@@ -160,6 +168,7 @@
         (_exceed_rate, 'rate'),
         (_exceed_server_limit, 'server-limit'),
         (_send_crashing_request_on, 'crashing-requests'),
+        (_idle_while_cut_off, 'cut-hosts'),
         (_ignore_withdrawal, 'changes-in-force'),
         (_ignore_drain, 'changes-in-force'),
         (_revert_version, 'version-never-reverts'),
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -184,12 +185,21 @@
     remove: tuple[_Write, ...] = ()
 
 
+Translate = Callable[[Row], Row]
+
+
 class FeedStoreApplication:
     """Serves a store in memory over the HTTP protocol of the row store."""
 
-    def __init__(self, store: MemoryFeedStore) -> None:
-        """Create an application for a store."""
+    def __init__(
+        self, store: MemoryFeedStore, translate: Translate | None = None
+    ) -> None:
+        """Create an application for a store.
+
+        :param translate: changes the rows that its callers read.
+        """
         self._store = store
+        self._translate = translate
 
     def create(self) -> web.Application:
         """Return the aiohttp application."""
@@ -208,7 +218,7 @@
         changes = answer.ok_value
         rows = [row for row in changes.rows if row.key >= start]
         page = Changes(tuple(rows[:limit]), changes.version)
-        return _respond(page, has_more=len(rows) > limit)
+        return self._respond(page, has_more=len(rows) > limit)
 
     async def _feed(self, request: web.Request) -> web.Response:
         answer = await self._store.read_changes(
@@ -218,7 +228,13 @@
         )
         if isinstance(answer, Err):
             return _refuse(answer.err_value)
-        return _respond(answer.ok_value, has_more=False)
+        return self._respond(answer.ok_value, has_more=False)
+
+    def _respond(self, changes: Changes, *, has_more: bool) -> web.Response:
+        rows = changes.rows
+        if self._translate is not None:
+            rows = tuple(map(self._translate, rows))
+        return _respond(Changes(rows, changes.version), has_more=has_more)
 
     async def _transact(self, request: web.Request) -> web.Response:
         body = await request.read()
