Pass on requests that met refusals only, before all servers were tried

Found by thinking through the users' kind of cut where old connections live on: a request makes four attempts, a pool has twelve servers, and answers on old connections show that the host is not cut off, so such a request was refused as not run. It is now passed on wherever no server was reached and some server of the pool is unreachable here. Summaries name pools that a region does not reach, so that an outage of a whole pool is not asked about in other regions. test_request_that_meets_refusals_only_is_passed_on covers it; it was not run on the code before.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -86,6 +86,7 @@
     :param crashes: see :class:`Heartbeat`, but seen by any host, and all
         requests that are quarantined.
     :param relays: names of some ready hosts that reach backend servers.
+    :param lost_pools: pools of which the sender reaches no backend server.
     """
 
     name: str
@@ -100,6 +101,7 @@
     limits: dict[str, tuple[float | None, float]] = {}
     crashes: list[CrashReport] = []
     relays: tuple[str, ...] = ()
+    lost_pools: tuple[str, ...] = ()
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/crocusshunt/fleet/_reaching.py
+++ b/crocusshunt/fleet/_reaching.py
@@ -17,8 +17,10 @@
     ]
 
 
-def list_reaching_elsewhere(view: FleetView, now: float) -> list[HostRecord]:
-    """Return hosts of other regions that reach servers.
+def list_reaching_elsewhere(
+    view: FleetView, pool: str, now: float
+) -> list[HostRecord]:
+    """Return hosts of other regions that reach servers of a pool.
 
     :param now: monotonic seconds.
     """
@@ -26,5 +28,5 @@
         view.peers[name].record
         for summary in view.list_summaries(now)
         for name in summary.relays
-        if name in view.peers
+        if name in view.peers and pool not in summary.lost_pools
     ]
--- a/crocusshunt/front/_forwarding.py
+++ b/crocusshunt/front/_forwarding.py
@@ -11,7 +11,7 @@
     DispatchResult,
     PendingRequest,
 )
-from crocusshunt.front._outcomes import Status
+from crocusshunt.front._outcomes import UNREACHED_CAUSES
 from crocusshunt.front._relay import Relay
 from crocusshunt.front._server_reach import ServerReach
 
@@ -32,7 +32,7 @@
         """Return the response for the caller, or the reason for a refusal.
 
         A host that is cut off from all servers passes a request on at once,
-        and one that reaches no server of the pool after it has tried them.
+        and one that misses some servers of the pool if it reached no other.
 
         :param create_template: creates the request for another host.
         """
@@ -53,6 +53,6 @@
         """Tell whether a request was not run since no server was reached."""
         if not isinstance(dispatched, Err) or pending.executions:
             return False
-        if dispatched.err_value.status is not Status.unavailable:
+        if dispatched.err_value.cause not in UNREACHED_CAUSES:
             return False
-        return self.reach.has_lost(pending.request.pool)
+        return self.reach.misses_servers(pending.request.pool)
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -236,6 +236,7 @@
             limits=dict(self.planner.state.limited.export_all(now)),
             crashes=self.crashes.export(now),
             relays=self._list_relays(now),
+            lost_pools=() if self.reach.is_cut_off else self.reach.lost_pools,
         )
 
 
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -5,6 +5,8 @@
 
 from crocusshunt.metrics import OutcomeKind
 
+# Causes of refusals where this host reached no server, but another one may.
+UNREACHED_CAUSES = frozenset(('no-warm-server', 'not-run-unreachable'))
 _MIN_RETRY_AFTER_S = 0.01
 _MAX_RETRY_AFTER_S = 30
 
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -17,7 +17,12 @@
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._dispatch import DispatchResult, PendingRequest
 from crocusshunt.front._headers import RELAY_REFUSAL, RELAYED_BY
-from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._outcomes import (
+    UNREACHED_CAUSES,
+    Refusal,
+    Status,
+    refuse_unavailable,
+)
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._trace import RelayRecord
@@ -35,7 +40,6 @@
 _MARGIN_S = 0.02
 # Hosts that are tried if they cannot be reached, or reach no server.
 _MAX_HOSTS = 2
-_UNREACHED = frozenset(('no-warm-server', 'not-run-unreachable'))
 _OTHER_HOST_RETRY_S = 0.2
 
 
@@ -76,7 +80,7 @@
         allowed = pending.request.admission.allowed_regions
         for hosts in (
             list_reaching(fleet, pool, now),
-            list_reaching_elsewhere(fleet, now),
+            list_reaching_elsewhere(fleet, pool, now),
         ):
             fitting = [
                 one for one in hosts if allowed is None or one.region in allowed
@@ -150,7 +154,7 @@
     if cause is None:
         return Ok(response)
     code = cause.decode('latin-1')
-    if code in _UNREACHED:
+    if code in UNREACHED_CAUSES:
         return None
     if response.status == Status.unavailable:
         retry_after = response.find(b'retry-after') or b''
--- a/crocusshunt/front/_server_reach.py
+++ b/crocusshunt/front/_server_reach.py
@@ -36,18 +36,16 @@
     def lost_pools(self) -> tuple[str, ...]:
         """Return the pools of which this host reaches no server."""
         pools = sorted(self.cluster.servers.pools)
-        return tuple(pool for pool in pools if self.has_lost(pool))
-
-    def has_lost(self, pool: str) -> bool:
-        """Tell whether the last attempt to reach each server failed."""
-        if self.is_cut_off:
-            return True
-        servers = self.cluster.servers.select(pool)
-        health = self.cluster.health
-        return bool(servers) and all(
-            health.is_unreachable(one.entry.name) for one in servers
+        return tuple(
+            pool
+            for pool in pools
+            if self.is_cut_off or all(self._list_unreachable(pool))
         )
 
+    def misses_servers(self, pool: str) -> bool:
+        """Tell whether the last attempt to reach some server failed."""
+        return self.is_cut_off or any(self._list_unreachable(pool))
+
     def note_answer(self) -> None:
         """Record that a server answered an attempt."""
         self._answered_at = self.clock.monotonic()
@@ -58,6 +56,14 @@
             self._is_checking = True
             self.tasks.start(self._check())
 
+    def _list_unreachable(self, pool: str) -> list[bool]:
+        """Return for each server whether the last attempt failed."""
+        health = self.cluster.health
+        return [
+            health.is_unreachable(one.entry.name)
+            for one in self.cluster.servers.select(pool)
+        ]
+
     async def _check(self) -> None:
         try:
             if await self._is_silent():
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -126,6 +126,23 @@
         assert 'Crocus-Relay-Refusal' not in response.headers
 
 
+async def test_request_that_meets_refusals_only_is_passed_on() -> None:
+    """The host has just had an answer, and not tried all servers yet."""
+    names = tuple(f's{number}' for number in range(12))
+    async with deploy(*names, domains=('a1', 'a1')) as deployment:
+        await deployment.wait_for_sync(2)
+        addresses = [backend.address for backend in deployment.backends]
+        assert (await deployment.send())[0] == 200
+        cut = cut_from_servers(deployment.hosts[0], addresses, CutKind.refused)
+        with cut:
+            statuses = [
+                (await deployment.send(f'/a/{number}', 'POST'))[0]
+                for number in range(8)
+            ]
+        # A connection that is still open may be tried, and break, first.
+        assert statuses.count(200) >= 7
+
+
 async def test_request_is_not_passed_on_twice() -> None:
     """Where no host reaches a server, requests are refused at once."""
     async with _deploy_cut('a1', 'a1', cut=(0, 1)) as deployment:
