--- a/crocusshunt/core/_sockets.py
+++ b/crocusshunt/core/_sockets.py
@@ -18,7 +18,8 @@
 
     With unacknowledged data, the connection is closed after 2.5 s
     (``TCP_USER_TIMEOUT``). On an idle one, keepalive probes start after 2 s
-    and are repeated each second.
+    and are repeated each second; the same timeout decides when they give up,
+    whatever their number, here after 3 s.
     """
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
