Tell crashes on only within a region, and name no pool lost without servers

Each region summary goes to every host of the other regions, so the hosts that speak for these need not announce its news again: a crash cost a datagram to every host from each region.

--- a/crocusshunt/front/_attempts.py
+++ b/crocusshunt/front/_attempts.py
@@ -27,6 +27,9 @@
 _NOT_EXECUTED = frozenset(
     (Verdict.shed, Verdict.misdirected, Verdict.unreachable)
 )
+_UNANSWERED = frozenset(
+    (Verdict.unreachable, Verdict.broken, Verdict.timed_out)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +55,11 @@
         """Tell whether the server may have begun to execute the request."""
         return self.verdict not in _NOT_EXECUTED
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Tell whether no complete and valid response came."""
+        return self.verdict in _UNANSWERED
+
 
 @dataclass(frozen=True, slots=True)
 class RequestTemplate:
--- a/crocusshunt/front/_crash_watch.py
+++ b/crocusshunt/front/_crash_watch.py
@@ -15,6 +15,10 @@
 from crocusshunt.services import TaskGroup
 
 
+# A time in the past, on the clock of the event loop.
+_AT_ONCE = 0
+
+
 def _create_ledger() -> CrashLedger:
     return CrashLedger(CrashSettings())
 
@@ -101,14 +105,17 @@
         else:
             suspects.add(fingerprint)
 
-    def merge(self, reports: Iterable[CrashReport], now: float) -> None:
+    def merge(
+        self, reports: Iterable[CrashReport], now: float, *, passes_on: bool
+    ) -> None:
         """Record the crashes that another host reports.
 
-        The host that speaks for its region passes them on.
+        :param passes_on: whether the host that speaks for this region tells
+            others at once.
         """
         known = self.ledger.quarantined
         is_news = self.ledger.merge(reports, now)
-        if is_news and self.cluster.fleet.is_summary_sender(now):
+        if is_news and passes_on and self.cluster.fleet.is_summary_sender(now):
             self.has_news = True
         self._apply_changes(known)
 
@@ -178,7 +185,6 @@
             log_event('request released', fingerprint=released)
 
     def _end_attempts(self, fingerprint: str) -> None:
-        now = asyncio.get_running_loop().time()
         for timeout in self._in_flight.get(fingerprint, ()):
             if not timeout.expired():
-                timeout.reschedule(now)
+                timeout.reschedule(_AT_ONCE)
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -43,9 +43,6 @@
     Verdict.broken: ServerFailure.broken,
     Verdict.unreachable: ServerFailure.unreachable,
 }
-_UNANSWERED = frozenset(
-    (Verdict.unreachable, Verdict.broken, Verdict.timed_out)
-)
 
 
 class Exchanger:
@@ -87,7 +84,10 @@
         finally:
             load.in_flight -= 1
         self._update_health(server, outcome)
-        self._update_reach(outcome)
+        if outcome.is_unanswered:
+            self._reach.note_failure()
+        else:
+            self._reach.note_answer()
         if outcome.is_connection_lost:
             self._crashes.note_lost_connection(template.fingerprint, server)
         if outcome.verdict is Verdict.answered:
@@ -97,12 +97,6 @@
             )
         return outcome
 
-    def _update_reach(self, outcome: Outcome) -> None:
-        if outcome.verdict in _UNANSWERED:
-            self._reach.note_failure()
-        else:
-            self._reach.note_answer()
-
     def _record_timing(
         self,
         server: TrackedServer,
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -177,7 +177,9 @@
             self._reply_to_new_host(message.name)
         if peer is not None:
             self.planner.state.limited.merge(message.limits, now)
-            self.crashes.merge(message.crashes, now)
+            # Every host gets the summaries of other regions itself.
+            passes_on = isinstance(message, Heartbeat)
+            self.crashes.merge(message.crashes, now, passes_on=passes_on)
         if peer is not None and isinstance(message, Heartbeat):
             self.planner.apply_full_servers(message.full, now)
         if peer is not None:
--- a/crocusshunt/front/_server_reach.py
+++ b/crocusshunt/front/_server_reach.py
@@ -36,11 +36,7 @@
     def lost_pools(self) -> tuple[str, ...]:
         """Return the pools of which this host reaches no server."""
         pools = sorted(self.cluster.servers.pools)
-        return tuple(
-            pool
-            for pool in pools
-            if self.is_cut_off or all(self._list_unreachable(pool))
-        )
+        return tuple(pool for pool in pools if self._has_lost(pool))
 
     def misses_servers(self, pool: str) -> bool:
         """Tell whether the last attempt to reach some server failed."""
@@ -56,6 +52,10 @@
             self._is_checking = True
             self.tasks.start(self._check())
 
+    def _has_lost(self, pool: str) -> bool:
+        unreachable = self._list_unreachable(pool)
+        return self.is_cut_off or (bool(unreachable) and all(unreachable))
+
     def _list_unreachable(self, pool: str) -> list[bool]:
         """Return for each server whether the last attempt failed."""
         health = self.cluster.health
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -23,7 +23,12 @@
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
-from crocusshunt.placement import ServerEntry, ServerRegistry
+from crocusshunt.placement import (
+    HealthSettings,
+    HealthTracker,
+    ServerEntry,
+    ServerRegistry,
+)
 from crocusshunt.services import TaskGroup
 from crocusshunt.sharing import RetryLimit, RetryLimiter
 
@@ -69,6 +74,7 @@
         cluster = Mock(
             fleet=fleet,
             servers=servers,
+            health=HealthTracker(HealthSettings()),
             index=CatalogIndex(Catalog(1, customers=(RULE,))),
         )
         outbox = Outbox(fleet)
