--- a/crocusshunt/soak/_links.py
+++ b/crocusshunt/soak/_links.py
@@ -27,7 +27,7 @@
         await link.start()
         self._links[host, server] = link
         if host in self._cut_hosts:
-            link.stop()
+            link.shut()
 
     def translate(self, host: str, row: Row) -> Row:
         """Return the entry of a server as a host is to read it."""
@@ -49,7 +49,7 @@
             if keeps_old:
                 link.close_port()
             else:
-                link.stop()
+                link.shut()
 
     async def restore(self, host: str) -> None:
         """Let a host reach the servers again that are up."""
@@ -61,7 +61,7 @@
         self._down_servers.add(server)
         for (_host, name), link in self._links.items():
             if name == server:
-                link.stop()
+                link.shut()
 
     async def reopen_server(self, server: str) -> None:
         """Take connections to a server again."""
--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -1,6 +1,7 @@
 """TCP proxy on the loopback address that can disturb its connections."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -42,6 +43,7 @@
     target: str
     link_fault: LinkFault = LinkFault.none
     address: str = ''
+    _reserved: socket.socket | None = None
     _server: asyncio.Server | None = None
     _open_writers: set[Writer] = field(default_factory=set)
 
@@ -52,18 +54,26 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        await self._listen(0)
-        assert self._server is not None  # noqa: S101
-        host, port = self._server.sockets[0].getsockname()[:2]
+        self._reserved = _reserve_port()
+        host, port = self._reserved.getsockname()
         self.address = f'{host}:{port}'
+        await self.reopen()
 
     async def reopen(self) -> None:
-        """Listen again on the port that was closed."""
+        """Listen on the port again."""
         _host, _separator, port = self.address.rpartition(':')
-        await self._listen(int(port))
+        self._server = await asyncio.start_server(
+            self._serve, LOOPBACK, int(port)
+        )
 
     def stop(self) -> None:
-        """Close the port and all connections."""
+        """Close the port and all connections for good."""
+        self.shut()
+        if self._reserved is not None:
+            self._reserved.close()
+
+    def shut(self) -> None:
+        """Reset all connections, and refuse new ones until it is reopened."""
         self.reset_all()
         self.close_port()
 
@@ -77,9 +87,6 @@
         for writer in tuple(self._open_writers):
             writer.transport.abort()
 
-    async def _listen(self, port: int) -> None:
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, port)
-
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         if self.link_fault is LinkFault.reset:
             writer.transport.abort()
@@ -143,3 +150,11 @@
         if self.link_fault is LinkFault.lose_answers:
             return False
         return await self._disturb_request(writer)
+
+
+def _reserve_port() -> socket.socket:
+    """Return a socket that keeps a port from other use and never listens."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((LOOPBACK, 0))
+    return reserved
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -100,7 +100,7 @@
         """Close the port and all connections for some time."""
         if self.proxy is not None and self.proxy.is_open:
             self.links.close_server(self.name)
-            self.proxy.stop()
+            self.proxy.shut()
             self._tasks.start(self._restart(self.proxy))
 
     async def _restart(self, proxy: Proxy) -> None:
