--- a/crocusshunt/crashes/_ledger.py
+++ b/crocusshunt/crashes/_ledger.py
@@ -13,6 +13,8 @@
 _MAX_REPORTS = 32
 _MAX_CRASHES_PER_REPORT = 8
 _DIGITS = 2
+# With more, the pause would be longer than the window in any case.
+_MAX_BACKOFF_STEPS = 20
 _NEVER = float('-inf')
 
 
@@ -196,9 +198,8 @@
 
     def _find_trial_time(self, history: _History) -> float:
         settings = self._settings
-        pause_s = (
-            settings.trial_after_s * settings.trial_backoff**history.trials
-        )
+        trials = min(history.trials, _MAX_BACKOFF_STEPS)
+        pause_s = settings.trial_after_s * settings.trial_backoff**trials
         since = max(history.tried_at, history.changed_at)
         return since + min(pause_s, settings.window_s)
 
--- a/crocusshunt/crashes/tests/test_ledger.py
+++ b/crocusshunt/crashes/tests/test_ledger.py
@@ -85,6 +85,14 @@
     assert ledger.begin_trial('bad', 47.6)
 
 
+def test_trials_go_on_for_ever() -> None:
+    ledger = CrashLedger(CrashSettings(trial_backoff=8.0))
+    for number in range(3):
+        ledger.note_crash('bad', f's{number}', 0, is_own=True)
+    for number in range(1, 500):
+        assert ledger.begin_trial('bad', number * 600)
+
+
 def test_request_that_is_not_quarantined_needs_no_trial() -> None:
     assert not _create_ledger(bad=('s1', 's2')).begin_trial('bad', 100)
 
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -132,10 +132,10 @@
 
     def _refuse_quarantined(self, pending: PendingRequest) -> Refusal:
         """Return the refusal of a request under which servers crash."""
+        pending.trace.fingerprint = pending.template.fingerprint
         if pending.executions:
             return Refusal(Status.bad_gateway, _CAUSE_QUARANTINED)
-        fingerprint = pending.template.fingerprint
-        wait_s = self._crashes.estimate_release(fingerprint)
+        wait_s = self._crashes.estimate_release(pending.trace.fingerprint)
         return refuse_unavailable(_CAUSE_QUARANTINED, wait_s)
 
     async def _send(
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -41,6 +41,7 @@
 # Hosts that are tried if they cannot be reached, or reach no server.
 _MAX_HOSTS = 2
 _OTHER_HOST_RETRY_S = 0.2
+_REFUSALS = frozenset(Status)
 
 
 @dataclass(slots=True)
@@ -96,7 +97,8 @@
         pending: PendingRequest,
         template: RequestTemplate,
     ) -> DispatchResult | None:
-        pending.trace.relays.append(RelayRecord(host.name))
+        record = RelayRecord(host.name)
+        pending.trace.relays.append(record)
         remaining_s = pending.request.final_at - self.clock.monotonic()
         try:
             async with asyncio.timeout(remaining_s):
@@ -104,17 +106,19 @@
                 request = template.build(self._list_headers(host, pending))
                 response = await connection.exchange(request)
         except NotConnectedError as unreachable:
-            log_event(
-                'host not reached', host=host.name, cause=str(unreachable)
-            )
+            record.detail = unreachable.detail
+            log_event('host not reached', host=host.name, cause=record.detail)
             return None
         except AnswerBrokenError as broken:
-            pending.trace.relays[-1].detail = broken.detail
+            record.detail = broken.detail
             return Err(Refusal(Status.bad_gateway, 'relay-broken'))
         except TimeoutError:
+            record.detail = 'timeout'
             return Err(Refusal(Status.timeout, 'timeout'))
         self._give_back(host, connection)
-        return _read_result(response)
+        relayed = _read_result(response)
+        record.detail = 'reached no server' if relayed is None else ''
+        return relayed
 
     async def _connect(
         self, host: HostRecord, pending: PendingRequest
@@ -164,9 +168,6 @@
     return Err(Refusal(Status.bad_gateway, code))
 
 
-_REFUSALS = frozenset(Status)
-
-
 def _parse_wait(retry_after: bytes) -> float:
     try:
         return float(retry_after)
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -87,7 +87,7 @@
         refused for lack of room.
     :param considered: servers that it did not get when it was refused.
     :param fingerprint: digest by which repeats are recognized, empty unless a
-        server ended the connection of an attempt.
+        server ended the connection of an attempt or the request is quarantined.
     :param relays: attempts to pass it on to other hosts.
     :param relayed_by: the host that passed it on to this one, empty for a
         caller's own connection.
