--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -9,6 +9,7 @@
 from crocusshunt.soak._cut_checks import find_idle_hosts
 from crocusshunt.soak._limit_checks import find_overruns
 from crocusshunt.soak._records import CallOutcome, Records
+from crocusshunt.soak._servers import CRASH_MARK
 from crocusshunt.soak._stop_checks import find_cut_calls
 
 _RATE_WINDOW_S = 5
@@ -171,6 +172,7 @@
         and records.customers_by_key.get(call.key)
         not in {None, limits.limited_customer}
         and not records.is_withdrawn(call.key)
+        and CRASH_MARK not in call.path
     ]
     served = sum(call.outcome is CallOutcome.answered for call in calls)
     if len(calls) < _MIN_CALLS_AFTER_FAULTS:
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -192,6 +192,16 @@
     assert not find_violations(records, _LIMITS)
 
 
+def test_requests_that_crash_servers_need_not_be_served() -> None:
+    records = _make_clean_records()
+    for number in range(200, 230):
+        call = _make_call(
+            number, 110, path='crash-1', outcome=CallOutcome.refused
+        )
+        records.calls.append(call)
+    assert not find_violations(records, _LIMITS)
+
+
 def test_servers_limit_binds_only_hosts_that_it_told() -> None:
     records = _make_clean_records()
     _exceed_server_limit(records)
