Let no host with an older configuration take a request that is passed on

Callers would see a withdrawn key or a dropped route work again. Cause: a request was admitted twice, by two hosts' configurations, and the second may be older. The version now goes with the request; a host that is behind refuses it as not run, and another host is asked.

--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from aiohttp import web
-from result import Err, Result
+from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
 from crocusshunt.crashes import compute_fingerprint
@@ -19,11 +19,17 @@
     RELAYED_BY,
     RequestInfo,
     inspect_request,
+    is_behind,
     select_headers,
     select_relay_headers,
     select_response_headers,
 )
-from crocusshunt.front._outcomes import Refusal, Status
+from crocusshunt.front._outcomes import (
+    CAUSE_OLDER_CONFIGURATION,
+    Refusal,
+    Status,
+    refuse_unavailable,
+)
 from crocusshunt.front._pipelining import InFlight
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._settings import HeaderNames
@@ -34,6 +40,7 @@
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
+_OTHER_HOST_RETRY_S = 0.2
 # The response leaves this long before the route timeout ends.
 _ANSWER_MARGIN_S = 0.01
 # How long a request may wait for a token, as a fraction of the latency
@@ -149,11 +156,10 @@
         trace: RequestTrace,
     ) -> Result[UpstreamAnswer, Refusal]:
         cluster = self._components.cluster
-        admission_result = admit(request_info, cluster.index)
+        admission_result = self._admit(request, request_info, trace)
         if isinstance(admission_result, Err):
             return admission_result
         admission = admission_result.ok_value
-        trace.record_admission(admission, cluster.index)
         # The host that passes a request on has taken a token for it.
         if not trace.relayed_by:
             refused = await self._apply_rate_limit(admission)
@@ -179,6 +185,21 @@
         finally:
             self.in_flight.buffered_bytes -= len(body or b'')
 
+    def _admit(
+        self,
+        request: web.BaseRequest,
+        request_info: RequestInfo,
+        trace: RequestTrace,
+    ) -> Result[Admission, Refusal]:
+        index = self._components.cluster.index
+        if trace.relayed_by and is_behind(request.headers, index):
+            wait_s = _OTHER_HOST_RETRY_S
+            return Err(refuse_unavailable(CAUSE_OLDER_CONFIGURATION, wait_s))
+        admission_result = admit(request_info, index)
+        if isinstance(admission_result, Ok):
+            trace.record_admission(admission_result.ok_value, index)
+        return admission_result
+
     async def _apply_rate_limit(self, admission: Admission) -> Refusal | None:
         customer = admission.customer
         if customer is None:
--- a/crocusshunt/front/_headers.py
+++ b/crocusshunt/front/_headers.py
@@ -5,6 +5,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from crocusshunt.catalog import CatalogIndex
 from crocusshunt.delivery import (
     HOP_BY_HOP,
     find_connection_options,
@@ -16,10 +17,11 @@
 _COOKIE = 'Cookie'
 _MILLISECONDS = 1000
 _MIN_REDACTED_KEY_LENGTH = 8
-# Between hosts. On a request: name of the host that passes it on. On a
-# response: the cause of a refusal by the host that got the request, in place of
-# a server's response.
+# Between hosts. On a request: name of the host that passes it on, and version
+# of the configuration by which it admitted the request. On a response: cause of
+# a refusal by the host that got the request, in place of a server's response.
 RELAYED_BY = 'Crocus-Relayed-By'
+RELAY_VERSION = 'Crocus-Relay-Version'
 RELAY_REFUSAL = 'Crocus-Relay-Refusal'
 
 Headers = CIMultiDictProxy[str] | CIMultiDict[str]
@@ -115,6 +117,14 @@
     ]
 
 
+def is_behind(headers: Headers, index: CatalogIndex | None) -> bool:
+    """Tell whether a host passed a request on by a newer configuration."""
+    version = headers.get(RELAY_VERSION, '')
+    if index is None or not version.isdecimal():
+        return False
+    return int(version) > index.catalog.version
+
+
 def _list_own_headers(headers: Headers, names: HeaderNames) -> set[str]:
     """Return the names of headers that each host sets for itself."""
     dropped = {
@@ -126,6 +136,7 @@
             names.customer,
             names.expected_server,
             RELAYED_BY,
+            RELAY_VERSION,
         )
     }
     return dropped | HOP_BY_HOP | find_connection_options(headers)
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -7,6 +7,9 @@
 
 # Causes of refusals where this host reached no server, but another one may.
 UNREACHED_CAUSES = frozenset(('no-warm-server', 'not-run-unreachable'))
+# Cause of a refusal by a host that is to handle a request by a configuration
+# that it does not know yet.
+CAUSE_OLDER_CONFIGURATION = 'older-configuration'
 _MIN_RETRY_AFTER_S = 0.01
 _MAX_RETRY_AFTER_S = 30
 
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -16,8 +16,13 @@
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._dispatch import DispatchResult, PendingRequest
-from crocusshunt.front._headers import RELAY_REFUSAL, RELAYED_BY
+from crocusshunt.front._headers import (
+    RELAY_REFUSAL,
+    RELAY_VERSION,
+    RELAYED_BY,
+)
 from crocusshunt.front._outcomes import (
+    CAUSE_OLDER_CONFIGURATION,
     UNREACHED_CAUSES,
     Refusal,
     Status,
@@ -42,6 +47,8 @@
 _MAX_HOSTS = 2
 _OTHER_HOST_RETRY_S = 0.2
 _REFUSALS = frozenset(Status)
+# After these refusals, another host may take the request.
+_PASSED_BACK = UNREACHED_CAUSES | {CAUSE_OLDER_CONFIGURATION}
 
 
 @dataclass(slots=True)
@@ -117,7 +124,7 @@
             return Err(Refusal(Status.timeout, 'timeout'))
         self._give_back(host, connection)
         relayed = _read_result(response)
-        record.detail = 'reached no server' if relayed is None else ''
+        record.detail = 'not taken' if relayed is None else ''
         return relayed
 
     async def _connect(
@@ -135,13 +142,14 @@
     def _list_headers(
         self, host: HostRecord, pending: PendingRequest
     ) -> list[tuple[str, str]]:
-        """Return the headers for the other host: deadline and own name."""
+        """Return the headers for the other host."""
         margin_s = _MARGIN_S + self.state.round_trips.estimate(host.region)
         final_at = pending.request.final_at - margin_s
         remaining_s = max(0, final_at - self.clock.monotonic())
         return [
             (self.names.deadline_ms, str(int(remaining_s * _MILLISECONDS))),
             (RELAYED_BY, self.cluster.fleet.own.name),
+            (RELAY_VERSION, str(pending.trace.configuration)),
         ]
 
     def _give_back(self, host: HostRecord, connection: Connection) -> None:
@@ -152,13 +160,14 @@
 def _read_result(response: UpstreamAnswer) -> DispatchResult | None:
     """Return a server's response, or the refusal of the other host.
 
-    Return None if that host reached no server either.
+    Return None if that host reached no server either, or knows an older
+    configuration.
     """
     cause = response.find(RELAY_REFUSAL.lower().encode())
     if cause is None:
         return Ok(response)
     code = cause.decode('latin-1')
-    if code in UNREACHED_CAUSES:
+    if code in _PASSED_BACK:
         return None
     if response.status == Status.unavailable:
         retry_after = response.find(b'retry-after') or b''
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -6,10 +6,12 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import ExitStack, asynccontextmanager
+from dataclasses import replace
 
 import pytest
 from aiohttp import web
 
+from crocusshunt.catalog import CatalogIndex
 from crocusshunt.front.tests._cuts import CutKind, cut_from_servers
 from crocusshunt.front.tests._deployment import (
     KEY,
@@ -154,6 +156,23 @@
         assert _count_runs(deployment) == before
 
 
+async def test_host_with_an_older_configuration_does_not_take_requests() -> (
+    None
+):
+    """Otherwise the host that passes them on would go back to it."""
+    async with _deploy_cut('a1', 'a1', 'a1') as deployment:
+        index = deployment.hosts[1]._components.cluster.index  # noqa: SLF001
+        assert index is not None
+        older = replace(index.catalog, version=index.catalog.version - 1)
+        behind = deployment.hosts[1]._components.cluster  # noqa: SLF001
+        behind.index = CatalogIndex(older)
+        statuses = [(await deployment.send('/w/x', 'POST'))[0] for _ in '1234']
+        assert set(statuses) == {200}
+        other = deployment.hosts[2]._components.cluster  # noqa: SLF001
+        other.index = behind.index
+        assert (await deployment.send('/w/x', 'POST'))[0] == 503
+
+
 async def test_request_is_passed_on_within_its_home_regions_only() -> None:
     async with _deploy_cut('a1', 'a1', 'b1', cut=(0, 1)) as deployment:
         assert (await deployment.send('/a/x'))[0] == 200
