Don't tell callers of a quarantined request to come back at once

The time is now never under the first pause, 5 s. Found when reading the change again; the new test failed before (0, 5 expected) and passes.

--- a/crocusshunt/crashes/_ledger.py
+++ b/crocusshunt/crashes/_ledger.py
@@ -116,11 +116,16 @@
         return 0 if history is None else len(history.crashes)
 
     def estimate_release(self, fingerprint: str, now: float) -> float:
-        """Return when a request may be sent once more, in seconds."""
+        """Return when a quarantined request may come back, in seconds.
+
+        A trial that is due waits for an arrival at the host that may send it,
+        so no shorter time than the first pause can be promised.
+        """
         if fingerprint not in self.quarantined:
             return 0
         history = self._histories[fingerprint]
-        return max(0, self._find_trial_time(history) - now)
+        until_trial_s = self._find_trial_time(history) - now
+        return max(self._settings.trial_after_s, until_trial_s)
 
     def begin_trial(self, fingerprint: str, now: float) -> bool:
         """Tell whether a quarantined request may be sent once more now.
--- a/crocusshunt/crashes/tests/test_ledger.py
+++ b/crocusshunt/crashes/tests/test_ledger.py
@@ -85,6 +85,11 @@
     assert ledger.begin_trial('bad', 47.6)
 
 
+def test_caller_is_not_told_to_come_back_at_once_when_a_trial_is_due() -> None:
+    ledger = _create_ledger(bad=('s1', 's2', 's3'))
+    assert ledger.estimate_release('bad', 100) == SETTINGS.trial_after_s
+
+
 def test_trials_go_on_for_ever() -> None:
     ledger = CrashLedger(CrashSettings(trial_backoff=8.0))
     for number in range(3):
