--- a/crocusshunt/crashes/_ledger.py
+++ b/crocusshunt/crashes/_ledger.py
@@ -10,11 +10,11 @@
 # Older crashes are not reported to other hosts, which know them by then.
 _MAX_REPORT_AGE_S = 10
 # Bounds on one message, which is sent as a datagram.
-_MAX_REPORTS = 32
-_MAX_CRASHES_PER_REPORT = 8
-_DIGITS = 2
+_MAX_REPORT_COUNT = 32
+_MAX_CRASH_COUNT = 8
+_DECIMAL_COUNT = 2
 # With more, the pause would be longer than the window in any case.
-_MAX_BACKOFF_STEPS = 20
+_MAX_BACKOFF_COUNT = 20
 _NEVER = float('-inf')
 
 
@@ -164,7 +164,7 @@
             served_at = history.served_at if history.is_served_here else _NEVER
             if own or history.is_served_here:
                 reports.append(_describe(fingerprint, own, served_at, now))
-        return reports[:_MAX_REPORTS]
+        return reports[:_MAX_REPORT_COUNT]
 
     def export_all(self, now: float) -> list[CrashReport]:
         """Return what any host saw recently, and all quarantined requests."""
@@ -179,7 +179,7 @@
         ]
         return [
             _describe(fingerprint, one.crashes, one.served_at, now)
-            for fingerprint, one in (*quarantined, *recent)[:_MAX_REPORTS]
+            for fingerprint, one in (*quarantined, *recent)[:_MAX_REPORT_COUNT]
         ]
 
     def expire(self, now: float) -> None:
@@ -203,7 +203,7 @@
 
     def _find_trial_time(self, history: _History) -> float:
         settings = self._settings
-        trials = min(history.trials, _MAX_BACKOFF_STEPS)
+        trials = min(history.trials, _MAX_BACKOFF_COUNT)
         pause_s = settings.trial_after_s * settings.trial_backoff**trials
         since = max(history.tried_at, history.changed_at)
         return since + min(pause_s, settings.window_s)
@@ -245,9 +245,11 @@
 ) -> CrashReport:
     newest = sorted(crashes.items(), key=lambda one: one[1], reverse=True)
     ages_s = {
-        server: round(now - at, _DIGITS)
-        for server, at in newest[:_MAX_CRASHES_PER_REPORT]
+        server: round(now - at, _DECIMAL_COUNT)
+        for server, at in newest[:_MAX_CRASH_COUNT]
     }
     if served_at == _NEVER:
         return CrashReport(fingerprint, ages_s)
-    return CrashReport(fingerprint, ages_s, round(now - served_at, _DIGITS))
+    return CrashReport(
+        fingerprint, ages_s, round(now - served_at, _DECIMAL_COUNT)
+    )
--- a/crocusshunt/front/_cluster_assembly.py
+++ b/crocusshunt/front/_cluster_assembly.py
@@ -1,5 +1,7 @@
 """Construction of the state that a host has of its cluster."""
 
+from http import HTTPStatus
+
 from crocusshunt.core import Clock
 from crocusshunt.fleet import FleetSettings, FleetView, HostRecord
 from crocusshunt.front._cluster import ClusterComponents, ClusterState
@@ -15,8 +17,6 @@
 )
 from crocusshunt.upstream import ConnectionPool, EchoPolicy, PoolSettings
 
-_STATUS_MISDIRECTED = 421
-
 
 def create_cluster_state(
     settings: FrontSettings,
@@ -46,5 +46,5 @@
     return EchoPolicy(
         names.request_id.lower().encode(),
         names.not_run.lower().encode(),
-        frozenset((_STATUS_MISDIRECTED,)),
+        frozenset((HTTPStatus.MISDIRECTED_REQUEST.value,)),
     )
--- a/crocusshunt/front/_crash_watch.py
+++ b/crocusshunt/front/_crash_watch.py
@@ -16,7 +16,7 @@
 
 
 # A time in the past, on the clock of the event loop.
-_AT_ONCE = 0
+_AT_ONCE_S = 0
 
 
 def _create_ledger() -> CrashLedger:
@@ -187,4 +187,4 @@
     def _end_attempts(self, fingerprint: str) -> None:
         for timeout in self._in_flight.get(fingerprint, ()):
             if not timeout.expired():
-                timeout.reschedule(_AT_ONCE)
+                timeout.reschedule(_AT_ONCE_S)
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -34,7 +34,7 @@
 # heartbeat is due.
 _CHECK_INTERVAL_S = 0.2
 # Hosts of this region that the hosts of others may pass requests on to.
-_MAX_RELAYS = 8
+_MAX_RELAY_COUNT = 8
 
 
 @dataclass(slots=True)
@@ -220,7 +220,7 @@
         names = [one.name for one in list_reaching(fleet, '', now)]
         if self.readiness.is_ready and not self.reach.is_cut_off:
             names.append(fleet.own.name)
-        return tuple(names[:_MAX_RELAYS])
+        return tuple(names[:_MAX_RELAY_COUNT])
 
     def _create_summary(self, now: float) -> RegionSummary:
         fleet = self.cluster.fleet
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -26,7 +26,7 @@
 _OVER_RATE_FRACTION = 0.95
 # A retry is counted when it is sent but may reach its server in a later
 # window; the margin keeps each window at the servers within the limit.
-_RETRY_MARGIN = 0.8
+_RETRY_MARGIN_FACTOR = 0.8
 
 
 @dataclass(slots=True)
@@ -173,8 +173,8 @@
 ) -> SharedLimits:
     """Create the limits of a host that knows no demand yet."""
     retry_limit = RetryLimit(
-        limits.retry_ratio * _RETRY_MARGIN,
-        limits.retry_extra * _RETRY_MARGIN,
+        limits.retry_ratio * _RETRY_MARGIN_FACTOR,
+        limits.retry_extra * _RETRY_MARGIN_FACTOR,
         limits.retry_window_s,
     )
     return SharedLimits(cluster, RetryLimiter(retry_limit))
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -39,12 +39,12 @@
     UpstreamAnswer,
 )
 
-_MILLISECONDS = 1000
+_MS_PER_S = 1000
 # The other host answers so long before this one gives up, besides the time for
 # the way.
 _MARGIN_S = 0.02
 # Hosts that are tried if they cannot be reached, or reach no server.
-_MAX_HOSTS = 2
+_MAX_HOST_COUNT = 2
 _OTHER_HOST_RETRY_S = 0.2
 _REFUSALS = frozenset(Status)
 # After these refusals, another host may take the request.
@@ -95,7 +95,7 @@
             ]
             if fitting:
                 first = next(self._turns) % len(fitting)
-                return (fitting[first:] + fitting[:first])[:_MAX_HOSTS]
+                return (fitting[first:] + fitting[:first])[:_MAX_HOST_COUNT]
         return ()
 
     async def _send_to(
@@ -147,7 +147,7 @@
         final_at = pending.request.final_at - margin_s
         remaining_s = max(0, final_at - self.clock.monotonic())
         return [
-            (self.names.deadline_ms, str(int(remaining_s * _MILLISECONDS))),
+            (self.names.deadline_ms, str(int(remaining_s * _MS_PER_S))),
             (RELAYED_BY, self.cluster.fleet.own.name),
             (RELAY_VERSION, str(pending.trace.configuration)),
         ]
--- a/crocusshunt/front/_server_probe.py
+++ b/crocusshunt/front/_server_probe.py
@@ -12,7 +12,7 @@
 
 # Servers that are tried before all are taken for unreachable. They are drawn
 # from all pools, since a whole pool may be down.
-_MAX_SERVERS = 4
+_MAX_SERVER_COUNT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +49,9 @@
             return not besides
         drawn = rank_by_rendezvous(str(next(self._draws)), others)
         found = await asyncio.gather(
-            *(self.is_reachable(others[name]) for name in drawn[:_MAX_SERVERS])
+            *(
+                self.is_reachable(others[name])
+                for name in drawn[:_MAX_SERVER_COUNT]
+            )
         )
         return any(found)
--- a/crocusshunt/soak/_crash_checks.py
+++ b/crocusshunt/soak/_crash_checks.py
@@ -5,8 +5,8 @@
 
 from crocusshunt.soak._records import SETTLING_S, Call, Records, Run
 
-_CRASHES = 3
-_MAX_LATER_RUNS = 3
+_CRASH_COUNT = 3
+_MAX_LATER_COUNT = 3
 
 
 def find_repeated_crashes(records: Records) -> Iterator[str]:
@@ -20,14 +20,14 @@
             runs_by_path[run.crash_path].append(run)
     calls = {call.request_id: call for call in records.calls}
     for path, runs in runs_by_path.items():
-        if len(runs) < _CRASHES:
+        if len(runs) < _CRASH_COUNT:
             continue
-        settled_at = runs[_CRASHES - 1].at + SETTLING_S
+        settled_at = runs[_CRASH_COUNT - 1].at + SETTLING_S
         later = sum(
             _is_counted(records, calls[one.request_id], one, settled_at)
             for one in runs
         )
-        if later > _MAX_LATER_RUNS:
+        if later > _MAX_LATER_COUNT:
             yield f'{path} crashed {len(runs)} servers, {later} of them late'
 
 
--- a/crocusshunt/soak/_cut_checks.py
+++ b/crocusshunt/soak/_cut_checks.py
@@ -13,7 +13,7 @@
 # Such a host must serve its callers this often, compared with the others.
 _MIN_SHARE = 2 / 3
 # So many calls may fail there all the same.
-_MAX_FAILED = 10
+_MAX_FAILED_COUNT = 10
 _MAX_FAILED_SHARE = 0.02
 
 
@@ -33,7 +33,9 @@
         here = [call for call in calls if call.host == cut.host]
         others = [call for call in calls if not _is_cut(records, call)]
         failed = len(here) - _count_served(here)
-        if not others or failed <= _MAX_FAILED + _MAX_FAILED_SHARE * len(here):
+        if not others or failed <= _MAX_FAILED_COUNT + _MAX_FAILED_SHARE * len(
+            here
+        ):
             continue
         share = _count_served(here) / len(here)
         usual = _count_served(others) / len(others)
