--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -16,7 +16,7 @@
     decode_message,
     encode,
 )
-from crocusshunt.fleet._reaching import list_reaching, list_reaching_elsewhere
+from crocusshunt.fleet._reaching import choose_relays, list_reaching
 from crocusshunt.fleet._view import FleetSettings, FleetView, Peer
 
 __all__ = (
@@ -31,10 +31,10 @@
     'StatusMessage',
     'TokenReply',
     'TokenRequest',
+    'choose_relays',
     'decode_host',
     'decode_message',
     'encode',
     'list_reaching',
-    'list_reaching_elsewhere',
     'open_datagram_endpoint',
 )
--- a/crocusshunt/fleet/_reaching.py
+++ b/crocusshunt/fleet/_reaching.py
@@ -17,7 +17,7 @@
     ]
 
 
-def list_reaching_elsewhere(
+def _list_reaching_elsewhere(
     view: FleetView, pool: str, now: float
 ) -> list[HostRecord]:
     """Return hosts of other regions that reach servers of a pool.
@@ -30,3 +30,35 @@
         for name in summary.relays
         if name in view.peers and pool not in summary.lost_pools
     ]
+
+
+def choose_relays(
+    view: FleetView,
+    pool: str,
+    allowed_regions: frozenset[str] | None,
+    turn: int,
+    now: float,
+) -> list[HostRecord]:
+    """Return the hosts that a request may be passed on to, best first.
+
+    These are hosts of the region that reach servers of the pool, else hosts of
+    other regions; each turn begins with the next of them.
+
+    :param allowed_regions: the only regions that may serve the request, None
+        for all.
+    :param turn: number of the choice.
+    :param now: monotonic seconds.
+    """
+    for hosts in (
+        list_reaching(view, pool, now),
+        _list_reaching_elsewhere(view, pool, now),
+    ):
+        allowed = [
+            one
+            for one in hosts
+            if allowed_regions is None or one.region in allowed_regions
+        ]
+        if allowed:
+            first = turn % len(allowed)
+            return allowed[first:] + allowed[:first]
+    return []
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,13 +1,12 @@
 """HTTP handler of callers' requests: admission, body, dispatch, response."""
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from aiohttp import web
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
-from crocusshunt.crashes import compute_fingerprint
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._bodies import get_max_body_bytes, read_body
@@ -20,8 +19,6 @@
     RequestInfo,
     inspect_request,
     is_behind,
-    select_headers,
-    select_relay_headers,
     select_response_headers,
 )
 from crocusshunt.front._outcomes import (
@@ -34,6 +31,10 @@
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
+from crocusshunt.front._templates import (
+    create_relay_template,
+    create_template,
+)
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.front._trace import RequestTrace
 from crocusshunt.metrics import OutcomeKind, Recorder
@@ -171,7 +172,9 @@
         if isinstance(body_result, Err):
             return body_result
         body = body_result.ok_value
-        template = self._create_template(request, request_info, admission, body)
+        template = create_template(
+            request, request_info, admission, body, self._names
+        )
         pending = self._create_pending_request(
             request_info, admission, trace, template
         )
@@ -180,7 +183,8 @@
             if trace.relayed_by:
                 return await forwarder.dispatcher.run(pending)
             return await forwarder.run(
-                pending, lambda: self._create_relay_template(request, template)
+                pending,
+                lambda: create_relay_template(request, template, self._names),
             )
         finally:
             self.in_flight.buffered_bytes -= len(body or b'')
@@ -244,37 +248,6 @@
         )
         return PendingRequest(placement_request, template, trace)
 
-    def _create_template(
-        self,
-        request: web.BaseRequest,
-        request_info: RequestInfo,
-        admission: Admission,
-        body: bytes | None,
-    ) -> RequestTemplate:
-        headers = select_headers(request.headers, self._names, request_info.key)
-        customer = admission.customer
-        fingerprint = compute_fingerprint(
-            '' if customer is None else customer.name,
-            request_info.method,
-            request_info.host,
-            request_info.target,
-            body,
-        )
-        return RequestTemplate(
-            request_info.request_id,
-            request_info.method,
-            request_info.target,
-            tuple(headers),
-            body,
-            fingerprint,
-        )
-
-    def _create_relay_template(
-        self, request: web.BaseRequest, template: RequestTemplate
-    ) -> RequestTemplate:
-        headers = select_relay_headers(request.headers, self._names)
-        return replace(template, headers=tuple(headers))
-
     def _create_refusal_response(
         self, refusal: Refusal, request_info: RequestInfo
     ) -> web.Response:
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -8,11 +8,7 @@
 from result import Err, Ok
 
 from crocusshunt.core import Clock
-from crocusshunt.fleet import (
-    HostRecord,
-    list_reaching,
-    list_reaching_elsewhere,
-)
+from crocusshunt.fleet import HostRecord, choose_relays
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._dispatch import DispatchResult, PendingRequest
@@ -78,25 +74,14 @@
         return None
 
     def _choose_hosts(self, pending: PendingRequest) -> Sequence[HostRecord]:
-        """Return hosts that reach servers, those of this region first.
-
-        A request that some regions alone may serve goes to hosts of these.
-        """
-        fleet = self.cluster.fleet
-        now = self.clock.monotonic()
-        pool = pending.request.pool
-        allowed = pending.request.admission.allowed_regions
-        for hosts in (
-            list_reaching(fleet, pool, now),
-            list_reaching_elsewhere(fleet, pool, now),
-        ):
-            fitting = [
-                one for one in hosts if allowed is None or one.region in allowed
-            ]
-            if fitting:
-                first = next(self._turns) % len(fitting)
-                return (fitting[first:] + fitting[:first])[:_MAX_HOST_COUNT]
-        return ()
+        chosen = choose_relays(
+            self.cluster.fleet,
+            pending.request.pool,
+            pending.request.admission.allowed_regions,
+            next(self._turns),
+            self.clock.monotonic(),
+        )
+        return chosen[:_MAX_HOST_COUNT]
 
     async def _send_to(
         self,
