--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -1,5 +1,6 @@
 """The hosts of the system, and the messages between them."""
 
+from crocusshunt.fleet._addresses import OwnState, find_front_addresses
 from crocusshunt.fleet._datagrams import (
     DatagramEndpoint,
     open_datagram_endpoint,
@@ -16,7 +17,11 @@
     decode_message,
     encode,
 )
-from crocusshunt.fleet._reaching import choose_relays, list_reaching
+from crocusshunt.fleet._reaching import (
+    choose_relays,
+    list_reaching,
+    list_relays,
+)
 from crocusshunt.fleet._view import FleetSettings, FleetView, Peer
 
 __all__ = (
@@ -26,6 +31,7 @@
     'Heartbeat',
     'HostRecord',
     'Message',
+    'OwnState',
     'Peer',
     'RegionSummary',
     'StatusMessage',
@@ -35,6 +41,8 @@
     'decode_host',
     'decode_message',
     'encode',
+    'find_front_addresses',
     'list_reaching',
+    'list_relays',
     'open_datagram_endpoint',
 )
--- a/crocusshunt/fleet/_reaching.py
+++ b/crocusshunt/fleet/_reaching.py
@@ -3,6 +3,9 @@
 from crocusshunt.fleet._messages import HostRecord
 from crocusshunt.fleet._view import FleetView
 
+# Hosts of a region that a summary names, so that it stays small.
+_MAX_RELAY_COUNT = 8
+
 
 def list_reaching(view: FleetView, pool: str, now: float) -> list[HostRecord]:
     """Return ready other hosts of the region that reach servers of a pool.
@@ -17,6 +20,20 @@
     ]
 
 
+def list_relays(
+    view: FleetView, now: float, *, may_relay: bool
+) -> tuple[str, ...]:
+    """Return names of hosts that other regions may pass requests on to.
+
+    :param now: monotonic seconds.
+    :param may_relay: whether this host is ready and reaches servers itself.
+    """
+    names = [one.name for one in list_reaching(view, '', now)]
+    if may_relay:
+        names.append(view.own.name)
+    return tuple(names[:_MAX_RELAY_COUNT])
+
+
 def _list_reaching_elsewhere(
     view: FleetView, pool: str, now: float
 ) -> list[HostRecord]:
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -1,6 +1,5 @@
 """Registered hosts, and which of them are live."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from crocusshunt.fleet._messages import (
@@ -85,8 +84,6 @@
     >>> view = FleetView(own, FleetSettings())
     >>> view.names
     ('h1',)
-    >>> view.find_front_addresses('a1', 'a', now=0, is_ready=True)
-    ('10.0.0.1:80',)
     """
 
     def __init__(self, own: HostRecord, settings: FleetSettings) -> None:
@@ -211,62 +208,6 @@
             if now - state.received_at <= max_age_s
         )
 
-    def find_front_addresses(
-        self,
-        failure_domain: str,
-        region: str,
-        now: float,
-        *,
-        is_ready: bool,
-        is_cut_off: bool = False,
-    ) -> tuple[str, ...]:
-        """Return the addresses to which a caller should connect.
-
-        These are the ready hosts of the caller's failure domain if there are
-        two or more, else those of its region, else those of this host's
-        region, else all ready hosts. Hosts that are cut off from all backend
-        servers are left out as long as there are others.
-
-        :param failure_domain: failure domain of the caller.
-        :param region: region of the caller.
-        :param is_ready: whether this host is ready itself.
-        :param is_cut_off: whether it is cut off itself.
-        """
-        ready = [
-            one.record for one in self.list_live(now) if one.reaches_servers
-        ]
-        if is_ready and not is_cut_off:
-            ready.append(self.own)
-        if not ready:
-            ready.extend(self.list_ready(now))
-            ready.extend([self.own] if is_ready else [])
-        domain_hosts = _filter_by_domain(ready, failure_domain)
-        if len(domain_hosts) >= _MIN_ADDRESSES:
-            return _list_addresses(domain_hosts)
-        for preferred_region in (region, self.own.region):
-            region_hosts = [
-                record for record in ready if record.region == preferred_region
-            ]
-            if region_hosts:
-                return _list_addresses(region_hosts)
-        return _list_addresses(ready)
-
-
-# With a single address, a caller could send nothing after a failure of that
-# host until its next look-up.
-_MIN_ADDRESSES = 2
-
-
-def _filter_by_domain(
-    records: Iterable[HostRecord],
-    failure_domain: str,
-) -> list[HostRecord]:
-    return [one for one in records if one.failure_domain == failure_domain]
-
-
-def _list_addresses(records: Iterable[HostRecord]) -> tuple[str, ...]:
-    return tuple(sorted(record.front_address for record in records))
-
 
 def _is_older(heartbeat: Heartbeat, known: Heartbeat) -> bool:
     """Tell whether a heartbeat is not newer than the last one received.
--- a/crocusshunt/fleet/tests/test_view.py
+++ b/crocusshunt/fleet/tests/test_view.py
@@ -5,11 +5,15 @@
     FleetView,
     Heartbeat,
     HostRecord,
+    OwnState,
     RegionSummary,
     decode_message,
     encode,
+    find_front_addresses,
 )
 
+_READY = OwnState(is_ready=True)
+
 
 def _create_record(
     name: str, domain: str = 'a1', region: str = 'a'
@@ -49,10 +53,10 @@
     view = _create_view()
     view.handle_message(_create_heartbeat('h1'), now=10)
     view.handle_message(_create_heartbeat('h3'), now=12)
-    found = view.find_front_addresses('a1', 'a', now=12, is_ready=True)
+    found = find_front_addresses(view, _READY, 'a1', 'a', now=12)
     assert found == (view.peers['h1'].record.front_address, '10.0.0.50:80')
     # One host of the domain is left, so the caller gets the whole region's.
-    later = view.find_front_addresses('a1', 'a', now=14, is_ready=True)
+    later = find_front_addresses(view, _READY, 'a1', 'a', now=14)
     assert later == ('10.0.0.50:80', '10.0.0.51:80')
 
 
--- a/crocusshunt/front/_crash_watch.py
+++ b/crocusshunt/front/_crash_watch.py
@@ -14,7 +14,6 @@
 from crocusshunt.placement import TrackedServer
 from crocusshunt.services import TaskGroup
 
-
 # A time in the past, on the clock of the event loop.
 _AT_ONCE_S = 0
 
--- a/crocusshunt/front/_directory.py
+++ b/crocusshunt/front/_directory.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from crocusshunt.core import Clock
-from crocusshunt.fleet import FleetView
+from crocusshunt.fleet import FleetView, OwnState, find_front_addresses
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.web import json_response
@@ -41,12 +41,12 @@
         """Answer a lookup of the hosts for a zone and region."""
         if request.path != '/resolve':
             return web.Response(status=_STATUS_NOT_FOUND)
-        entries = self._fleet.find_front_addresses(
+        entries = find_front_addresses(
+            self._fleet,
+            OwnState(self._readiness.is_ready, self._reach.is_cut_off),
             request.query.get('zone', ''),
             request.query.get('region', ''),
             self._clock.monotonic(),
-            is_ready=self._readiness.is_ready,
-            is_cut_off=self._reach.is_cut_off,
         )
         if not entries:
             return web.Response(status=_STATUS_UNAVAILABLE)
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -1,20 +1,20 @@
 """Delivery of one admitted request to backend servers, with retries."""
 
 import itertools
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
 from crocusshunt.core import Clock
-from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
+from crocusshunt.front._attempts import Outcome, Verdict
 from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._placement import Placer
-from crocusshunt.front._placements import Placement, PlacementRequest
+from crocusshunt.front._placements import Placement
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._server_reach import ServerReach
-from crocusshunt.front._trace import RequestTrace
 from crocusshunt.front._waiting import SlotWaiters
 from crocusshunt.placement import (
     TrackedServer,
@@ -37,25 +37,6 @@
 DispatchResult = Result[UpstreamAnswer, Refusal]
 
 
-@dataclass(slots=True)
-class PendingRequest:
-    """An admitted request without a final response.
-
-    :param attempts: number of times it was sent to a server.
-    :param executions: attempts that a server may have executed.
-    :param last_outcome: outcome of the last attempt, None before the first.
-    :param last_server: server of the last attempt, None before the first.
-    """
-
-    request: PlacementRequest
-    template: RequestTemplate
-    trace: RequestTrace
-    attempts: int = 0
-    executions: int = 0
-    last_outcome: Outcome | None = None
-    last_server: TrackedServer | None = None
-
-
 class Dispatcher:
     """Sends a request to servers until one responds or no retry is allowed.
 
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from crocusshunt.core import Clock
+from crocusshunt.front._answer_recorder import AnswerRecorder
 from crocusshunt.front._answers import classify_answer
 from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
 from crocusshunt.front._cluster import ClusterState
@@ -16,9 +17,7 @@
 from crocusshunt.placement import (
     ServerEntry,
     ServerFailure,
-    Timing,
     TrackedServer,
-    parse_load,
 )
 from crocusshunt.upstream import (
     AnswerBrokenError,
@@ -30,8 +29,6 @@
 )
 
 _MILLISECONDS = 1000
-_STATUS_CLIENT_ERROR = 400
-_MIN_SERVICE_S = 0.001
 # A server that was unreachable may be cold when it returns, before its entry
 # in the store shows that.
 _RETURN_COLD_S = 2.5
@@ -63,6 +60,7 @@
         self._crashes = crashes
         self._reach = reach
         self._names = names
+        self._recorder = AnswerRecorder(state, names, clock)
         self._clock = clock
 
     async def send(
@@ -92,35 +90,11 @@
             self._crashes.note_lost_connection(template.fingerprint, server)
         if outcome.verdict is Verdict.answered:
             self._crashes.note_answer(template.fingerprint)
-            self._record_timing(
+            self._recorder.record_timing(
                 server, placement_request, outcome.took_s, load_before
             )
         return outcome
 
-    def _record_timing(
-        self,
-        server: TrackedServer,
-        placement_request: PlacementRequest,
-        took_s: float,
-        load_before: float,
-    ) -> None:
-        route = placement_request.admission.route
-        entry = server.entry
-        load = self._state.find_load(entry.name)
-        round_trip_s = self._state.round_trips.estimate(server.region)
-        self._state.recent_objects.note(entry.name, placement_request.key)
-        self._state.times.note(
-            Timing(
-                route.name,
-                route.objective_s,
-                placement_request.pool,
-                entry.name,
-                max(_MIN_SERVICE_S, took_s - round_trip_s),
-                max(load_before, load.reported),
-                entry.slots,
-            ),
-        )
-
     async def _attempt(
         self,
         template: RequestTemplate,
@@ -202,8 +176,7 @@
             entry.address,
             connection,
         )
-        self._record_load(entry, response)
-        self._record_limit(server, response)
+        self._recorder.record_headers(server, response)
         return response
 
     async def _send_on(
@@ -225,35 +198,6 @@
                 )
             raise
 
-    def _record_load(
-        self, entry: ServerEntry, response: UpstreamAnswer
-    ) -> None:
-        load_header = response.find(self._names.load.lower().encode())
-        report = (
-            parse_load(load_header.decode('latin-1')) if load_header else None
-        )
-        if report is None:
-            return
-        # The request that was just answered still counts as in flight here.
-        load = self._state.find_load(entry.name)
-        load.note_report(report, self._clock.monotonic())
-        if load.reported >= entry.slots:
-            self._state.full_servers[entry.name] = load.reported
-
-    def _record_limit(
-        self, server: TrackedServer, response: UpstreamAnswer
-    ) -> None:
-        """Record the limit that a server names.
-
-        A failure without a limit does not tell that there is none.
-        """
-        header = response.find(self._names.rate_limit.lower().encode())
-        if header is None and response.status >= _STATUS_CLIENT_ERROR:
-            return
-        named = None if header is None else header.decode('latin-1')
-        now = self._clock.monotonic()
-        self._state.limited.note_answer(server, named, now)
-
     def _update_health(self, server: TrackedServer, outcome: Outcome) -> None:
         cluster = self._cluster
         name = server.entry.name
--- a/crocusshunt/front/_forwarding.py
+++ b/crocusshunt/front/_forwarding.py
@@ -6,12 +6,9 @@
 from result import Err
 
 from crocusshunt.front._attempts import RequestTemplate
-from crocusshunt.front._dispatch import (
-    Dispatcher,
-    DispatchResult,
-    PendingRequest,
-)
+from crocusshunt.front._dispatch import Dispatcher, DispatchResult
 from crocusshunt.front._outcomes import UNREACHED_CAUSES
+from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._relay import Relay
 from crocusshunt.front._server_reach import ServerReach
 
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -11,7 +11,6 @@
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._bodies import get_max_body_bytes, read_body
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._dispatch import PendingRequest
 from crocusshunt.front._forwarding import Forwarder
 from crocusshunt.front._headers import (
     RELAY_REFUSAL,
@@ -19,7 +18,6 @@
     RequestInfo,
     inspect_request,
     is_behind,
-    select_response_headers,
 )
 from crocusshunt.front._outcomes import (
     CAUSE_OLDER_CONFIGURATION,
@@ -27,8 +25,13 @@
     Status,
     refuse_unavailable,
 )
+from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._pipelining import InFlight
 from crocusshunt.front._placements import PlacementRequest
+from crocusshunt.front._responses import (
+    create_refusal_response,
+    create_response,
+)
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._targets import TargetChooser
 from crocusshunt.front._templates import (
@@ -130,13 +133,14 @@
             refusal = dispatch_result.err_value
             trace.retry_after_s = refusal.retry_after_s
             self._finish(trace, refusal.status, refusal.kind, refusal.cause)
-            response = self._create_refusal_response(refusal, request_info)
+            response = create_refusal_response(refusal)
+            response.headers[self._names.request_id] = request_info.request_id
             if trace.relayed_by:
                 response.headers[RELAY_REFUSAL] = refusal.cause
             return response
         upstream_response = dispatch_result.ok_value
         self._finish(trace, upstream_response.status, OutcomeKind.answered, '')
-        return _create_response(upstream_response)
+        return create_response(upstream_response)
 
     def _finish(
         self,
@@ -247,24 +251,3 @@
             ),
         )
         return PendingRequest(placement_request, template, trace)
-
-    def _create_refusal_response(
-        self, refusal: Refusal, request_info: RequestInfo
-    ) -> web.Response:
-        response = web.Response(
-            status=refusal.status,
-            text=refusal.cause,
-            headers={self._names.request_id: request_info.request_id},
-        )
-        if refusal.retry_after is not None:
-            response.headers['Retry-After'] = refusal.retry_after
-        return response
-
-
-def _create_response(upstream_response: UpstreamAnswer) -> web.Response:
-    return web.Response(
-        status=upstream_response.status,
-        reason=upstream_response.reason.decode('latin-1') or None,
-        headers=select_response_headers(upstream_response.headers),
-        body=upstream_response.body,
-    )
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -15,7 +15,7 @@
     TokenReply,
     TokenRequest,
     decode_message,
-    list_reaching,
+    list_relays,
 )
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._crash_watch import CrashWatch
@@ -33,8 +33,6 @@
 # Interval of the check for changes that are announced before the next
 # heartbeat is due.
 _CHECK_INTERVAL_S = 0.2
-# Hosts of this region that the hosts of others may pass requests on to.
-_MAX_RELAY_COUNT = 8
 
 
 @dataclass(slots=True)
@@ -138,13 +136,20 @@
     def _is_watcher(self) -> bool:
         return self.cluster.fleet.is_watcher(self.clock.monotonic())
 
+    @property
+    def _may_send(self) -> bool:
+        """Tell whether this host accepts requests and reaches servers."""
+        return self.readiness.is_ready and not self.reach.is_cut_off
+
     def _divide_limits(self) -> None:
         now = self.clock.monotonic()
         is_ready = self.readiness.is_ready
         self.tokens.limits.divide(now, is_ready=is_ready)
-        may_send = is_ready and not self.reach.is_cut_off
         self.planner.state.limited.divide(
-            self.cluster.servers, self.cluster.fleet, now, may_send=may_send
+            self.cluster.servers,
+            self.cluster.fleet,
+            now,
+            may_send=self._may_send,
         )
 
     def _is_first_heartbeat(self, message: StatusMessage) -> bool:
@@ -214,14 +219,6 @@
             is_cut_off=self.reach.is_cut_off,
         )
 
-    def _list_relays(self, now: float) -> tuple[str, ...]:
-        """Return some ready hosts of this region that reach servers."""
-        fleet = self.cluster.fleet
-        names = [one.name for one in list_reaching(fleet, '', now)]
-        if self.readiness.is_ready and not self.reach.is_cut_off:
-            names.append(fleet.own.name)
-        return tuple(names[:_MAX_RELAY_COUNT])
-
     def _create_summary(self, now: float) -> RegionSummary:
         fleet = self.cluster.fleet
         region = self.tokens.limits.observe(now).regions[fleet.own.region]
@@ -237,7 +234,7 @@
             pinned=_round_regions(self.planner.sum_pinned_load(now)),
             limits=dict(self.planner.state.limited.export_all(now)),
             crashes=self.crashes.export(now),
-            relays=self._list_relays(now),
+            relays=list_relays(fleet, now, may_relay=self._may_send),
             lost_pools=() if self.reach.is_cut_off else self.reach.lost_pools,
         )
 
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -11,7 +11,7 @@
 from crocusshunt.fleet import HostRecord, choose_relays
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._dispatch import DispatchResult, PendingRequest
+from crocusshunt.front._dispatch import DispatchResult
 from crocusshunt.front._headers import (
     RELAY_REFUSAL,
     RELAY_VERSION,
@@ -24,6 +24,7 @@
     Status,
     refuse_unavailable,
 )
+from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._trace import RelayRecord
--- a/crocusshunt/placement/__init__.py
+++ b/crocusshunt/placement/__init__.py
@@ -1,6 +1,5 @@
 """Choice of the backend server that gets a request."""
 
-from crocusshunt.placement._registry import ServerRegistry, TrackedServer
 from crocusshunt.placement._choice import (
     Candidate,
     Choice,
@@ -8,7 +7,7 @@
     RequestConstraints,
     choose_server,
 )
-from crocusshunt.placement._recent_objects import RecentObjects
+from crocusshunt.placement._entries import ServerEntry
 from crocusshunt.placement._health import (
     HealthSettings,
     HealthTracker,
@@ -25,6 +24,8 @@
     rank_servers,
 )
 from crocusshunt.placement._offered_load import OfferedLoad
+from crocusshunt.placement._recent_objects import RecentObjects
+from crocusshunt.placement._registry import ServerRegistry, TrackedServer
 from crocusshunt.placement._returns import ReturnSchedule, SlotRate
 from crocusshunt.placement._round_trips import RoundTrips
 from crocusshunt.placement._server_limits import (
@@ -33,9 +34,8 @@
     divide_limit,
     parse_limit,
 )
-from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._service_times import ServiceTimes, Timing
-from crocusshunt.placement._entries import ServerEntry
+from crocusshunt.placement._splits import WeightedSplit
 from crocusshunt.placement._waiting import (
     WaitingLine,
     WaitingRank,
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -3,18 +3,18 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import web
 
 from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._load import CallMix
 from crocusshunt.soak._plan import SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._proxy import Proxy
+from crocusshunt.soak._readiness import wait_until_ready
 from crocusshunt.soak._records import (
     Change,
     ChangeKind,
@@ -40,9 +40,6 @@
 LIMITED_CUSTOMER = 'bank'
 LIMITED_RATE = 8
 _FAILURE_DOMAINS = ('a1', 'a2', 'b1')
-_READY_TIMEOUT_S = 60
-_READY_POLL_S = 0.1
-_STATUS_OK = 200
 _MILLISECONDS = 1000
 # Time in which hosts learn of new servers, before routes move to them.
 _SERVER_DISCOVERY_S = 1.5
@@ -258,21 +255,3 @@
 
 def _name_host(number: int) -> str:
     return f'h{number}'
-
-
-async def wait_until_ready(hosts: Iterable[HostProcess]) -> None:
-    """Wait until all hosts report that they take requests."""
-    async with asyncio.timeout(_READY_TIMEOUT_S), ClientSession() as session:
-        for host in hosts:
-            while not await _is_ready(session, host):
-                await asyncio.sleep(_READY_POLL_S)
-
-
-async def _is_ready(session: ClientSession, host: HostProcess) -> bool:
-    try:
-        async with session.get(
-            f'http://{host.document.ready}/ready'
-        ) as response:
-            return response.status == _STATUS_OK
-    except (ClientError, OSError):
-        return False
--- a/crocusshunt/soak/tests/test_processes.py
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from crocusshunt.soak._registry import inject_fault
 from crocusshunt.soak._plan import PlannedFault, SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
+from crocusshunt.soak._registry import inject_fault
 from crocusshunt.soak._system import SoakSystem
 from crocusshunt.standin import HostDocument, draw_free_ports
 
--- a/crocusshunt/standin/__init__.py
+++ b/crocusshunt/standin/__init__.py
@@ -19,11 +19,8 @@
     encode_server,
     encode_settings,
 )
-from crocusshunt.standin._feeds import (
-    FeedFaults,
-    FeedStoreApplication,
-    MemoryFeedStore,
-)
+from crocusshunt.standin._feed_application import FeedStoreApplication
+from crocusshunt.standin._feeds import FeedFaults, MemoryFeedStore
 from crocusshunt.standin._memory import MemoryPlatform, PlatformSwitches
 from crocusshunt.standin._platform import PlatformService
 from crocusshunt.standin._ports import LOOPBACK, draw_free_ports
