Count a request that is passed on for the retries of one host only

A host that passed a request on after it had tried its servers counted it, and so did the other one; together they could have sent more retries than the users' limit. The new test failed before (21 counted, 20 sent) and passes.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -87,6 +87,10 @@
                 return ended
         return Err(self._refuse_quarantined(pending))
 
+    def take_back(self, pending: PendingRequest) -> None:
+        """Stop counting a request that another host counts as its own."""
+        self._retries.take_back_request(pending.request.pool)
+
     async def _try_server(
         self,
         pending: PendingRequest,
--- a/crocusshunt/front/_forwarding.py
+++ b/crocusshunt/front/_forwarding.py
@@ -41,6 +41,7 @@
         if self._is_unreached(pending, dispatched):
             relayed = await self.relay.send(pending, create_template())
             if relayed is not None:
+                self.dispatcher.take_back(pending)
                 return relayed
         return dispatched
 
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from crocusshunt.catalog import CatalogIndex
+from crocusshunt.front import FrontService
 from crocusshunt.front.tests._cuts import CutKind, cut_from_servers
 from crocusshunt.front.tests._deployment import (
     KEY,
@@ -21,6 +22,7 @@
 )
 from crocusshunt.logs import start_logging
 from crocusshunt.reports import explain_request
+from crocusshunt.sharing import RetryLimiter
 from crocusshunt.standin import describe_route
 
 _SERVERS = ('s1', 's2', 's3', 's4')
@@ -55,6 +57,11 @@
             yield deployment
 
 
+def _get_retries(host: FrontService) -> RetryLimiter:
+    heartbeat_loop = host._components.heartbeat_loop  # noqa: SLF001
+    return heartbeat_loop.tokens.limits.retries
+
+
 def _count_runs(deployment: Deployment) -> Counter[str]:
     return Counter(
         request.headers[NAMES.request_id]
@@ -145,6 +152,23 @@
         assert statuses.count(200) >= 7
 
 
+async def test_request_that_is_passed_on_allows_retries_at_one_host() -> None:
+    """Counted at both, it would allow more retries than the users' limit."""
+    async with deploy(*_SERVERS, domains=('a1', 'a1')) as deployment:
+        await deployment.wait_for_sync(2)
+        addresses = [backend.address for backend in deployment.backends]
+        cut = cut_from_servers(deployment.hosts[0], addresses, CutKind.refused)
+        with cut:
+            for _ in range(20):
+                await deployment.send('/a/x', 'POST')
+        counted = [
+            len(history.requests)
+            for host in deployment.hosts
+            for history in _get_retries(host)._histories.values()  # noqa: SLF001
+        ]
+        assert sum(counted) == 20
+
+
 async def test_request_is_not_passed_on_twice() -> None:
     """Where no host reaches a server, requests are refused at once."""
     async with _deploy_cut('a1', 'a1', cut=(0, 1)) as deployment:
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -101,6 +101,10 @@
         'the connection broke after the request was sent',
         'the outcome is unknown; ask the service by the request id',
     ),
+    'older-configuration': (
+        'another host passed it on by a newer configuration than this one has',
+        'look for "configuration in force" with its version on both hosts',
+    ),
     'relay-broken': (
         'the connection to the host that it was passed on to broke',
         'the outcome is unknown; look for the id in the logs of that host',
--- a/crocusshunt/sharing/_retries.py
+++ b/crocusshunt/sharing/_retries.py
@@ -59,6 +59,19 @@
         history = self._find_history(pool, now)
         history.requests.append(now)
 
+    def take_back_request(self, pool: str) -> None:
+        """Stop counting the newest request for a pool: another host does.
+
+        >>> limiter = RetryLimiter(RetryLimit(ratio=1, extra=0, window_s=10))
+        >>> limiter.note_request('verify', now=1)
+        >>> limiter.take_back_request('verify')
+        >>> limiter.spend('verify', now=1)
+        False
+        """
+        history = self._histories.get(pool)
+        if history is not None and history.requests:
+            history.requests.pop()
+
     def spend(self, pool: str, now: float) -> bool:
         """Use a retry of the budget; return whether one was left."""
         limit = self._limit
