--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Independent review: cases and the stand-ins that they start."""
--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the review: platform store, backends, clients, host processes."""
