--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -79,7 +79,9 @@
         )
         return status
 
-    async def download(self, front, path, key, bytes_per_s, budget_s):
+    async def download(
+        self, front, path, key, bytes_per_s, budget_s, method='GET'
+    ):
         """Send one attempt and read the answer as fast as the client's link.
 
         Notes the bytes of the body that came, and how many were announced.
@@ -95,9 +97,9 @@
             sock=sock, limit=_SLOW_WINDOW
         )
         head = (
-            f'GET {path} HTTP/1.1\r\nHost: jepu9.example\r\n'
+            f'{method} {path} HTTP/1.1\r\nHost: jepu9.example\r\n'
             f'{ATTEMPT}: {name}\r\n{REMAINING}: {int(budget_s * 1000)}\r\n'
-            f'Authorization: Token {key}\r\n\r\n'
+            f'Authorization: Token {key}\r\nContent-Length: 0\r\n\r\n'
         )
         self.record.note(
             'sent', id=name, front=front, path=path, key=key, label='download'
@@ -133,3 +135,42 @@
             announced=announced, came=came, detail=detail,
             took=round(loop.time() - started, 3),
         )
+
+    async def pipeline(self, front, paths, key, budget_s):
+        """Send several requests at once on one channel; note the answers."""
+        host, port = front.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        names = []
+        for path in paths:
+            name = f'{next(self._numbers):06d}{secrets.token_hex(5)}'
+            names.append(name)
+            self.record.note(
+                'sent', id=name, front=front, path=path, key=key,
+                label='pipeline',
+            )
+            writer.write(
+                f'GET {path} HTTP/1.1\r\nHost: jepu9.example\r\n'
+                f'{ATTEMPT}: {name}\r\n'
+                f'{REMAINING}: {int(budget_s * 1000)}\r\n'
+                f'Authorization: Token {key}\r\n\r\n'.encode()
+            )
+        detail = ''
+        try:
+            async with asyncio.timeout(budget_s):
+                for name in names:
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    lines = head.decode().lower().split('\r\n')
+                    fields = dict(
+                        line.split(': ', 1) for line in lines[1:] if line
+                    )
+                    await reader.readexactly(int(fields['content-length']))
+                    self.record.note(
+                        'answered', id=name, label='pipeline',
+                        status=int(lines[0].split()[1]),
+                        echoed=fields.get(ATTEMPT.lower(), ''),
+                    )
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+            detail = type(error).__name__
+        finally:
+            writer.close()
+        self.record.note('channel ended', front=front, detail=detail)
