--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,70 +1,84 @@
-"""Two zones of a region can't reach each other; one tenant asks too much."""
+"""A host is stopped while a pipelined answer waits behind a slow one."""
 
 import asyncio
+import signal
 
-from review.standins import allotment
 from review.standins import case as frame
 
-CUT_S = 5.5
-ZONES = {
-    f'{region}-{part}': region
-    for region in ('addis', 'dire', 'bahir')
-    for part in 'ab'
-}
-HOST_ZONES = (*ZONES, 'dire-a', 'dire-b', 'bahir-a', 'bahir-b')
-BACKEND_ZONES = ('dire-a', 'dire-b', 'bahir-a', 'bahir-b')
+GRACE_S = 6.0
+# Both as archive-lookup on the site.
+BUDGET_S, TIMEOUT_S = 20.0, 20.0
+SLOW_WORK_S = 6.5
+CLIENTS = 4
+BEHIND = 3
+ZONES = {'addis-a': 'addis', 'addis-b': 'addis', 'dire-a': 'dire'}
+HOST_ZONES = ('addis-a', 'addis-b', 'dire-a')
 KEY = 'kept0wsnjbanfqasnmgk'
-TENANT, RATE, BURST = 'court', 160, 20
-# Requests a second at each of the two hosts in addis.
-OFFERED = 220
 
 
 async def play(case):
+    routes = [
+        frame.route(name, name, f'/{name}/', timeout_s=TIMEOUT_S,
+                    target_latency_s=2.5)
+        for name in ('slow', 'quick')
+    ]
     manifest = 12, [
-        frame.route('read', 'verify', '/read/'),
-        frame.tenant(TENANT, [KEY], RATE, BURST),
-        frame.service('verify'),
+        *routes,
+        frame.tenant('court', [KEY]),
+        frame.service('slow'),
+        frame.service('quick'),
+    ]
+    work_s = {'slow': SLOW_WORK_S, 'quick': 0.05}
+    backends = [
+        (f'i-{pool}-{zone}', pool, zone, {'work_s': work_s[pool]})
+        for pool in work_s
+        for zone in ZONES
     ]
-    backends = [(f'i-{zone}', 'verify', zone, {}) for zone in BACKEND_ZONES]
-    await case.start(ZONES, HOST_ZONES, manifest, backends, has_links=True)
-    traffic = asyncio.create_task(_send_steadily(case))
-    await asyncio.sleep(12)
+    await case.start(ZONES, HOST_ZONES, manifest, backends)
+    stopped = case.hosts[0]
+    paths = ['/slow/1', *(f'/quick/{number}' for number in range(BEHIND))]
+    channels = [
+        asyncio.create_task(
+            case.client.pipeline(stopped.front, paths, KEY, BUDGET_S)
+        )
+        for _number in range(CLIENTS)
+    ]
+    await asyncio.sleep(0.5)
     if case.has_trouble:
-        case.record.note('cut', zones=['addis-a', 'addis-b'])
-        case.links.cut_zones('addis-a', 'addis-b')
-    await asyncio.sleep(CUT_S)
-    case.links.cut = set()
-    case.record.note('healed')
-    await asyncio.sleep(6)
-    traffic.cancel()
-    await asyncio.sleep(1)
-
-
-async def _send_steadily(case):
-    loop = asyncio.get_running_loop()
-    due = loop.time()
-    while True:
-        for host in case.hosts[:2]:
-            case.client.send_soon(host.front, '/read/1', KEY)
-        due += 1 / OFFERED
-        await asyncio.sleep(max(0, due - loop.time()))
+        case.record.note('SIGTERM', host=stopped.name)
+        stopped.signal(signal.SIGTERM)
+    await asyncio.sleep(GRACE_S)
+    case.record.note(
+        'end of grace', host=stopped.name, running=stopped.is_running
+    )
+    if case.has_trouble:
+        stopped.kill()
+    await asyncio.gather(*channels)
 
 
 def judge(case):
-    fullest, begin = allotment.find_fullest(case.record, TENANT)
-    limit = allotment.find_limit(RATE, BURST)
-    answers = case.record.select('answered')
-    served = sum(one['sealed'] for one in answers)
-    if served < 500:
-        raise RuntimeError('too few requests were served')
-    rates = allotment.list_rates(case.record, TENANT)
+    runs = {one['id']: one for one in case.record.select('run')}
+    answered = {
+        one['id']: one
+        for one in case.record.select('answered')
+        if one['status'] == 200
+    }
+    sent = case.record.select('sent')
+    lost = [
+        one
+        for one in sent
+        if one['path'].startswith('/quick/')
+        and one['id'] in runs
+        and one['id'] not in answered
+    ]
+    if len(runs) < CLIENTS * (1 + BEHIND):
+        raise RuntimeError('not all requests were run')
     lines = [
-        f'sent {len(answers)}, served {served}',
-        f'run by second: {rates}',
-        f'channels between hosts: {case.links.channels}',
-        f'fullest window: {fullest} from {begin:.1f} s, limit {limit:.0f}',
+        f'sent {len(sent)}, run {len(runs)}, answered {len(answered)}',
+        f'quick requests that a backend answered and their client did not '
+        f'get: {len(lost)}',
     ]
-    return lines, fullest > limit
+    return lines, bool(lost)
 
 
 if __name__ == '__main__':
