Check in the soak that repeats over all hosts keep the retry limit

Sums, for each pool and window, the arrivals beyond the first of their request, over all hosts, against the ratio of the requests for the pool plus the extra. Two kinds bring about what the check is for: reject-part (a pool rejects more than half of its requests) and restart-all (all hosts are killed at once).

--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -15,6 +15,7 @@
 from crocusshunt.soak._cut_checks import find_idle_hosts
 from crocusshunt.soak._limit_checks import find_overruns
 from crocusshunt.soak._records import CallOutcome, Records
+from crocusshunt.soak._retry_checks import find_excess_repeats
 from crocusshunt.soak._servers import CRASH_MARK
 from crocusshunt.soak._stop_checks import find_cut_calls
 
@@ -113,6 +114,11 @@
     yield from find_overruns(records)
 
 
+@register_check('retry-limit')
+def _check_retries(records: Records, _limits: CheckLimits) -> Iterator[str]:
+    yield from find_excess_repeats(records)
+
+
 @register_check('crashing-requests')
 def _check_crashes(records: Records, _limits: CheckLimits) -> Iterator[str]:
     yield from find_repeated_crashes(records)
--- a/crocusshunt/soak/_faults.py
+++ b/crocusshunt/soak/_faults.py
@@ -31,7 +31,10 @@
 
 @register_fault('kill-host')
 async def _kill_host(system: SoakSystem, planned: PlannedFault) -> None:
-    host = _pick_host(system, planned)
+    await _kill(system, _pick_host(system, planned))
+
+
+async def _kill(system: SoakSystem, host: HostProcess) -> None:
     if not host.is_running:
         return
     system.record_fault('kill-host', host.name, _RESTART_DELAY_S + _STARTUP_S)
@@ -42,6 +45,12 @@
     host.start()
 
 
+@register_fault('restart-all')
+async def _kill_all_hosts(system: SoakSystem, _planned: PlannedFault) -> None:
+    """Kill all hosts within a moment, so that none remembers what it did."""
+    await asyncio.gather(*(_kill(system, host) for host in system.hosts))
+
+
 @register_fault('stop-host')
 async def _stop_host(system: SoakSystem, planned: PlannedFault) -> None:
     host = _pick_host(system, planned)
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -155,6 +155,7 @@
 class Arrival:
     """A request that reached a server, whether it was run or not.
 
+    :param pool: pool of the server.
     :param start: number of the start of the server.
     :param at: monotonic time, in seconds.
     """
@@ -163,6 +164,7 @@
     start: int
     request_id: str
     at: float
+    pool: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/soak/_server_faults.py
+++ b/crocusshunt/soak/_server_faults.py
@@ -13,6 +13,10 @@
 # planned time it is limited.
 _SERVER_LIMIT_RATE = 2
 _LIMITED_S = 8
+# Share of the requests that a pool rejects, and how much longer than the
+# planned time it does.
+_REJECTED_SHARE = 0.6
+_REJECTED_S = 4
 # How much longer than the planned time a server says that it drains.
 _DRAINING_S = 5
 # How much longer than the planned time a host is cut off.
@@ -53,6 +57,20 @@
             server.rejects_until = max(server.rejects_until, until)
 
 
+@register_fault('reject-part')
+async def _reject_part(system: SoakSystem, planned: PlannedFault) -> None:
+    """Let all servers of the pool reject more than half of their requests."""
+    pool = system.pool
+    start_at = time.monotonic()
+    servers = [one for one in system.servers if one.pool == pool]
+    for server in servers:
+        server.rejected_share = _REJECTED_SHARE
+    await asyncio.sleep(planned.for_s + _REJECTED_S)
+    for rejecting in servers:
+        rejecting.rejected_share = 0
+    system.records.rejections.append(PoolRejection(start_at, time.monotonic()))
+
+
 @register_fault('say-draining')
 async def _say_draining(system: SoakSystem, planned: PlannedFault) -> None:
     """Replace a server that says only in its responses that it drains."""
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -56,6 +56,8 @@
     :param notices: records of what servers told hosts.
     :param rejects_until: monotonic time until which it rejects all requests and
         asks to back off, in seconds.
+    :param rejected_share: share of the requests that it rejects as if it had
+        no room.
     :param is_draining: whether its responses say that it drains.
     :param announce: writes its entry, with the state that it is to have;
         removes it for an empty state.
@@ -74,6 +76,7 @@
     notices: list[ServerNotice] = field(default_factory=list)
     limit: float | None = None
     rejects_until: float = 0
+    rejected_share: float = 0
     is_draining: bool = False
     announce: Callable[['SoakServer', str], None] | None = None
     links: ServerLinks = field(default_factory=ServerLinks)
@@ -138,11 +141,12 @@
         if request.headers.get(_HEADERS.expected_server) != self.name:
             return web.Response(status=_STATUS_MISDIRECTED, headers=echoed)
         now = time.monotonic()
-        arrival = Arrival(self.name, self._starts, request_id, now)
+        arrival = Arrival(self.name, self._starts, request_id, now, self.pool)
         self.arrivals.append(arrival)
         if now < self.rejects_until:
             return self._turn_away(request_id)
-        if self._in_progress >= _SLOTS + _QUEUE_LENGTH:
+        is_full = self._in_progress >= _SLOTS + _QUEUE_LENGTH
+        if is_full or self.rng.random() < self.rejected_share:
             refused = {**echoed, _HEADERS.not_run: '1'}
             return web.Response(status=_STATUS_FULL, headers=refused)
         self._in_progress += 1
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -21,6 +21,7 @@
     FaultInterval,
     Records,
 )
+from crocusshunt.soak._retry_checks import RETRY_EXTRA_COUNT
 from crocusshunt.soak._servers import SoakServer
 from crocusshunt.standin import (
     CONFIGURATION_KEY,
@@ -251,6 +252,7 @@
             failure_domain=_FAILURE_DOMAINS[number % len(_FAILURE_DOMAINS)],
             first_port=first_port,
             store=proxy.address,
+            retry_extra=RETRY_EXTRA_COUNT,
         )
         host = HostProcess(document, Path(self.settings.workdir))
         self.hosts.append(host)
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -154,6 +154,15 @@
         records.arrivals.append(Arrival('s1', 1, f'c{number}', 2))
 
 
+def _repeat_at_servers(records: Records) -> None:
+    for number in range(20):
+        at = number + 0.02
+        records.arrivals.append(Arrival('s1', 1, f'c{number}', at, 'p1'))
+    for number in range(15):
+        repeat = Arrival('s2', 1, f'c{number}', 20.5, 'p1')
+        records.arrivals.append(repeat)
+
+
 def _ignore_draining(records: Records) -> None:
     records.notices.append(ServerNotice('s1', 1, 'c0', 0, float('inf')))
     records.arrivals.append(Arrival('s1', 1, 'c90', 90))
@@ -181,6 +190,7 @@
         (_exceed_rate, 'rate'),
         (_exceed_server_limit, 'server-limit'),
         (_ignore_backoff, 'server-backoff'),
+        (_repeat_at_servers, 'retry-limit'),
         (_ignore_draining, 'server-draining'),
         (_send_crashing_request_on, 'crashing-requests'),
         (_idle_while_cut_off, 'cut-hosts'),
@@ -223,3 +233,10 @@
     for call in records.calls[120:]:
         call.host = f'h{call.request_id}'
     assert not find_violations(records, _LIMITS)
+
+
+def test_repeats_within_the_retry_limit_are_allowed() -> None:
+    records = _make_clean_records()
+    _repeat_at_servers(records)
+    records.arrivals = records.arrivals[:-2]
+    assert not find_violations(records, _LIMITS)
--- a/crocusshunt/standin/_documents.py
+++ b/crocusshunt/standin/_documents.py
@@ -106,6 +106,7 @@
         hosts take the ports after it.
     :param store: address of the store, ``ip:port``.
     :param grace_s: time from SIGTERM until the process is killed, in seconds.
+    :param retry_extra: retries a window, over all hosts, beyond the ratio.
     """
 
     name: str
@@ -113,6 +114,7 @@
     first_port: int
     store: str
     grace_s: float = 6
+    retry_extra: float = 60
 
     @property
     def front(self) -> str:
@@ -160,7 +162,12 @@
             'zones': regions,
         },
         'platform': {'platform': {'address': host.store}},
-        'terms': {'bounds': {'grace_s': host.grace_s}},
+        'terms': {
+            'bounds': {
+                'grace_s': host.grace_s,
+                'budget_extra': host.retry_extra,
+            }
+        },
     }
     return msgspec.json.encode(document)
 
