Log and count the retries that the retry limit refuses

The incident's hypotheses could not be told apart from the logs: neither the number of hosts by which a host divides the extra retries nor the state of its limiter was written. A line a second and pool has both, with the age of the host; a counter has allowed and refused retries.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -16,13 +16,13 @@
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._retry_rules import MIN_REMAINING_S, RetryRules
 from crocusshunt.front._waiting import SlotWaiters
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.placement import (
     TrackedServer,
     WaitingRank,
     compute_pause,
     compute_wait_limit,
 )
-from crocusshunt.sharing import RetryLimiter
 from crocusshunt.upstream import UpstreamAnswer
 
 # Shortest time that a request waits for a free slot before it is refused, as a
@@ -48,7 +48,7 @@
         exchanger: Exchanger,
         crashes: CrashWatch,
         retry_rules: RetryRules,
-        retries: RetryLimiter,
+        retries: RetryWatch,
         clock: Clock,
     ) -> None:
         """Use the components of a host."""
@@ -65,7 +65,7 @@
     async def run(self, pending: PendingRequest) -> DispatchResult:
         """Return the response for the caller, or the reason for a refusal."""
         now = self._clock.monotonic()
-        self._retries.note_request(pending.request.pool, now)
+        self._retries.limiter.note_request(pending.request.pool, now)
         self._placer.note_request(pending.request)
         fingerprint = pending.template.fingerprint
         is_trial = self._crashes.begin_trial(fingerprint)
@@ -86,7 +86,7 @@
 
     def take_back(self, pending: PendingRequest) -> None:
         """Stop counting a request that another host counts as its own."""
-        self._retries.take_back_request(pending.request.pool)
+        self._retries.limiter.take_back_request(pending.request.pool)
 
     def _update_isolation(self, pending: PendingRequest) -> None:
         request = pending.request
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -7,6 +7,7 @@
 from crocusshunt.core import Clock
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._demands import FleetDemand, observe_demand
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._settings import FrontSettings
 from crocusshunt.logs import log_event
 from crocusshunt.sharing import (
@@ -54,7 +55,7 @@
     """
 
     cluster: ClusterState
-    retries: RetryLimiter
+    retries: RetryWatch
     clock: Clock
     customers: CustomerLimiter = field(default_factory=CustomerLimiter)
     demand: DemandMeter = field(default_factory=DemandMeter)
@@ -86,7 +87,7 @@
         self.is_ready = is_ready
         demand = self.observe(now)
         self._members = frozenset(demand.hosts)
-        self.retries.resize(demand.registered)
+        self.retries.limiter.resize(demand.registered)
         index = self.cluster.index
         if index is None:
             return
@@ -227,7 +228,8 @@
         limits.retry_extra * _RETRY_MARGIN_FACTOR,
         limits.retry_window_s,
     )
-    shared = SharedLimits(cluster, RetryLimiter(retry_limit), clock)
+    retries = RetryWatch(RetryLimiter(retry_limit), clock)
+    shared = SharedLimits(cluster, retries, clock)
     if not settings.is_first_start:
         shared.assume_lent()
     return shared
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -49,6 +49,7 @@
             self._count_servers(),
             self._measure_shares(),
             self._measure_server_shares(),
+            self._count_retries(),
         )
         yield from self._measure_care()
         yield GaugeMetricFamily(
@@ -136,6 +137,19 @@
             len(isolation.list_isolated(loop.clock.monotonic())),
         )
 
+    def _count_retries(self) -> Metric:
+        watch = self._components.heartbeat_loop.tokens.limits.retries
+        family = CounterMetricFamily(
+            'crocus_retries',
+            'Retries that the retry limit allowed or refused.',
+            labels=('pool', 'decision'),
+        )
+        for pool, allowed in sorted(watch.allowed.items()):
+            family.add_metric((pool, 'allowed'), allowed)
+        for refused_pool, refused in sorted(watch.refused.items()):
+            family.add_metric((refused_pool, 'refused'), refused)
+        return family
+
     def _measure_shares(self) -> Metric:
         family = GaugeMetricFamily(
             'crocus_customer_rate_share',
--- a/crocusshunt/front/_retry_rules.py
+++ b/crocusshunt/front/_retry_rules.py
@@ -6,8 +6,8 @@
 from crocusshunt.front._attempts import Outcome, Verdict
 from crocusshunt.front._isolation_watch import IsolationWatch
 from crocusshunt.front._pending import PendingRequest
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._server_reach import ServerReach
-from crocusshunt.sharing import RetryLimiter
 
 _MAX_ATTEMPTS = 4
 # With less time until its deadline, a request is not sent.
@@ -20,7 +20,7 @@
 
     isolation: IsolationWatch
     reach: ServerReach
-    retries: RetryLimiter
+    retries: RetryWatch
     clock: Clock
 
     def may_retry(self, pending: PendingRequest, outcome: Outcome) -> bool:
@@ -39,7 +39,7 @@
             return False
         if outcome.is_connection_lost and not self._is_harmless(pending):
             return False
-        return self.retries.spend(pending.request.pool, now)
+        return self.retries.spend(pending.request.pool)
 
     def _is_harmless(self, pending: PendingRequest) -> bool:
         """Tell whether a request that lost its server may get another one."""
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -26,6 +26,7 @@
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._region_loads import RegionLoads
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.placement import (
@@ -87,7 +88,9 @@
         outbox.endpoint = cast(DatagramEndpoint, _LoopbackEndpoint(self))
         state = PlacerState()
         limits = SharedLimits(
-            cluster, RetryLimiter(RetryLimit(0, 0, 1)), self.clock
+            cluster,
+            RetryWatch(RetryLimiter(RetryLimit(0, 0, 1)), self.clock),
+            self.clock,
         )
         heartbeat_loop = HeartbeatLoop(
             cluster=cluster,
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -60,7 +60,7 @@
 def _list_histories(host: FrontService) -> list[Any]:
     """Return what a host counts for its retries, by pool."""
     heartbeat_loop = host._components.heartbeat_loop  # noqa: SLF001
-    retries = heartbeat_loop.tokens.limits.retries
+    retries = heartbeat_loop.tokens.limits.retries.limiter
     return list(retries._histories.values())  # noqa: SLF001
 
 
--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -12,7 +12,7 @@
     GivenLeases,
     HeldLeases,
 )
-from crocusshunt.sharing._retries import RetryLimit, RetryLimiter
+from crocusshunt.sharing._retries import RetryLimit, RetryLimiter, RetryUsage
 from crocusshunt.sharing._shares import GroupDemand, divide_rate
 from crocusshunt.sharing._growth import DelayedGrowth
 from crocusshunt.sharing._intervals import MinIntervalLimiter
@@ -31,6 +31,7 @@
     'MinIntervalLimiter',
     'RetryLimit',
     'RetryLimiter',
+    'RetryUsage',
     'TokenBucket',
     'choose_keeper',
     'divide_rate',
--- a/crocusshunt/sharing/_retries.py
+++ b/crocusshunt/sharing/_retries.py
@@ -27,6 +27,20 @@
     retries: deque[float] = field(default_factory=deque)
 
 
+@dataclass(frozen=True, slots=True)
+class RetryUsage:
+    """What a host counts in the present window of a pool.
+
+    :param extra: this host's part of the extra retries.
+    :param hosts: number of hosts that share them, as this host knows it.
+    """
+
+    requests: int
+    retries: int
+    extra: float
+    hosts: int
+
+
 class RetryLimiter:
     """Limits this host's retries to each pool.
 
@@ -83,6 +97,16 @@
         history.retries.append(now)
         return True
 
+    def describe(self, pool: str, now: float) -> RetryUsage:
+        """Return what is counted in the present window."""
+        history = self._find_history(pool, now)
+        return RetryUsage(
+            len(history.requests),
+            len(history.retries),
+            self._limit.extra / self._hosts,
+            self._hosts,
+        )
+
     def _find_history(self, pool: str, now: float) -> _PoolHistory:
         history = self._histories.setdefault(pool, _PoolHistory())
         oldest = now - self._limit.window_s
