--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -138,7 +138,8 @@
         )
 
     def _count_retries(self) -> Metric:
-        watch = self._components.heartbeat_loop.tokens.limits.retries
+        limits = self._components.heartbeat_loop.tokens.limits
+        watch = limits.retries
         family = CounterMetricFamily(
             'crocus_retries',
             'Retries that the retry limit allowed or refused.',
--- a/crocusshunt/front/tests/test_tokens.py
+++ b/crocusshunt/front/tests/test_tokens.py
@@ -18,6 +18,7 @@
     TokenRequest,
 )
 from crocusshunt.front._limits import SharedLimits
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.sharing import RetryLimit, RetryLimiter
 
@@ -100,7 +101,7 @@
             fleet.put(_record(peer))
         index = CatalogIndex(Catalog(1, customers=(_RULE,)))
         cluster = Mock(fleet=fleet, index=index)
-        retries = RetryLimiter(RetryLimit(0, 0, 1))
+        retries = RetryWatch(RetryLimiter(RetryLimit(0, 0, 1)), network.clock)
         limits = SharedLimits(cluster, retries, network.clock)
         network.services[name] = TokenService(
             limits,
