Keep the retry limit over all hosts and starts by construction

Cause: each host compared its retries with its own requests of the last ten seconds, and had its part of the extra at once, counting itself as the only host until it knew others. So what a process that ended had spent was spent again by the next one, what hosts had spent for callers that then moved was spent again where they went, and hosts without the table of hosts each had all of the extra.

Why it works: each host keeps a part of a linear bound. In any window, it uses half of the ratio for each request that lies in it or in the window before. Summed over all hosts and starts that is half of the ratio for both counts, at most the ratio for the larger one. Its part of the extra counts only after it was its own for a window and the time in which all learn of it, and only while the store answers and lists it.

On the way: a retry is counted when it is sent, not when it is allowed, and taken back if nothing was sent; an attempt after one that arrived counts also if one that sent nothing lies between; a request that a server had is a repeat at the host it is passed on to; a request counts at the host that took it from its caller only. The limit on requests that leave their preferred server is no retry limit and has a class of its own.

--- a/crocusshunt/front/_attempts.py
+++ b/crocusshunt/front/_attempts.py
@@ -40,6 +40,7 @@
         Verdict.withheld,
     )
 )
+_NOT_SENT = frozenset((Verdict.unreachable, Verdict.withheld))
 _UNANSWERED = frozenset(
     (Verdict.unreachable, Verdict.broken, Verdict.timed_out)
 )
@@ -68,6 +69,11 @@
         """Tell whether the server may have begun to execute the request."""
         return self.verdict.may_have_run
 
+    @property
+    def has_arrived(self) -> bool:
+        """Tell whether the request may have reached the server."""
+        return self.verdict not in _NOT_SENT
+
     @property
     def is_unanswered(self) -> bool:
         """Tell whether no complete and valid response came."""
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -37,8 +37,9 @@
     """Sends a request to servers until one responds or no retry is allowed.
 
     A failed attempt is retried on another server if the request cannot have
-    been executed, or its route is idempotent and has executions left. Retries
-    count against the retry limit, except after attempts that sent nothing.
+    been executed, or its route is idempotent and has executions left. Attempts
+    after the first one that may have reached a server count against the retry
+    limit.
     """
 
     def __init__(
@@ -65,7 +66,6 @@
     async def run(self, pending: PendingRequest) -> DispatchResult:
         """Return the response for the caller, or the reason for a refusal."""
         now = self._clock.monotonic()
-        self._retries.limiter.note_request(pending.request.pool, now)
         self._placer.note_request(pending.request)
         fingerprint = pending.template.fingerprint
         is_trial = self._crashes.begin_trial(fingerprint)
@@ -84,10 +84,6 @@
                 return ended
         return Err(self._refuse_quarantined(pending))
 
-    def take_back(self, pending: PendingRequest) -> None:
-        """Stop counting a request that another host counts as its own."""
-        self._retries.limiter.take_back_request(pending.request.pool)
-
     def _update_isolation(self, pending: PendingRequest) -> None:
         request = pending.request
         fingerprint = pending.template.fingerprint
@@ -103,7 +99,13 @@
         placement: Placement,
     ) -> DispatchResult | None:
         """Send a request; return the result, None to try another server."""
+        spent_at = self._clock.monotonic()
+        repeated = pending.last_outcome if pending.arrivals else None
+        if repeated and not self._retries.spend(pending.request.pool):
+            return self._create_result(pending, repeated)
         outcome = await self._send(pending, server, placement)
+        if repeated and not outcome.has_arrived:
+            self._retries.take_back(pending.request.pool, spent_at)
         self._waiters.offer(server.entry.name)
         if self._is_ended_by_quarantine(pending, outcome):
             return Err(self._refuse_quarantined(pending))
@@ -149,8 +151,8 @@
             pending.trace.fingerprint = pending.template.fingerprint
         pending.last_outcome = outcome
         pending.last_server = server
-        if outcome.may_have_run:
-            pending.executions += 1
+        pending.arrivals += int(outcome.has_arrived)
+        pending.executions += int(outcome.may_have_run)
         return outcome
 
     async def _wait_for_slot(
--- a/crocusshunt/front/_forwarding.py
+++ b/crocusshunt/front/_forwarding.py
@@ -10,6 +10,7 @@
 from crocusshunt.front._outcomes import UNREACHED_CAUSES
 from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._relay import Relay
+from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._server_reach import ServerReach
 
 CreateTemplate = Callable[[], RequestTemplate]
@@ -22,6 +23,7 @@
     dispatcher: Dispatcher
     relay: Relay
     reach: ServerReach
+    retries: RetryWatch
 
     async def run(
         self, pending: PendingRequest, create_template: CreateTemplate
@@ -33,15 +35,20 @@
 
         :param create_template: creates the request for another host.
         """
+        pool = pending.request.pool
+        self.retries.note_request(pool)
         if self.reach.is_cut_off:
             relayed = await self.relay.send(pending, create_template())
             if relayed is not None:
                 return relayed
         dispatched = await self.dispatcher.run(pending)
-        if self._is_unreached(pending, dispatched):
+        # At the other host, it is a repeat if a server here had it before.
+        may_relay = self._is_unreached(pending, dispatched)
+        if may_relay and pending.arrivals:
+            may_relay = self.retries.spend(pool)
+        if may_relay:
             relayed = await self.relay.send(pending, create_template())
             if relayed is not None:
-                self.dispatcher.take_back(pending)
                 return relayed
         return dispatched
 
--- a/crocusshunt/front/_limits.py
+++ b/crocusshunt/front/_limits.py
@@ -50,6 +50,8 @@
     :param given: parts that this host lends to others.
     :param is_ready: whether this host accepts requests, so that it may keep
         buckets.
+    :param is_registered: whether the store answers and lists this host, so that
+        all hosts count it.
     :param announced: demand at this host as last announced to the others, in
         requests a second, by customer.
     """
@@ -64,6 +66,7 @@
     held: HeldLeases = field(default_factory=HeldLeases)
     given: GivenLeases = field(default_factory=GivenLeases)
     is_ready: bool = False
+    is_registered: bool = False
     _members: frozenset[str] = frozenset()
     _growth: dict[str, DelayedGrowth] = field(default_factory=dict)
     _limited: frozenset[str] = frozenset()
@@ -87,7 +90,8 @@
         self.is_ready = is_ready
         demand = self.observe(now)
         self._members = frozenset(demand.hosts)
-        self.retries.limiter.resize(demand.registered)
+        sharing_hosts = demand.registered if self.is_registered else 0
+        self.retries.limiter.divide(sharing_hosts, now)
         index = self.cluster.index
         if index is None:
             return
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -14,7 +14,7 @@
     Placement,
     PlacementRequest,
 )
-from crocusshunt.front._placer_state import ALL_POOLS, PlacerState
+from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.placement import (
     Candidate,
     Choice,
@@ -66,7 +66,7 @@
         """
         now = self._clock.monotonic()
         state = self._state
-        state.overflow.note_request(ALL_POOLS, now)
+        state.overflow.note_request(now)
         route = request.admission.route
         service_s = state.times.estimate_route(route.name, route.objective_s)
         state.offered.note(
@@ -213,7 +213,7 @@
         ranked = [self.estimate_server(one, request, now) for one in replicas]
         choice = choose_server(need, ranked, self._settings)
         rules: dict[str, str] = {}
-        if choice.index and not self._state.overflow.spend(ALL_POOLS, now):
+        if choice.index and not self._state.overflow.spend(now):
             choice = choose_server(need, ranked[:1], self._settings)
             others = [one for one in ranked[1:] if one.has_free_slot]
             rules = {one.name: _RULE_REGION_CHANGES for one in others}
--- a/crocusshunt/front/_placer_state.py
+++ b/crocusshunt/front/_placer_state.py
@@ -15,7 +15,11 @@
     ServerLoad,
     ServiceTimes,
 )
-from crocusshunt.sharing import MinIntervalLimiter, RetryLimit, RetryLimiter
+from crocusshunt.sharing import (
+    MinIntervalLimiter,
+    ProportionLimit,
+    ProportionLimiter,
+)
 
 # In any window of two seconds, at most a bounded share of requests may be
 # served in another region. Part of that bound is reserved for objects whose
@@ -23,13 +27,11 @@
 _OVERFLOW_SHARE = 0.06
 _OVERFLOW_EXTRA = 0.5
 _OVERFLOW_WINDOW_S = 2
-# The overflow is counted over all pools together, under this name.
-ALL_POOLS = ''
 
 
-def _create_overflow() -> RetryLimiter:
-    return RetryLimiter(
-        RetryLimit(_OVERFLOW_SHARE, _OVERFLOW_EXTRA, _OVERFLOW_WINDOW_S),
+def _create_overflow() -> ProportionLimiter:
+    return ProportionLimiter(
+        ProportionLimit(_OVERFLOW_SHARE, _OVERFLOW_EXTRA, _OVERFLOW_WINDOW_S),
     )
 
 
@@ -61,7 +63,7 @@
     localities: Mapping[str, Locality] = field(default_factory=dict)
     recent_objects: RecentObjects = field(default_factory=RecentObjects)
     cold_limiter: MinIntervalLimiter = field(default_factory=MinIntervalLimiter)
-    overflow: RetryLimiter = field(default_factory=_create_overflow)
+    overflow: ProportionLimiter = field(default_factory=_create_overflow)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
     limited: LimitedServers = field(default_factory=LimitedServers)
     backoffs: ServerBackoffs = field(default_factory=ServerBackoffs)
--- a/crocusshunt/front/_request_assembly.py
+++ b/crocusshunt/front/_request_assembly.py
@@ -94,7 +94,10 @@
         cluster=cluster,
         tokens=parts.tokens,
         forwarder=Forwarder(
-            dispatcher, Relay(cluster, parts.state, names, clock), parts.reach
+            dispatcher,
+            Relay(cluster, parts.state, names, clock),
+            parts.reach,
+            retries,
         ),
         recorder=parts.metrics,
     )
--- a/crocusshunt/front/_retry_rules.py
+++ b/crocusshunt/front/_retry_rules.py
@@ -24,10 +24,7 @@
     clock: Clock
 
     def may_retry(self, pending: PendingRequest, outcome: Outcome) -> bool:
-        """Tell whether a request may be sent to another server.
-
-        Takes a retry from the retry limit where one is needed.
-        """
+        """Tell whether a request may be sent to another server."""
         now = self.clock.monotonic()
         if outcome.verdict is Verdict.answered or _is_used_up(pending, now):
             return False
@@ -39,7 +36,7 @@
             return False
         if outcome.is_connection_lost and not self._is_harmless(pending):
             return False
-        return self.retries.spend(pending.request.pool)
+        return self.retries.is_left(pending.request.pool)
 
     def _is_harmless(self, pending: PendingRequest) -> bool:
         """Tell whether a request that lost its server may get another one."""
--- a/crocusshunt/front/_retry_watch.py
+++ b/crocusshunt/front/_retry_watch.py
@@ -30,17 +30,33 @@
         """Begin to measure the age of this host."""
         self._started_at = self.clock.monotonic()
 
+    def note_request(self, pool: str) -> None:
+        """Count a request of a caller of this host."""
+        self.limiter.note_request(pool, self.clock.monotonic())
+
+    def is_left(self, pool: str) -> bool:
+        """Tell whether the limit allows a retry now."""
+        now = self.clock.monotonic()
+        if self.limiter.may_spend(pool, now):
+            return True
+        self._note_refusal(pool, now)
+        return False
+
     def spend(self, pool: str) -> bool:
         """Use a retry of the limit; return whether one was left."""
         now = self.clock.monotonic()
         if self.limiter.spend(pool, now):
             self.allowed[pool] += 1
             return True
-        self.refused[pool] += 1
-        self._log_refusal(pool, now)
+        self._note_refusal(pool, now)
         return False
 
-    def _log_refusal(self, pool: str, now: float) -> None:
+    def take_back(self, pool: str, spent_at: float) -> None:
+        """Stop counting a retry of which nothing was sent."""
+        self.limiter.take_back(pool, spent_at)
+
+    def _note_refusal(self, pool: str, now: float) -> None:
+        self.refused[pool] += 1
         if now - self._logged_at.get(pool, float('-inf')) < _LOG_INTERVAL_S:
             return
         self._logged_at[pool] = now
--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -12,6 +12,7 @@
     GivenLeases,
     HeldLeases,
 )
+from crocusshunt.sharing._proportions import ProportionLimit, ProportionLimiter
 from crocusshunt.sharing._retries import RetryLimit, RetryLimiter, RetryUsage
 from crocusshunt.sharing._shares import GroupDemand, divide_rate
 from crocusshunt.sharing._growth import DelayedGrowth
@@ -29,6 +30,8 @@
     'GroupDemand',
     'HeldLeases',
     'MinIntervalLimiter',
+    'ProportionLimit',
+    'ProportionLimiter',
     'RetryLimit',
     'RetryLimiter',
     'RetryUsage',
