Drain also the port that other hosts pass requests on to

What callers saw: a request that another host passed on after the drain of a stopping host was taken, sent to a server, and cut without an answer when the process ended; the host that passed it on answers 502.

Cause: the drain looked at the connections of the first port only. The port between hosts took connections and requests until the process was gone.

Evidence: the new test connected to it after the stop (did not raise before).

Why it works: the drain stops listening on both ports, closes idle connections of both without reading, and waits for what either owes.

--- a/crocusshunt/front/_draining.py
+++ b/crocusshunt/front/_draining.py
@@ -1,6 +1,7 @@
 """Draining of connections at a planned stop."""
 
 import asyncio
+from collections.abc import Sequence
 
 from aiohttp import web
 
@@ -12,8 +13,8 @@
 _SETTLE_S = 0.05
 
 
-async def drain_runner(
-    runner: web.ServerRunner,
+async def drain_runners(
+    runners: Sequence[web.ServerRunner],
     in_flight: InFlight,
     until: float,
     clock: Clock,
@@ -27,36 +28,38 @@
 
     :param until: deadline for requests in flight, monotonic seconds.
     """
-    for site in tuple(runner.sites):
-        await site.stop()
-    server = runner.server
-    if server is None:
-        return
+    for runner in runners:
+        for site in tuple(runner.sites):
+            await site.stop()
+    servers = [one.server for one in runners if one.server is not None]
     is_owing = True
     while is_owing and clock.monotonic() < until:
-        for connection in _list_idle(server, in_flight):
+        for connection in _list_idle(servers, in_flight):
             if connection.transport is not None:
                 connection.transport.pause_reading()
         await asyncio.sleep(_SETTLE_S)
-        for idle in _list_idle(server, in_flight):
+        for idle in _list_idle(servers, in_flight):
             idle.force_close()
-        is_owing = bool(in_flight.count) or _has_unsent(server)
+        is_owing = bool(in_flight.count) or _has_unsent(servers)
     # Lets the last responses leave before the process ends.
     await asyncio.sleep(_SETTLE_S)
 
 
 def _list_idle(
-    server: web.Server, in_flight: InFlight
+    servers: Sequence[web.Server], in_flight: InFlight
 ) -> list[web.RequestHandler]:
     return [
         one
+        for server in servers
         for one in server.connections
         if one not in in_flight.busy and not _count_unsent(one)
     ]
 
 
-def _has_unsent(server: web.Server) -> bool:
-    return any(map(_count_unsent, server.connections))
+def _has_unsent(servers: Sequence[web.Server]) -> bool:
+    return any(
+        _count_unsent(one) for server in servers for one in server.connections
+    )
 
 
 def _count_unsent(connection: web.RequestHandler) -> int:
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -13,7 +13,7 @@
 from crocusshunt.fleet import open_datagram_endpoint
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._directory import Directory, ReadyCheck
-from crocusshunt.front._draining import drain_runner
+from crocusshunt.front._draining import drain_runners
 from crocusshunt.front._headers import RELAYED_BY
 from crocusshunt.front._metrics import MetricsEndpoint
 from crocusshunt.front._pipelining import PipelinedServer
@@ -69,6 +69,8 @@
         self._store = store
         self._clock = clock
         self._runners: list[web.ServerRunner] = []
+        # Those that requests to be sent to servers come in through.
+        self._request_runners: list[web.ServerRunner] = []
         self._components = assemble_host(settings, source, store, clock)
         self._reload = SettingsReload(settings, read_settings, self._apply)
 
@@ -112,8 +114,8 @@
         )
         components.heartbeat_loop.send_heartbeats()
         await asyncio.sleep(_ACCEPT_AT_STOP_S)
-        await drain_runner(
-            self._runners[0],
+        await drain_runners(
+            self._request_runners,
             components.handler.in_flight,
             now + grace_s * (1 - _KILL_MARGIN_FRACTION),
             self._clock,
@@ -140,10 +142,14 @@
         ready = ReadyCheck(components.readiness)
         internal = f'{settings.ip}:{settings.internal_port}'
         front = PipelinedServer(components.handler, **_SERVER_OPTIONS)
-        await self._listen_with(settings.front_address, front)
+        self._request_runners.append(
+            await self._listen_with(settings.front_address, front)
+        )
         await self._listen(settings.directory_address, directory.handle)
         await self._listen(settings.ready_address, ready.handle)
-        await self._listen(internal, self._serve_host)
+        self._request_runners.append(
+            await self._listen(internal, self._serve_host)
+        )
         metrics = f'{settings.ip}:{settings.internal_port + 1}'
         await self._listen(metrics, MetricsEndpoint(components).handle)
 
@@ -153,14 +159,17 @@
             return await self._components.handler.respond_relayed(request)
         return await self._components.followers.serve_image(request)
 
-    async def _listen(self, address: str, handle: Handler) -> None:
+    async def _listen(self, address: str, handle: Handler) -> web.ServerRunner:
         server = web.Server(handle, **_SERVER_OPTIONS)
-        await self._listen_with(address, server)
+        return await self._listen_with(address, server)
 
-    async def _listen_with(self, address: str, server: web.Server) -> None:
+    async def _listen_with(
+        self, address: str, server: web.Server
+    ) -> web.ServerRunner:
         host, _separator, port = address.rpartition(':')
         runner = web.ServerRunner(server)
         await runner.setup()
         site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
         await site.start()
         self._runners.append(runner)
+        return runner
--- a/crocusshunt/front/tests/test_draining.py
+++ b/crocusshunt/front/tests/test_draining.py
@@ -7,7 +7,7 @@
 from aiohttp import ClientConnectionError, ClientSession, TCPConnector, web
 
 from crocusshunt.core import SystemClock
-from crocusshunt.front._draining import drain_runner
+from crocusshunt.front._draining import drain_runners
 from crocusshunt.front._in_flight import InFlight
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.Response]]
@@ -41,7 +41,7 @@
         response_task = asyncio.create_task(session.get(url))
         await asyncio.sleep(0.02)
         clock = SystemClock()
-        await drain_runner(runner, in_flight, clock.monotonic() + 5, clock)
+        await drain_runners([runner], in_flight, clock.monotonic() + 5, clock)
         await runner.cleanup()
         assert (await (await response_task).text()) == 'whole'
 
@@ -57,7 +57,7 @@
     clock = SystemClock()
     async with ClientSession(connector=TCPConnector(limit=1)) as session:
         await session.post(url)
-        await drain_runner(runner, InFlight(), clock.monotonic() + 5, clock)
+        await drain_runners([runner], InFlight(), clock.monotonic() + 5, clock)
         with pytest.raises(ClientConnectionError):
             async with asyncio.timeout(2):
                 await session.post(url)
@@ -74,6 +74,6 @@
     runner, _url = await _serve(handle)
     clock = SystemClock()
     started_at = clock.monotonic()
-    await drain_runner(runner, in_flight, started_at + 0.2, clock)
+    await drain_runners([runner], in_flight, started_at + 0.2, clock)
     assert clock.monotonic() - started_at < 1
     await runner.cleanup()
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -9,10 +9,11 @@
 from dataclasses import replace
 
 import pytest
-from aiohttp import web
+from aiohttp import ClientConnectionError, web
 
 from crocusshunt.catalog import CatalogIndex
 from crocusshunt.front import FrontService
+from crocusshunt.front._headers import RELAYED_BY
 from crocusshunt.front.tests._cuts import CutKind, cut_from_servers
 from crocusshunt.front.tests._deployment import (
     KEY,
@@ -257,3 +258,14 @@
     assert '  host  h2: answered' in explained
     relayed = [line for line in lines if 'relayed request ended' in line]
     assert any(request_id in line for line in relayed)
+
+
+async def test_request_passed_on_after_a_stop_is_not_taken() -> None:
+    """The process ends next, and would cut the request without an answer."""
+    async with deploy('s1') as deployment:
+        service = deployment.service
+        await service.stop()
+        settings = service.settings
+        url = f'http://{settings.ip}:{settings.internal_port}/a/x'
+        with pytest.raises(ClientConnectionError):
+            await deployment.session.post(url, headers={RELAYED_BY: 'h2'})
