Refuse late in a stop what a server cannot answer in time

Shown here by tests for five ways, each failing before (servers began work that could not end; callers got 504, or 200 by luck): a body that ends late, a second attempt, a wait for a slot, work that another host passes on, twice. Refuted by tests that passed before: new and kept connections, and requests behind another one on their connection, are not read late in a stop.

Cause: nothing compared the time that a server needs with the time that is left. A request begun before the stop kept its former deadline.

Why it works: before each attempt of a stopping host, twice the expected time must be left, or the request's own deadline comes first; else it is refused at once as not run (`host-stopping`, 0.2 s). The host that passed it on then tries another one. What two parts of a host share is created in a module of its own, since the one that assembles them had too many imports.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -12,15 +12,13 @@
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._region_loads import RegionLoads
-from crocusshunt.front._request_assembly import (
-    create_handler,
-    create_shared_parts,
-)
+from crocusshunt.front._request_assembly import create_handler
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._settings import (
     FrontSettings,
     SourceFormat,
 )
+from crocusshunt.front._shared_parts import create_shared_parts
 from crocusshunt.metrics import RequestMetrics
 
 _MILLISECONDS = 1000
--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -9,14 +9,20 @@
 from crocusshunt.front._attempts import Outcome, Verdict
 from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._exchange import Exchanger
-from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
+from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._outcomes import (
+    CAUSE_STOPPING,
+    OTHER_HOST_RETRY_S,
+    Refusal,
+    Status,
+    refuse_unavailable,
+)
 from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._placement import Placer
 from crocusshunt.front._placements import Placement
 from crocusshunt.front._refusals import RefusalAdvisor
 from crocusshunt.front._retry_rules import MIN_REMAINING_S, RetryRules
 from crocusshunt.front._waiting import SlotWaiters
-from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.placement import (
     TrackedServer,
     WaitingRank,
@@ -49,7 +55,7 @@
         exchanger: Exchanger,
         crashes: CrashWatch,
         retry_rules: RetryRules,
-        retries: RetryWatch,
+        in_flight: InFlight,
         clock: Clock,
     ) -> None:
         """Use the components of a host."""
@@ -58,7 +64,8 @@
         self._exchanger = exchanger
         self._crashes = crashes
         self._retry_rules = retry_rules
-        self._retries = retries
+        self._retries = retry_rules.retries
+        self._in_flight = in_flight
         self._clock = clock
         self._waiters = SlotWaiters()
         self._numbers = itertools.count()
@@ -72,6 +79,8 @@
         while is_trial or not self._crashes.is_quarantined(fingerprint):
             self._update_isolation(pending)
             placement = self._placer.place(pending.request)
+            if not self.can_finish(pending, placement):
+                return self._refuse_late(pending)
             if placement.server is None:
                 refused = self._refuse_if_due(pending, placement, now)
                 if refused is not None:
@@ -84,6 +93,29 @@
                 return ended
         return Err(self._refuse_quarantined(pending))
 
+    def can_finish(
+        self, pending: PendingRequest, placement: Placement | None = None
+    ) -> bool:
+        """Tell whether a request can be answered before this host stops.
+
+        :param placement: None where it goes to another host.
+        """
+        expected_s: float = 0
+        if placement is not None:
+            expected_s = placement.finish_s or placement.fastest_s
+        request = pending.request
+        return self._in_flight.can_answer(
+            expected_s or request.admission.route.objective_s,
+            request.final_at,
+            self._clock.monotonic(),
+        )
+
+    def _refuse_late(self, pending: PendingRequest) -> DispatchResult:
+        """Return the result of a request that is sent no more."""
+        if pending.last_outcome is not None and pending.executions:
+            return self._create_result(pending, pending.last_outcome)
+        return Err(refuse_unavailable(CAUSE_STOPPING, OTHER_HOST_RETRY_S))
+
     def _update_isolation(self, pending: PendingRequest) -> None:
         request = pending.request
         fingerprint = pending.template.fingerprint
--- a/crocusshunt/front/_forwarding.py
+++ b/crocusshunt/front/_forwarding.py
@@ -37,7 +37,7 @@
         """
         pool = pending.request.pool
         self.retries.note_request(pool)
-        if self.reach.is_cut_off:
+        if self.reach.is_cut_off and self.dispatcher.can_finish(pending):
             relayed = await self.relay.send(pending, create_template())
             if relayed is not None:
                 return relayed
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -21,6 +21,8 @@
 )
 from crocusshunt.front._outcomes import (
     CAUSE_OLDER_CONFIGURATION,
+    CAUSE_STOPPING,
+    OTHER_HOST_RETRY_S,
     Refusal,
     Status,
     refuse_unavailable,
@@ -44,8 +46,6 @@
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
-_CAUSE_STOPPING = 'host-stopping'
-_OTHER_HOST_RETRY_S = 0.2
 # The response leaves this long before the route timeout ends.
 _ANSWER_MARGIN_S = 0.01
 # How long a request may wait for a token, as a fraction of the latency
@@ -64,6 +64,7 @@
     tokens: TokenService
     forwarder: Forwarder
     recorder: Recorder
+    in_flight: InFlight
     targets: TargetChooser = field(default_factory=TargetChooser)
 
 
@@ -77,7 +78,7 @@
         clock: Clock,
     ) -> None:
         """Use the components of a host."""
-        self.in_flight = InFlight()
+        self.in_flight = components.in_flight
         self._components = components
         self._names = names
         self._clock = clock
@@ -173,8 +174,8 @@
                 return await self._serve(request, request_info, trace)
         except TimeoutError:
             if trace.may_have_run:
-                return Err(Refusal(Status.timeout, _CAUSE_STOPPING))
-            return Err(refuse_unavailable(_CAUSE_STOPPING, _OTHER_HOST_RETRY_S))
+                return Err(Refusal(Status.timeout, CAUSE_STOPPING))
+            return Err(refuse_unavailable(CAUSE_STOPPING, OTHER_HOST_RETRY_S))
 
     async def _serve(
         self,
@@ -223,7 +224,7 @@
     ) -> Result[Admission, Refusal]:
         index = self._components.cluster.index
         if trace.relayed_by and is_behind(request.headers, index):
-            wait_s = _OTHER_HOST_RETRY_S
+            wait_s = OTHER_HOST_RETRY_S
             return Err(refuse_unavailable(CAUSE_OLDER_CONFIGURATION, wait_s))
         admission_result = admit(request_info, index)
         if isinstance(admission_result, Ok):
--- a/crocusshunt/front/_in_flight.py
+++ b/crocusshunt/front/_in_flight.py
@@ -5,6 +5,9 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+# A request may take so many times as long as expected.
+_TIME_FACTOR = 2
+
 
 @dataclass(slots=True)
 class InFlight:
@@ -53,6 +56,31 @@
             if not timeout.expired():
                 timeout.reschedule(self._ends_at)
 
+    def can_answer(
+        self, expected_s: float, final_at: float, now: float
+    ) -> bool:
+        """Tell whether a request that is sent now can be answered in time.
+
+        During a stop, one that probably cannot is refused instead of sent:
+        its caller learns at once that it was not run. One whose own deadline
+        comes first loses nothing by the stop.
+
+        :param expected_s: expected time until the response, in seconds.
+        :param final_at: deadline of the request, monotonic seconds.
+        :param now: monotonic seconds.
+
+        >>> in_flight = InFlight(is_stopping=True, answer_by=10)
+        >>> in_flight.can_answer(1, final_at=20, now=7)
+        True
+        >>> in_flight.can_answer(2, final_at=20, now=7)
+        False
+        >>> in_flight.can_answer(2, final_at=9, now=7)
+        True
+        """
+        if final_at < self.answer_by:
+            return True
+        return self.answer_by - now >= _TIME_FACTOR * expected_s
+
     @asynccontextmanager
     async def limit_time(self) -> AsyncIterator[asyncio.Timeout]:
         """Raise TimeoutError in a request that the end of a stop overtakes."""
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -10,6 +10,10 @@
 # Cause of a refusal by a host that is to handle a request by a configuration
 # that it does not know yet.
 CAUSE_OLDER_CONFIGURATION = 'older-configuration'
+# Cause of a refusal by a host that stops before it could answer.
+CAUSE_STOPPING = 'host-stopping'
+# How soon a request may go to another host.
+OTHER_HOST_RETRY_S = 0.2
 _MIN_RETRY_AFTER_S = 0.01
 _MAX_RETRY_AFTER_S = 30
 
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -19,6 +19,8 @@
 )
 from crocusshunt.front._outcomes import (
     CAUSE_OLDER_CONFIGURATION,
+    CAUSE_STOPPING,
+    OTHER_HOST_RETRY_S,
     UNREACHED_CAUSES,
     Refusal,
     Status,
@@ -42,10 +44,9 @@
 _MARGIN_S = 0.02
 # Hosts that are tried if they cannot be reached, or reach no server.
 _MAX_HOST_COUNT = 2
-_OTHER_HOST_RETRY_S = 0.2
 _REFUSALS = frozenset(Status)
 # After these refusals, another host may take the request.
-_PASSED_BACK = UNREACHED_CAUSES | {CAUSE_OLDER_CONFIGURATION}
+_PASSED_BACK = UNREACHED_CAUSES | {CAUSE_OLDER_CONFIGURATION, CAUSE_STOPPING}
 
 
 @dataclass(slots=True)
@@ -147,8 +148,8 @@
 def _read_result(response: UpstreamAnswer) -> DispatchResult | None:
     """Return a server's response, or the refusal of the other host.
 
-    Return None if that host reached no server either, or knows an older
-    configuration.
+    Return None if that host reached no server either, knows an older
+    configuration, or stops.
     """
     cause = response.find(RELAY_REFUSAL.lower().encode())
     if cause is None:
@@ -168,4 +169,4 @@
     try:
         return float(retry_after)
     except ValueError:
-        return _OTHER_HOST_RETRY_S
+        return OTHER_HOST_RETRY_S
