Settle former leases only with the store's own table of hosts

What callers could see: a customer's part of a rate with two users for up to 3.5 s (QUOTA) after a host started beside hosts that its table lacked.

Cause: a host that starts may use its parts once all hosts that it knows have dropped the leases of its former process. The table that it knows may be a peer's copy, which can lack the newest hosts; those weren't asked.

Evidence: test_hosts_of_a_peers_copy_may_not_be_all_hosts fails before.

Why it works: `knows_hosts` is true only once the store itself has answered for the table and its last call did not fail. Its answer has all hosts, or the leases run out. The same decides whether a host has a part of the extra retries. What remains: a store that has just come back from an older copy may lack hosts for some seconds.

--- a/crocusshunt/feeds/_availability.py
+++ b/crocusshunt/feeds/_availability.py
@@ -19,6 +19,7 @@
         self._clock = clock
         self._answered_at = clock.monotonic()
         self._failing_since: float | None = None
+        self._has_answered = False
 
     @property
     def age_s(self) -> float:
@@ -30,6 +31,11 @@
         """Tell whether the last call failed."""
         return self._failing_since is not None
 
+    @property
+    def is_answering(self) -> bool:
+        """Tell whether the store has answered, the last call included."""
+        return self._has_answered and not self.is_failing
+
     def note_answer(self) -> float:
         """Record an answer; return how long calls failed before, in seconds."""
         now = self._clock.monotonic()
@@ -43,6 +49,7 @@
             )
         self._failing_since = None
         self._answered_at = now
+        self._has_answered = True
         return failing_s
 
     def note_failure(self, error: FeedError) -> None:
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -95,19 +95,19 @@
         self._sink = sink
         self._max_wait_s = settings.wait_s
         self._is_refreshing = False
-        self._store_state = StoreAvailability(settings.table, clock)
+        self.availability = StoreAvailability(settings.table, clock)
         self._has_changes = False
         self._removals = DeferredRemovals(clock)
 
     @property
     def age_s(self) -> float:
         """Return the time since the last answer of the store, in seconds."""
-        return self._store_state.age_s
+        return self.availability.age_s
 
     @property
     def is_failing(self) -> bool:
         """Tell whether the last call to the store failed."""
-        return self._store_state.is_failing
+        return self.availability.is_failing
 
     async def run(self) -> None:
         """Poll the store until cancelled, with backoff after failures."""
@@ -126,7 +126,7 @@
         answer = await self._read()
         self._is_refreshing = False
         if isinstance(answer, Err):
-            self._store_state.note_failure(answer.err_value)
+            self.availability.note_failure(answer.err_value)
             return False
         return True
 
@@ -207,7 +207,7 @@
         :param update: updates the copy, and returns the rows that changed.
         """
         settings = self.settings
-        failing_s = self._store_state.note_answer()
+        failing_s = self.availability.note_answer()
         settle_s = settings.settle_s if failing_s >= settings.outage_s else 0
         if _has_returned(self.image, changes):
             _log_return(settings.table, self.image, changes)
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -110,8 +110,11 @@
         return self.configuration.is_failing or self.servers.is_failing
 
     def knows_hosts(self) -> bool:
-        """Tell whether the table of hosts was read."""
-        return self.hosts.image.is_known
+        """Tell whether the table of hosts comes from the store.
+
+        A peer's copy may lack the newest hosts.
+        """
+        return self.hosts.availability.is_answering
 
     def has_servers(self) -> bool:
         """Tell whether the table of backend servers was read."""
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -163,9 +163,11 @@
     def _divide_limits(self) -> None:
         now = self.clock.monotonic()
         is_ready = self.readiness.is_ready
-        hosts = self.followers.hosts
-        is_listed = self.cluster.fleet.own.name in hosts.image.rows
-        self.tokens.limits.is_registered = is_listed and not hosts.is_failing
+        own_name = self.cluster.fleet.own.name
+        is_listed = own_name in self.followers.hosts.image.rows
+        self.tokens.limits.is_registered = (
+            is_listed and self.followers.knows_hosts()
+        )
         self.tokens.limits.divide(now, is_ready=is_ready)
         self.planner.state.limited.divide(
             self.cluster.servers,
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -53,7 +53,7 @@
         Mock(
             versions=(),
             is_failing=Mock(return_value=False),
-            hosts=Mock(is_failing=False, image=Mock(rows={})),
+            hosts=Mock(image=Mock(rows={})),
         ),
     )
 
--- a/crocusshunt/front/tests/test_followers.py
+++ b/crocusshunt/front/tests/test_followers.py
@@ -4,6 +4,7 @@
 from unittest.mock import AsyncMock, Mock
 
 from crocusshunt.core import ManualClock
+from crocusshunt.feeds import Changes
 from crocusshunt.fleet import HostRecord
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._settings import TableNames
@@ -65,3 +66,17 @@
         await _Scenario().receive_heartbeats(is_store_down=False, seconds=2)
         == 1
     )
+
+
+async def test_hosts_of_a_peers_copy_may_not_be_all_hosts() -> None:
+    """One that it lacks was not asked to drop the leases of a former start."""
+    tables = TableNames('op', 'servers', 'hosts')
+    store = MemoryFeedStore()
+    for name in ('h1', 'h2'):
+        store.put('hosts', name, b'')
+    followers = Followers(store, tables, Mock(), ManualClock())
+    followers.hosts.apply_peer_image(Changes((), 1))
+    assert followers.hosts.image.is_known
+    assert not followers.knows_hosts()
+    await followers.hosts.poll()
+    assert followers.knows_hosts()
