--- a/crocusshunt/sharing/_retries.py
+++ b/crocusshunt/sharing/_retries.py
@@ -18,7 +18,7 @@
 from crocusshunt.sharing._growth import DelayedGrowth
 
 # A window consists of so many intervals.
-_INTERVALS_PER_WINDOW = 40
+_INTERVAL_COUNT = 40
 # Share of the ratio for requests of the same window, and of the one before.
 _WINDOW_SHARE = 0.5
 # In this time all hosts learn of one that starts or comes back, in seconds.
@@ -90,7 +90,7 @@
     def __init__(self, limit: RetryLimit) -> None:
         """Start without requests and without extra retries."""
         self._limit = limit
-        self._interval_s = limit.window_s / _INTERVALS_PER_WINDOW
+        self._interval_s = limit.window_s / _INTERVAL_COUNT
         self._growth = DelayedGrowth(limit.window_s + _JOIN_S)
         self._is_divided = False
         self._hosts = 0
@@ -146,7 +146,7 @@
         """Return what is counted in the window that ends now."""
         interval = self._find_interval(now)
         history = self._find_history(pool, interval)
-        last = range(interval - _INTERVALS_PER_WINDOW, interval + 1)
+        last = range(interval - _INTERVAL_COUNT, interval + 1)
         return RetryUsage(
             sum(history.requests.get(one, 0) for one in last),
             sum(history.retries.get(one, 0) for one in last),
@@ -159,21 +159,21 @@
 
     def _find_history(self, pool: str, interval: int) -> _PoolHistory:
         history = self._histories.setdefault(pool, _PoolHistory())
-        history.forget_before(interval - 2 * _INTERVALS_PER_WINDOW)
+        history.forget_before(interval - 2 * _INTERVAL_COUNT)
         return history
 
     def _is_within_limit(self, history: _PoolHistory, interval: int) -> bool:
         """Tell whether one more retry keeps each window that contains now."""
-        intervals = range(interval - 2 * _INTERVALS_PER_WINDOW, interval + 1)
+        intervals = range(interval - 2 * _INTERVAL_COUNT, interval + 1)
         requests = _sum_up(history.requests, intervals)
         retries = _sum_up(history.retries, intervals)
         share = self._limit.ratio * _WINDOW_SHARE
         # Each window is given by the interval in which it begins.
         last = len(intervals)
-        for start in range(_INTERVALS_PER_WINDOW, last):
-            end = min(start + _INTERVALS_PER_WINDOW, last)
+        for start in range(_INTERVAL_COUNT, last):
+            end = min(start + _INTERVAL_COUNT, last)
             counted = requests[end]
-            counted -= requests[start - _INTERVALS_PER_WINDOW + 1]
+            counted -= requests[start - _INTERVAL_COUNT + 1]
             used = retries[-1] - retries[start] + 1
             if used > share * counted + self._extra:
                 return False
