Keep crashes under requests in the store, so that a start of all hosts forgets none

What callers saw: a request that had crashed three servers was quarantined; after all hosts were killed within a moment, it ran five to eight times more, and each time other callers lost the server they waited for.

Cause: hosts told each other of crashes and wrote them nowhere. The host that may try a quarantined request counted its trials by itself, too, so each start of it gave one more.

Why it works: from the second crash on, there is a row for each crash, written by each host that saw one; a host that starts reads them before it is ready. Rows only add up, so no order of writes, kills and starts loses one that was acknowledged. A crash that came a pause after another one counts as that of a trial, whoever tried. The store client writes several rows in one call.

The listed test asks the same of all hosts that start; between, each now does what its background task does: write, and read.

--- a/crocusshunt/crashes/__init__.py
+++ b/crocusshunt/crashes/__init__.py
@@ -6,6 +6,7 @@
     CrashSettings,
     find_culprits,
 )
+from crocusshunt.crashes._errors import MalformedCrashRecordError
 from crocusshunt.crashes._fingerprints import compute_fingerprint
 from crocusshunt.crashes._isolation import (
     IsolationSettings,
@@ -13,17 +14,33 @@
     OriginIsolation,
 )
 from crocusshunt.crashes._ledger import CrashLedger
-from crocusshunt.crashes._reports import CrashReport
+from crocusshunt.crashes._records import (
+    CrashRecord,
+    create_records,
+    decode_record,
+    encode_record,
+    find_fingerprint,
+    report_records,
+)
+from crocusshunt.crashes._reports import CrashReport, History
 
 __all__ = (
     'START_SEPARATOR',
     'CrashLedger',
+    'CrashRecord',
     'CrashReport',
     'CrashSettings',
     'Crashes',
+    'History',
     'IsolationSettings',
+    'MalformedCrashRecordError',
     'Origin',
     'OriginIsolation',
     'compute_fingerprint',
+    'create_records',
+    'decode_record',
+    'encode_record',
     'find_culprits',
+    'find_fingerprint',
+    'report_records',
 )
--- a/crocusshunt/crashes/_ledger.py
+++ b/crocusshunt/crashes/_ledger.py
@@ -1,6 +1,6 @@
 """Crashes of backend servers under requests, known from all hosts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import replace
 
 from crocusshunt.crashes._culprits import CrashSettings, find_culprits
@@ -12,11 +12,10 @@
     describe_history,
     list_recent,
 )
+from crocusshunt.crashes._trials import find_trial_time
 
 # Bound on one message, which is sent as a datagram.
 _MAX_REPORT_COUNT = 32
-# With more, the pause would be longer than the window in any case.
-_MAX_BACKOFF_COUNT = 20
 
 
 class CrashLedger:
@@ -107,7 +106,7 @@
         if fingerprint not in self.quarantined:
             return 0
         history = self._histories[fingerprint]
-        until_trial_s = self._find_trial_time(history) - now
+        until_trial_s = find_trial_time(history, self._settings) - now
         return max(self._settings.trial_after_s, until_trial_s)
 
     def begin_trial(self, fingerprint: str, now: float) -> bool:
@@ -119,7 +118,7 @@
         if fingerprint not in self.quarantined:
             return False
         history = self._histories[fingerprint]
-        if now < self._find_trial_time(history):
+        if now < find_trial_time(history, self._settings):
             return False
         history.trials += 1
         history.tried_at = now
@@ -170,6 +169,23 @@
             for fingerprint, one in (*quarantined, *recent)[:_MAX_REPORT_COUNT]
         ]
 
+    def select_lasting(
+        self, isolated: Collection[Origin]
+    ) -> dict[str, History]:
+        """Return what must outlast the end of all hosts, by fingerprint.
+
+        With one crash more, such a request or origin is kept from servers.
+
+        :param isolated: the isolated origins.
+        """
+        least = self._settings.crashes - 1
+        return {
+            fingerprint: history
+            for fingerprint, history in self._histories.items()
+            if len(history.crashes) >= least
+            or (history.crashes and history.origin in isolated)
+        }
+
     def expire(self, now: float) -> None:
         """Drop crashes that no longer count."""
         oldest = now - self._settings.window_s
@@ -186,13 +202,6 @@
             self._histories = kept
             self._update()
 
-    def _find_trial_time(self, history: History) -> float:
-        settings = self._settings
-        trials = min(history.trials, _MAX_BACKOFF_COUNT)
-        pause_s = settings.trial_after_s * settings.trial_backoff**trials
-        since = max(history.tried_at, history.changed_at)
-        return since + min(pause_s, settings.window_s)
-
     def _update(self) -> None:
         suspects = {
             fingerprint: history.crashes
--- a/crocusshunt/feeds/__init__.py
+++ b/crocusshunt/feeds/__init__.py
@@ -9,7 +9,13 @@
 )
 from crocusshunt.feeds._follower import Follower, FollowerSettings
 from crocusshunt.feeds._image import TableImage
-from crocusshunt.feeds._rows import Changes, FeedStore, Row, RowWrite
+from crocusshunt.feeds._rows import (
+    MAX_WRITE_COUNT,
+    Changes,
+    FeedStore,
+    Row,
+    RowWrite,
+)
 from crocusshunt.feeds._versions import (
     MAX_NUMBER,
     find_era,
@@ -19,6 +25,7 @@
 
 __all__ = (
     'MAX_NUMBER',
+    'MAX_WRITE_COUNT',
     'Changes',
     'FeedError',
     'FeedMalformedError',
--- a/crocusshunt/feeds/_rows.py
+++ b/crocusshunt/feeds/_rows.py
@@ -7,6 +7,9 @@
 
 from crocusshunt.feeds._errors import FeedError
 
+# Rows that one call may write or remove.
+MAX_WRITE_COUNT = 100
+
 
 class Row(msgspec.Struct, frozen=True, array_like=True):
     """One row of a table.
@@ -61,8 +64,11 @@
             here, in seconds; without it the call counts as lost.
         """
 
-    async def write(self, write: RowWrite) -> Result[None, FeedError]:
-        """Write or remove one row, whatever its current content."""
+    async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
+        """Write or remove rows, all or none, whatever their content is.
+
+        :param writes: of different rows, at most ``MAX_WRITE_COUNT``.
+        """
 
     def redirect(self, address: str) -> None:
         """Use the store at another address from now on.
--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -6,6 +6,7 @@
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import FleetSettings
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._handler import RequestHandler
 from crocusshunt.front._heartbeats import HeartbeatLoop
@@ -30,6 +31,7 @@
 
     cluster: ClusterState
     followers: Followers
+    records: CrashRecords
     readiness: Readiness
     reach: ServerReach
     heartbeat_loop: HeartbeatLoop
@@ -48,8 +50,15 @@
     cluster = parts.cluster
     followers = Followers(store, source.tables, cluster, clock)
     handler = create_handler(parts, source.headers, clock)
+    records = CrashRecords(
+        source.tables.crashes, store, parts.crashes, followers, clock
+    )
     readiness = Readiness(
-        cluster, handler.in_flight, followers.has_servers, parts.tasks
+        cluster,
+        handler.in_flight,
+        followers.has_servers,
+        lambda: records.is_known,
+        parts.tasks,
     )
     heartbeat_loop = HeartbeatLoop(
         cluster=cluster,
@@ -70,6 +79,7 @@
     return HostComponents(
         cluster,
         followers,
+        records,
         readiness,
         parts.reach,
         heartbeat_loop,
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -99,6 +99,7 @@
             self._clock,
         )
         tasks.keep('register', registration.run)
+        tasks.keep('crash records', components.records.run)
         tasks.keep('reload settings', self._reload.run)
         tasks.keep('heartbeats', components.heartbeat_loop.run)
         log_event('host started', host=settings.name, region=settings.region)
--- a/crocusshunt/front/_settings.py
+++ b/crocusshunt/front/_settings.py
@@ -100,12 +100,14 @@
 class TableNames:
     """Names of the store tables that a host reads.
 
-    It also writes its own record into the table of hosts.
+    It also writes its own record into the table of hosts, and the crashes that
+    it saw into that of crashes.
     """
 
     configuration: str
     servers: str
     hosts: str
+    crashes: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -184,6 +184,18 @@
         async with self.session.request(method, url, headers=sent) as response:
             return response.status, await response.text(), response
 
+    async def restart_hosts(self) -> None:
+        """Stop all hosts, then start them at other ports."""
+        await asyncio.gather(*(one.stop() for one in self.hosts))
+        domains = [one.settings.failure_domain for one in self.hosts]
+        self.hosts = _create_hosts(self.store, domains)
+        for host in self.hosts:
+            await host.start()
+        await self.wait_for_sync()
+        async with asyncio.timeout(_CATCH_UP_S):
+            while not all(map(_is_ready, self.hosts)):
+                await asyncio.sleep(_POLL_S)
+
     async def wait_for_sync(self, seconds: float = 0) -> None:
         """Wait until all hosts have read the newest changes in the store.
 
@@ -261,15 +273,7 @@
     :param domains: failure domain of each host.
     """
     store = MemoryFeedStore()
-    # In one draw: those of two draws may be the same until a host listens.
-    ports = draw_free_ports(_PORTS_PER_HOST * len(domains), random.Random())
-    backends = [Backend(name) for name in names]
-    hosts = [
-        _create_host(
-            f'h{number + 1}', domain, store, ports[number * _PORTS_PER_HOST :]
-        )
-        for number, domain in enumerate(domains)
-    ]
+    hosts = _create_hosts(store, domains)
     backends = [Backend(name) for name in names]
     async with ClientSession() as session:
         deployment = Deployment(store, hosts, session, backends)
@@ -285,7 +289,7 @@
         try:
             yield deployment
         finally:
-            await asyncio.gather(*(one.stop() for one in hosts))
+            await asyncio.gather(*(one.stop() for one in deployment.hosts))
             for backend in backends:
                 await backend.stop()
 
@@ -298,6 +302,19 @@
         limiter.note_request('pool', heartbeat_loop.clock.monotonic() - 1)
 
 
+def _create_hosts(
+    store: MemoryFeedStore, domains: Sequence[str]
+) -> list[FrontService]:
+    # In one draw: those of two draws may be the same until a host listens.
+    ports = draw_free_ports(_PORTS_PER_HOST * len(domains), random.Random())
+    return [
+        _create_host(
+            f'h{number + 1}', domain, store, ports[number * _PORTS_PER_HOST :]
+        )
+        for number, domain in enumerate(domains)
+    ]
+
+
 def _create_host(
     name: str, domain: str, store: MemoryFeedStore, ports: list[int]
 ) -> FrontService:
@@ -322,3 +339,7 @@
         lambda: Ok(settings),
         SystemClock(),
     )
+
+
+def _is_ready(host: FrontService) -> bool:
+    return host._components.readiness.is_ready  # noqa: SLF001
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -17,6 +17,7 @@
     HostRecord,
 )
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._heartbeats import HeartbeatLoop
@@ -37,6 +38,7 @@
 )
 from crocusshunt.services import TaskGroup
 from crocusshunt.sharing import RetryLimit, RetryLimiter
+from crocusshunt.standin import MemoryFeedStore
 
 RULE = CustomerRule('court', rate=100, burst=100)
 
@@ -53,7 +55,7 @@
         Mock(
             versions=(),
             is_failing=Mock(return_value=False),
-            hosts=Mock(image=Mock(rows={})),
+            hosts=Mock(image=Mock(rows={}, version=0)),
         ),
     )
 
@@ -71,6 +73,8 @@
     tasks: TaskGroup | Mock = field(default_factory=Mock)
     create_followers: Callable[[Mock], Followers] = _create_idle_followers
     hosts: dict[str, HeartbeatLoop] = field(default_factory=dict)
+    store: MemoryFeedStore = field(default_factory=MemoryFeedStore)
+    records: dict[str, CrashRecords] = field(default_factory=dict)
 
     def start(self, name: str) -> HeartbeatLoop:
         """Start a host that knows the records of all others."""
@@ -119,6 +123,13 @@
             started_at=len(self.hosts) + 1,
         )
         self.hosts[name] = heartbeat_loop
+        self.records[name] = CrashRecords(
+            'crashes',
+            self.store,
+            heartbeat_loop.crashes,
+            heartbeat_loop.followers,
+            self.clock,
+        )
         heartbeat_loop.run_once()
         return heartbeat_loop
 
--- a/crocusshunt/front/tests/test_crash_news.py
+++ b/crocusshunt/front/tests/test_crash_news.py
@@ -61,13 +61,19 @@
     assert starting.crashes.is_quarantined('bad')
 
 
-def test_quarantine_survives_a_start_of_all_hosts(region: Region) -> None:
+async def test_quarantine_survives_a_start_of_all_hosts(
+    region: Region,
+) -> None:
     """Its request crashed five to eight more servers after such a start."""
     _note_crashes(region.hosts['a2'], region.clock.monotonic())
     _check_all(region)
+    for records in region.records.values():
+        assert await records.write_changes()
     region.hosts.clear()
     for name in _NAMES:
         region.start(name)
+    for starting in region.records.values():
+        assert await starting.read()
     for host in region.hosts.values():
         host.run_once()
     for started in region.hosts.values():
--- a/crocusshunt/front/tests/test_crashing_requests.py
+++ b/crocusshunt/front/tests/test_crashing_requests.py
@@ -111,6 +111,23 @@
         assert set(statuses[-3:]) == {503}
 
 
+async def test_request_is_not_sent_on_after_a_start_of_all_hosts() -> None:
+    """All hosts forgot that it crashes servers, and it crashed more."""
+    async with deploy(*_SERVERS, domains=('a1', 'b1')) as deployment:
+        await deployment.wait_for_sync(2)
+        for backend in deployment.backends:
+            _crash_when_asked(backend)
+        await _send_until_third_crash(deployment, cycle((0, 1)))
+        await asyncio.sleep(1)
+        await deployment.restart_hosts()
+        await asyncio.sleep(_SETTLING_S)
+        before = len(_list_bad(deployment))
+        for number in range(12):
+            await deployment.send_to(number % 2, _BAD_PATH)
+        assert len(_list_bad(deployment)) - before <= _MAX_LATER_SENDINGS
+        assert (await deployment.send('/a/good'))[0] == 200
+
+
 async def test_server_that_goes_on_after_a_reset_has_not_crashed() -> None:
     async with deploy('s1', 's2') as deployment:
         for backend in deployment.backends:
--- a/crocusshunt/front/tests/test_followers.py
+++ b/crocusshunt/front/tests/test_followers.py
@@ -32,7 +32,7 @@
         :param is_store_down: whether the store fails meanwhile.
         :param seconds: how long heartbeats are processed.
         """
-        tables = TableNames('op', 'servers', 'hosts')
+        tables = TableNames('op', 'servers', 'hosts', 'crashes')
         followers = Followers(self.store, tables, Mock(), self.clock)
         await followers.servers.poll()
         if is_store_down:
@@ -70,7 +70,7 @@
 
 async def test_hosts_of_a_peers_copy_may_not_be_all_hosts() -> None:
     """One that it lacks was not asked to drop the leases of a former start."""
-    tables = TableNames('op', 'servers', 'hosts')
+    tables = TableNames('op', 'servers', 'hosts', 'crashes')
     store = MemoryFeedStore()
     for name in ('h1', 'h2'):
         store.put('hosts', name, b'')
--- a/crocusshunt/front/tests/test_silent_feed.py
+++ b/crocusshunt/front/tests/test_silent_feed.py
@@ -17,7 +17,7 @@
 from crocusshunt.standin import MemoryFeedStore
 
 _NAMES = ('a1', 'a2', 'a3')
-_TABLES = TableNames('op', 'servers', 'hosts')
+_TABLES = TableNames('op', 'servers', 'hosts', 'crashes')
 # A change is followed this long after it was made.
 _FOLLOWED_S = 2.5
 _CHECK_S = 0.02
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -190,20 +190,19 @@
             return Err(HistoryLostError('store returned from a copy'))
         return Ok(page.decode_changes())
 
-    async def write(self, write: RowWrite) -> Result[None, FeedError]:
-        """Write or remove one row, whatever its current content."""
-        transaction = (
-            _WireTransaction(remove=(_WireRemoval(write.table, write.key),))
-            if write.content is None
-            else _WireTransaction(
-                writes=(
-                    _WireWrite(
-                        write.table,
-                        write.key,
-                        b64encode(write.content).decode(),
-                    ),
-                ),
-            )
+    async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
+        """Write or remove rows, all or none, whatever their content is."""
+        transaction = _WireTransaction(
+            writes=tuple(
+                _WireWrite(one.table, one.key, b64encode(one.content).decode())
+                for one in writes
+                if one.content is not None
+            ),
+            remove=tuple(
+                _WireRemoval(one.table, one.key)
+                for one in writes
+                if one.content is None
+            ),
         )
         answer = await self._call(
             'POST',
--- a/crocusshunt/platform/_source_format.py
+++ b/crocusshunt/platform/_source_format.py
@@ -28,7 +28,12 @@
 SOURCE_FORMAT = SourceFormat(
     # The operator's table "op" holds the configuration and the zones, that is
     # failure domains, whose servers get no requests.
-    tables=TableNames(configuration='op', servers='servers', hosts='hosts'),
+    tables=TableNames(
+        configuration='op',
+        servers='servers',
+        hosts='hosts',
+        crashes='crashes',
+    ),
     headers=_HEADERS,
     configuration_key='config',
     evacuation_prefix='evacuate/',
--- a/crocusshunt/platform/tests/test_rows.py
+++ b/crocusshunt/platform/tests/test_rows.py
@@ -77,6 +77,25 @@
     assert not (await store.read_table('hosts')).unwrap().rows
 
 
+async def test_several_rows_are_written_in_one_call(
+    store_and_client: StoreAndClient,
+) -> None:
+    store, client = store_and_client
+    store.put('crashes', 'old', b'x')
+    (
+        await client.write(
+            RowWrite('crashes', 'a', b'1'),
+            RowWrite('crashes', 'old'),
+            RowWrite('crashes', 'b', b'2'),
+        )
+    ).unwrap()
+    rows = (await store.read_table('crashes')).unwrap().rows
+    assert [(row.key, row.content) for row in rows] == [
+        ('a', b'1'),
+        ('b', b'2'),
+    ]
+
+
 async def test_lost_history_and_refusal_are_different_errors(
     store_and_client: StoreAndClient,
 ) -> None:
--- a/crocusshunt/standin/_feed_application.py
+++ b/crocusshunt/standin/_feed_application.py
@@ -97,10 +97,9 @@
         writes.extend(
             RowWrite(one.table, one.key) for one in transaction.remove
         )
-        for write in writes:
-            done = await self._store.write(write)
-            if isinstance(done, Err):
-                return self._refuse(done.err_value)
+        done = await self._store.write(*writes)
+        if isinstance(done, Err):
+            return self._refuse(done.err_value)
         return json_response(
             {'ver': self._store.version}, headers=self._headers
         )
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -167,15 +167,16 @@
             rows = await self._wait_for_changes(table, after, wait_s)
         return Ok(Changes(rows, self.full_version))
 
-    async def write(self, write: RowWrite) -> Result[None, FeedError]:
-        """Write or remove one row unconditionally."""
+    async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
+        """Write or remove rows unconditionally."""
         failure = await self.faults.apply()
         if failure is not None:
             return Err(failure)
-        if write.content is None:
-            self.remove(write.table, write.key)
-        else:
-            self.put(write.table, write.key, write.content)
+        for write in writes:
+            if write.content is None:
+                self.remove(write.table, write.key)
+            else:
+                self.put(write.table, write.key, write.content)
         return Ok(None)
 
     async def _wait_for_changes(
