--- a/crocusshunt/soak/__init__.py
+++ b/crocusshunt/soak/__init__.py
@@ -9,20 +9,22 @@
 from crocusshunt.soak._checks import Violation, find_violations
 from crocusshunt.soak._plan import PlannedFault, SoakSettings, plan_faults
 from crocusshunt.soak._records import (
-    Arrival,
     Call,
     CallOutcome,
     Change,
     ChangeKind,
     FaultInterval,
-    HostCut,
     Records,
     Run,
-    ServerLimit,
-    ServerNotice,
 )
 from crocusshunt.soak._registry import list_faults
 from crocusshunt.soak._run import SoakResult, run_soak
+from crocusshunt.soak._server_records import (
+    Arrival,
+    HostCut,
+    ServerLimit,
+    ServerNotice,
+)
 
 __all__ = (
     'Arrival',
--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -13,6 +13,7 @@
 )
 from crocusshunt.soak._crash_checks import find_repeated_crashes
 from crocusshunt.soak._cut_checks import find_idle_hosts
+from crocusshunt.soak._given_up_checks import find_late_arrivals
 from crocusshunt.soak._limit_checks import find_overruns
 from crocusshunt.soak._records import CallOutcome, Records
 from crocusshunt.soak._retry_checks import find_excess_repeats
@@ -119,6 +120,11 @@
     yield from find_excess_repeats(records)
 
 
+@register_check('given-up')
+def _check_given_up(records: Records, _limits: CheckLimits) -> Iterator[str]:
+    yield from find_late_arrivals(records)
+
+
 @register_check('crashing-requests')
 def _check_crashes(records: Records, _limits: CheckLimits) -> Iterator[str]:
     yield from find_repeated_crashes(records)
--- a/crocusshunt/soak/_cut_checks.py
+++ b/crocusshunt/soak/_cut_checks.py
@@ -2,13 +2,8 @@
 
 from collections.abc import Iterator
 
-from crocusshunt.soak._records import (
-    SETTLING_S,
-    Call,
-    CallOutcome,
-    HostCut,
-    Records,
-)
+from crocusshunt.soak._records import SETTLING_S, Call, CallOutcome, Records
+from crocusshunt.soak._server_records import HostCut
 
 # Such a host must serve its callers this often, compared with the others.
 _MIN_SHARE = 2 / 3
--- a/crocusshunt/soak/_limit_checks.py
+++ b/crocusshunt/soak/_limit_checks.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from crocusshunt.soak._records import SETTLING_S, Records, ServerLimit
+from crocusshunt.soak._records import SETTLING_S, Records
+from crocusshunt.soak._server_records import ServerLimit
 
 _WINDOW_S = 4
 # How much more than its limit a server may get in a window.
--- a/crocusshunt/soak/_notice_checks.py
+++ b/crocusshunt/soak/_notice_checks.py
@@ -3,13 +3,8 @@
 from collections.abc import Iterator
 
 from crocusshunt.soak._check_registry import CheckLimits, register_check
-from crocusshunt.soak._records import (
-    Arrival,
-    Call,
-    CallOutcome,
-    Records,
-    ServerNotice,
-)
+from crocusshunt.soak._records import Call, CallOutcome, Records
+from crocusshunt.soak._server_records import Arrival, ServerNotice
 
 # A host is bound so long after a server asked it to back off.
 _TOLD_S = 0.5
--- a/crocusshunt/soak/_retry_checks.py
+++ b/crocusshunt/soak/_retry_checks.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from crocusshunt.soak._records import Arrival, ChangeKind, Records
+from crocusshunt.soak._records import ChangeKind, Records
+from crocusshunt.soak._server_records import Arrival
 
 RETRY_WINDOW_S = 10
 RETRY_RATIO = 0.2
--- a/crocusshunt/soak/_server_faults.py
+++ b/crocusshunt/soak/_server_faults.py
@@ -4,8 +4,8 @@
 import time
 
 from crocusshunt.soak._plan import PlannedFault
-from crocusshunt.soak._records import HostCut, PoolRejection, ServerLimit
 from crocusshunt.soak._registry import register_fault
+from crocusshunt.soak._server_records import HostCut, PoolRejection, ServerLimit
 from crocusshunt.soak._servers import BACKOFF_S, CRASH_MARK
 from crocusshunt.soak._system import SoakSystem
 
--- a/crocusshunt/soak/_servers.py
+++ b/crocusshunt/soak/_servers.py
@@ -14,7 +14,8 @@
 from crocusshunt.services import TaskGroup
 from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._proxy import Proxy
-from crocusshunt.soak._records import Arrival, Run, ServerNotice
+from crocusshunt.soak._records import Run
+from crocusshunt.soak._server_records import Arrival, ServerNotice
 from crocusshunt.standin import LOOPBACK
 
 _HEADERS = SOURCE_FORMAT.headers
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -161,6 +161,11 @@
     for number in range(15):
         repeat = Arrival('s2', 1, f'c{number}', 20.5, 'p1')
         records.arrivals.append(repeat)
+        records.calls[number].ended_at = 20.6
+
+
+def _arrive_late(records: Records) -> None:
+    records.arrivals.append(Arrival('s1', 1, 'c5', 5.7))
 
 
 def _ignore_draining(records: Records) -> None:
@@ -191,6 +196,7 @@
         (_exceed_server_limit, 'server-limit'),
         (_ignore_backoff, 'server-backoff'),
         (_repeat_at_servers, 'retry-limit'),
+        (_arrive_late, 'given-up'),
         (_ignore_draining, 'server-draining'),
         (_send_crashing_request_on, 'crashing-requests'),
         (_idle_while_cut_off, 'cut-hosts'),
@@ -210,6 +216,16 @@
     assert promise in found
 
 
+def test_impaired_link_may_hold_a_request_until_it_is_back() -> None:
+    """A host can't take back what is on its way there."""
+    records = _make_clean_records()
+    _arrive_late(records)
+    records.fault_intervals.append(
+        FaultInterval('server-link-delay', '', 5, 5.4)
+    )
+    assert not find_violations(records, _LIMITS)
+
+
 def test_host_with_fault_is_exempt_from_time_limits() -> None:
     records = _make_clean_records()
     _ignore_drain(records)
