Tell peers no version of a table past changes that its copy lacks

What callers would see: a host that took its copy of a table of over 500 rows from a peer goes by a former row until that row changes again, so it sends to a server that drains or lets a withdrawn key in.

Cause: a table is read in pages and has the version of the first one, but a copy told peers the version of its newest row. A row of a later page that changed between the pages is newer than a change of the first page, which the copy then lacks; who took the copy resumed the feed after both.

Evidence: test_copy_taken_from_a_peer_misses_no_change_between_pages, through the client and the stand-in of the store, fails on the code before (the former row is there after the feed was read).

Why it works: the version told is never beyond the one from which the own feed goes on, so the feed returns the change to both. For tables of one page the two versions were in this order already: nothing changes there.

--- a/crocusshunt/feeds/_image.py
+++ b/crocusshunt/feeds/_image.py
@@ -7,7 +7,7 @@
     """Copy of a table, whose version never decreases.
 
     ``version`` is that of the store when the copy was last updated, -1 before
-    the first time; ``changed_at`` is the version of the last change of a row.
+    the first time. Some rows may be newer, if the table was read in pages.
 
     >>> image = TableImage()
     >>> image.replace(Changes((Row('a', b'1', 3),), 5))
@@ -22,7 +22,12 @@
         """Start without rows."""
         self.rows: dict[str, Row] = {}
         self.version = -1
-        self.changed_at = 0
+        self._newest_change = 0
+
+    @property
+    def changed_at(self) -> int:
+        """Return the version of the newest change that none is missing before."""
+        return min(self._newest_change, max(0, self.version))
 
     @property
     def is_known(self) -> bool:
@@ -88,4 +93,4 @@
     def _advance(self, version: int, changed_rows: tuple[Row, ...]) -> None:
         self.version = max(self.version, version)
         versions = (row.version for row in changed_rows)
-        self.changed_at = max((self.changed_at, *versions))
+        self._newest_change = max((self._newest_change, *versions))
--- a/crocusshunt/platform/tests/test_rows.py
+++ b/crocusshunt/platform/tests/test_rows.py
@@ -2,15 +2,20 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import web
+from result import Result
 
 from crocusshunt.feeds import (
+    Changes,
+    FeedError,
     FeedRefusedError,
     FeedUnreachableError,
     HistoryLostError,
     RowWrite,
+    TableImage,
 )
 from crocusshunt.platform import RowStoreClient
 from crocusshunt.standin import FeedStoreApplication, MemoryFeedStore
@@ -18,19 +23,39 @@
 StoreAndClient = tuple[MemoryFeedStore, RowStoreClient]
 
 
-@pytest.fixture
-async def store_and_client() -> AsyncIterator[StoreAndClient]:
-    store = MemoryFeedStore()
+@asynccontextmanager
+async def _serve(store: MemoryFeedStore) -> AsyncIterator[RowStoreClient]:
     runner = web.AppRunner(FeedStoreApplication(store).create())
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
     host, port = runner.addresses[0]
     client = RowStoreClient(f'{host}:{port}')
-    yield store, client
+    yield client
     await client.close()
     await runner.cleanup()
 
 
+@pytest.fixture
+async def store_and_client() -> AsyncIterator[StoreAndClient]:
+    store = MemoryFeedStore()
+    async with _serve(store) as client:
+        yield store, client
+
+
+class _ChangingStore(MemoryFeedStore):
+    """Its first and its last row change after the first page of a read."""
+
+    has_changed = False
+
+    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+        page = await MemoryFeedStore.read_table(self, table)
+        if not self.has_changed:
+            self.put(table, 's000', b'changed')
+            self.put(table, 's999', b'changed')
+        self.has_changed = True
+        return page
+
+
 async def test_table_of_several_pages_is_read_completely(
     store_and_client: StoreAndClient,
 ) -> None:
@@ -43,6 +68,24 @@
     assert changes.version == 1101
 
 
+async def test_copy_taken_from_a_peer_misses_no_change_between_pages() -> None:
+    """It took up the feed at a row of the second page, past the change."""
+    store = _ChangingStore()
+    for number in range(1000):
+        store.put('servers', f's{number:03}', b'x')
+    peer = TableImage()
+    copy = TableImage()
+    async with _serve(store) as client:
+        peer.replace((await client.read_table('servers')).unwrap())
+        copy.replace(peer.export())
+        changes = await client.read_changes(
+            'servers', copy.version, wait_s=0, answer_s=1
+        )
+    copy.merge(changes.unwrap())
+    assert copy.rows['s000'].content == b'changed'
+    assert copy.changed_at == store.version
+
+
 async def test_feed_answers_as_soon_as_a_row_changes(
     store_and_client: StoreAndClient,
 ) -> None:
