--- a/crocusshunt/feeds/_image.py
+++ b/crocusshunt/feeds/_image.py
@@ -26,7 +26,7 @@
 
     @property
     def changed_at(self) -> int:
-        """Return the version of the newest change that none is missing before."""
+        """Return the version of the last change with none missing before."""
         return min(self._newest_change, max(0, self.version))
 
     @property
