Refuse requests until a host knows servers, hosts and crashes

What callers saw: two hosts that started while their reads of the table of hosts were lost let 198 requests of a customer pass in 5 s, 120 allowed; a host whose read of the crashes was lost sent a quarantined request on, and a server crashed.

Cause: requests were served as soon as there was a configuration; readiness only told look-ups where to send callers, and did not ask for the table of hosts.

Why it works: nothing is admitted until all three are known, and what is known is not forgotten.

The rate limit and the parts of the handler get modules of their own.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -20,6 +20,7 @@
     SourceFormat,
 )
 from crocusshunt.front._shared_parts import create_shared_parts
+from crocusshunt.front._start_information import StartInformation
 from crocusshunt.metrics import RequestMetrics
 
 _MILLISECONDS = 1000
@@ -49,17 +50,12 @@
     parts = create_shared_parts(settings, source, clock)
     cluster = parts.cluster
     followers = Followers(store, source.tables, cluster, clock)
-    handler = create_handler(parts, source.headers, clock)
     records = CrashRecords(
         source.tables.crashes, store, parts.crashes, followers, clock
     )
-    readiness = Readiness(
-        cluster,
-        handler.in_flight,
-        followers.has_servers,
-        lambda: records.is_known,
-        parts.tasks,
-    )
+    information = StartInformation(followers, records)
+    handler = create_handler(parts, source.headers, information, clock)
+    readiness = Readiness(cluster, handler.in_flight, information, parts.tasks)
     heartbeat_loop = HeartbeatLoop(
         cluster=cluster,
         followers=followers,
--- a/crocusshunt/front/_bodies.py
+++ b/crocusshunt/front/_bodies.py
@@ -4,8 +4,8 @@
 from result import Err, Ok, Result
 
 from crocusshunt.catalog import CatalogIndex, RequestLimits
-from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._outcomes import Refusal, Status, refuse_unavailable
 
 _MAX_BUFFERED_BYTES = 67_108_864
 _BUFFERS_FULL_RETRY_S = 1
--- a/crocusshunt/front/_crash_records.py
+++ b/crocusshunt/front/_crash_records.py
@@ -65,11 +65,9 @@
     def is_known(self) -> bool:
         """Tell whether this host knows what earlier ones wrote.
 
-        While the store fails, other hosts tell.
+        If the store fails altogether, those that gave it their tables told.
         """
-        if self._is_read or self._failed_reads >= _MAX_READ_COUNT:
-            return True
-        return self.followers.is_failing()
+        return self._is_read or self._failed_reads >= _MAX_READ_COUNT
 
     async def run(self) -> None:
         """Read the table, then keep it up to date, until cancelled."""
@@ -85,7 +83,7 @@
         """Take over what the table has; return whether the store answered."""
         answer = await self.store.read_table(self.table)
         if isinstance(answer, Err):
-            self._failed_reads += not self.followers.is_failing()
+            self._note_failed_read()
             log_event('crash records not read', cause=str(answer.err_value))
             return False
         self._take_over(answer.ok_value.rows)
@@ -111,6 +109,12 @@
         self._note_written(chosen)
         return True
 
+    def _note_failed_read(self) -> None:
+        if not self.followers.is_failing():
+            self._failed_reads += 1
+        elif self.followers.servers.image.is_known:
+            self._failed_reads = _MAX_READ_COUNT
+
     def _take_over(self, rows: Iterable[Row]) -> None:
         """Count crashes that earlier processes wrote down."""
         records = []
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -116,10 +116,6 @@
         """
         return self.hosts.availability.is_answering
 
-    def has_servers(self) -> bool:
-        """Tell whether the table of backend servers was read."""
-        return self.servers.image.is_known
-
     def start(self, tasks: TaskGroup) -> None:
         """Follow all tables in the background."""
         self._session = ClientSession()
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -1,7 +1,6 @@
 """HTTP handler of callers' requests: admission, body, dispatch, response."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -10,8 +9,7 @@
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._attempts import RequestTemplate
 from crocusshunt.front._bodies import get_max_body_bytes, read_body
-from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._forwarding import Forwarder
+from crocusshunt.front._handler_components import HandlerComponents
 from crocusshunt.front._headers import (
     RELAY_REFUSAL,
     RELAYED_BY,
@@ -28,44 +26,25 @@
     refuse_unavailable,
 )
 from crocusshunt.front._pending import PendingRequest
-from crocusshunt.front._in_flight import InFlight
 from crocusshunt.front._placements import PlacementRequest
+from crocusshunt.front._rate_limit import apply_rate_limit
 from crocusshunt.front._responses import (
     create_refusal_response,
     create_response,
 )
 from crocusshunt.front._settings import HeaderNames
-from crocusshunt.front._targets import TargetChooser
 from crocusshunt.front._templates import (
     create_relay_template,
     create_template,
 )
-from crocusshunt.front._tokens import TokenService
 from crocusshunt.front._trace import RequestTrace
-from crocusshunt.metrics import OutcomeKind, Recorder
+from crocusshunt.metrics import OutcomeKind
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
+_CAUSE_STARTING = 'starting'
 # The response leaves this long before the route timeout ends.
 _ANSWER_MARGIN_S = 0.01
-# How long a request may wait for a token, as a fraction of the latency
-# objective. A host's share of a rate is small, so the gaps between tokens are
-# noticeable.
-_TOKEN_WAIT_FRACTION = 0.3
-# Rate shares change each second, so a longer wait cannot be predicted.
-_MAX_REPORTED_WAIT_S = 2
-
-
-@dataclass(frozen=True, slots=True)
-class HandlerComponents:
-    """Components that every request passes through."""
-
-    cluster: ClusterState
-    tokens: TokenService
-    forwarder: Forwarder
-    recorder: Recorder
-    in_flight: InFlight
-    targets: TargetChooser = field(default_factory=TargetChooser)
 
 
 class RequestHandler:
@@ -190,7 +169,7 @@
         admission = admission_result.ok_value
         # The host that passes a request on has taken a token for it.
         if not trace.relayed_by:
-            refused = await self._apply_rate_limit(admission)
+            refused = await apply_rate_limit(self._components.tokens, admission)
             if refused is not None:
                 return Err(refused)
         body_result = await read_body(
@@ -229,25 +208,11 @@
         admission_result = admit(request_info, index)
         if isinstance(admission_result, Ok):
             trace.record_admission(admission_result.ok_value, index)
+            if not self._components.information.is_complete:
+                wait_s = OTHER_HOST_RETRY_S
+                return Err(refuse_unavailable(_CAUSE_STARTING, wait_s))
         return admission_result
 
-    async def _apply_rate_limit(self, admission: Admission) -> Refusal | None:
-        customer = admission.customer
-        if customer is None:
-            return None
-        tokens = self._components.tokens
-        max_wait_s = _TOKEN_WAIT_FRACTION * admission.route.objective_s
-        grant = await tokens.take(customer, max_wait_s)
-        if not grant.is_granted:
-            wait_s = min(grant.wait_s, _MAX_REPORTED_WAIT_S)
-            return Refusal(Status.too_many, 'over-rate', wait_s)
-        try:
-            await asyncio.sleep(grant.wait_s)
-        except asyncio.CancelledError:
-            tokens.put_back(customer.name)
-            raise
-        return None
-
     def _create_pending_request(
         self,
         request_info: RequestInfo,
--- a/crocusshunt/front/_placements.py
+++ b/crocusshunt/front/_placements.py
@@ -7,7 +7,6 @@
 from crocusshunt.front._admission import Admission
 from crocusshunt.placement import Candidate, TrackedServer
 
-
 # Cause of a refusal where all servers asked this host to back off.
 CAUSE_BACKOFF = 'server-backoff'
 # Cause of a refusal of a request that may go to few servers only.
--- a/crocusshunt/front/_readiness.py
+++ b/crocusshunt/front/_readiness.py
@@ -1,10 +1,10 @@
 """Readiness of this host to accept requests."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._start_information import StartInformation
 from crocusshunt.services import TaskGroup
 
 
@@ -12,15 +12,12 @@
 class Readiness:
     """Whether a host knows what it needs, works, and is not stopping.
 
-    :param has_servers: tells whether the table of servers was read.
-    :param knows_crashes: tells whether earlier crashes are known.
     :param tasks: background tasks that the host depends on.
     """
 
     cluster: ClusterState
     in_flight: InFlight
-    has_servers: Callable[[], bool]
-    knows_crashes: Callable[[], bool]
+    information: StartInformation
     tasks: TaskGroup
 
     @property
@@ -28,5 +25,4 @@
         """Tell whether callers may be sent here."""
         if self.in_flight.is_stopping or self.cluster.index is None:
             return False
-        is_informed = self.has_servers() and self.knows_crashes()
-        return is_informed and not self.tasks.unsteady
+        return self.information.is_complete and not self.tasks.unsteady
--- a/crocusshunt/front/_request_assembly.py
+++ b/crocusshunt/front/_request_assembly.py
@@ -5,7 +5,8 @@
 from crocusshunt.front._eligible_servers import EligibleServers
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._forwarding import Forwarder
-from crocusshunt.front._handler import HandlerComponents, RequestHandler
+from crocusshunt.front._handler import RequestHandler
+from crocusshunt.front._handler_components import HandlerComponents
 from crocusshunt.front._in_flight import InFlight
 from crocusshunt.front._placement import Placer
 from crocusshunt.front._refusals import RefusalAdvisor
@@ -13,11 +14,15 @@
 from crocusshunt.front._retry_rules import RetryRules
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._shared_parts import SharedParts
+from crocusshunt.front._start_information import StartInformation
 from crocusshunt.placement import ChoiceSettings
 
 
 def create_handler(
-    parts: SharedParts, names: HeaderNames, clock: Clock
+    parts: SharedParts,
+    names: HeaderNames,
+    information: StartInformation,
+    clock: Clock,
 ) -> RequestHandler:
     """Create the components that a request passes through."""
     cluster = parts.cluster
@@ -47,5 +52,6 @@
         ),
         recorder=parts.metrics,
         in_flight=in_flight,
+        information=information,
     )
     return RequestHandler(components, names, clock)
--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -191,7 +191,9 @@
         self.hosts = _create_hosts(self.store, domains)
         for host in self.hosts:
             await host.start()
-        await self.wait_for_sync()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until callers may be sent to all hosts."""
         async with asyncio.timeout(_CATCH_UP_S):
             while not all(map(_is_ready, self.hosts)):
                 await asyncio.sleep(_POLL_S)
--- a/crocusshunt/front/tests/test_crash_records.py
+++ b/crocusshunt/front/tests/test_crash_records.py
@@ -10,7 +10,7 @@
 
 from crocusshunt.core import ManualClock
 from crocusshunt.crashes import Origin
-from crocusshunt.front._followers import Followers
+from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front.tests._region import Region
 
 _NAMES = ('a1', 'a2', 'a3', 'b1', 'b2')
@@ -206,19 +206,31 @@
 
 
 async def test_host_works_while_the_store_fails() -> None:
-    """Other hosts tell it of crashes then."""
-    region = Region(names=_NAMES, create_followers=_create_failing_followers)
-    region.start('a1')
-    assert region.records['a1'].is_known
+    """Other hosts give it their tables and tell it of crashes then."""
+    records = _start_without_store(has_tables=True)
+    assert not await records.read()
+    assert records.is_known
+
+
+async def test_host_without_any_table_waits_for_the_crashes() -> None:
+    """The store may answer for other tables first when it is back."""
+    records = _start_without_store(has_tables=False)
+    for _ in range(9):
+        assert not await records.read()
+    assert not records.is_known
 
 
-def _create_failing_followers(_cluster: Mock) -> Followers:
-    return Mock(
-        spec=Followers,
+def _start_without_store(*, has_tables: bool) -> CrashRecords:
+    followers = Mock(
         versions=(),
         is_failing=Mock(return_value=True),
+        servers=Mock(image=Mock(is_known=has_tables)),
         hosts=Mock(image=Mock(rows={}, version=0)),
     )
+    region = Region(names=_NAMES, create_followers=lambda _: followers)
+    region.store.faults.is_down = True
+    region.start('a1')
+    return region.records['a1']
 
 
 async def _list_keys(play: _Play) -> list[str]:
--- a/crocusshunt/front/tests/test_crashing_requests.py
+++ b/crocusshunt/front/tests/test_crashing_requests.py
@@ -120,6 +120,7 @@
         await _send_until_third_crash(deployment, cycle((0, 1)))
         await asyncio.sleep(1)
         await deployment.restart_hosts()
+        await deployment.wait_until_ready()
         await asyncio.sleep(_SETTLING_S)
         before = len(_list_bad(deployment))
         for number in range(12):
