Don't count calls with withdrawn keys against a host that is cut off

The hosts' logs of that span: 29 of the calls at h3 had withdrawn keys (401, as promised, three were withdrawn and a store came back twice); of the others it answered 23 of 32, the other hosts 93 of 130. So it served as they did. The check of recovery leaves those keys out as well; what it asks of all other calls is unchanged.

--- a/crocusshunt/soak/_cut_checks.py
+++ b/crocusshunt/soak/_cut_checks.py
@@ -15,8 +15,8 @@
 def find_idle_hosts(records: Records, limited_customer: str) -> Iterator[str]:
     """Find hosts that served clearly less than others while cut off.
 
-    Calls of a limited customer, and hosts that a fault disturbed, are not
-    counted.
+    Calls of a limited customer or with a key that was withdrawn, and hosts
+    that a fault disturbed, are not counted.
     """
     for cut in records.cuts:
         calls = [
@@ -44,7 +44,7 @@
 def _is_counted(records: Records, call: Call, cut: HostCut) -> bool:
     if not cut.start_at + SETTLING_S <= call.sent_at <= cut.end_at:
         return False
-    if records.is_rejected(call.sent_at):
+    if records.is_rejected(call.sent_at) or records.is_withdrawn(call.key):
         return False
     return records.is_fault_free(
         call.host, call.sent_at - SETTLING_S, call.ended_at
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -216,6 +216,17 @@
     assert promise in found
 
 
+def test_calls_with_withdrawn_keys_are_no_sign_of_an_idle_host() -> None:
+    """Seed 54307: half of all calls had them, which a few calls showed."""
+    records = _make_clean_records()
+    _idle_while_cut_off(records)
+    for call in records.calls[-12:]:
+        call.key = 'k3'
+    records.customers_by_key['k3'] = 'court'
+    records.changes.append(Change(ChangeKind.withdrawn_key, 'k3', 10))
+    assert not find_violations(records, _LIMITS)
+
+
 def test_impaired_link_may_hold_a_request_until_it_is_back() -> None:
     """A host can't take back what is on its way there."""
     records = _make_clean_records()
