Pass a request on to a third host where the second one has just started

What callers saw: the refusal of a host that started ('starting', 503), though a third host reached servers. Cause: the new refusal was missing among those after which another host is asked. Evidence: test_host_that_starts_leaves_requests_to_another_one, which failed before. Nothing was sent by the host that refuses, so another one may take it.

--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -19,6 +19,7 @@
 )
 from crocusshunt.front._outcomes import (
     CAUSE_OLDER_CONFIGURATION,
+    CAUSE_STARTING,
     CAUSE_STOPPING,
     OTHER_HOST_RETRY_S,
     Refusal,
@@ -42,7 +43,6 @@
 from crocusshunt.upstream import UpstreamAnswer
 
 _CAUSE_CALLER_LEFT = 'caller-left'
-_CAUSE_STARTING = 'starting'
 # The response leaves this long before the route timeout ends.
 _ANSWER_MARGIN_S = 0.01
 
@@ -210,7 +210,7 @@
             trace.record_admission(admission_result.ok_value, index)
             if not self._components.information.is_complete:
                 wait_s = OTHER_HOST_RETRY_S
-                return Err(refuse_unavailable(_CAUSE_STARTING, wait_s))
+                return Err(refuse_unavailable(CAUSE_STARTING, wait_s))
         return admission_result
 
     def _create_pending_request(
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -10,6 +10,8 @@
 # Cause of a refusal by a host that is to handle a request by a configuration
 # that it does not know yet.
 CAUSE_OLDER_CONFIGURATION = 'older-configuration'
+# Cause of a refusal by a host that started and does not know enough yet.
+CAUSE_STARTING = 'starting'
 # Cause of a refusal by a host that stops before it could answer.
 CAUSE_STOPPING = 'host-stopping'
 # How soon a request may go to another host.
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -19,6 +19,7 @@
 )
 from crocusshunt.front._outcomes import (
     CAUSE_OLDER_CONFIGURATION,
+    CAUSE_STARTING,
     CAUSE_STOPPING,
     OTHER_HOST_RETRY_S,
     UNREACHED_CAUSES,
@@ -46,7 +47,11 @@
 _MAX_HOST_COUNT = 2
 _REFUSALS = frozenset(Status)
 # After these refusals, another host may take the request.
-_PASSED_BACK = UNREACHED_CAUSES | {CAUSE_OLDER_CONFIGURATION, CAUSE_STOPPING}
+_PASSED_BACK = UNREACHED_CAUSES | {
+    CAUSE_OLDER_CONFIGURATION,
+    CAUSE_STARTING,
+    CAUSE_STOPPING,
+}
 
 
 @dataclass(slots=True)
@@ -149,7 +154,7 @@
     """Return a server's response, or the refusal of the other host.
 
     Return None if that host reached no server either, knows an older
-    configuration, or stops.
+    configuration, starts, or stops.
     """
     cause = response.find(RELAY_REFUSAL.lower().encode())
     if cause is None:
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -196,6 +196,14 @@
         assert (await deployment.send('/w/x', 'POST'))[0] == 503
 
 
+async def test_host_that_starts_leaves_requests_to_another_one() -> None:
+    """Its refusal became the caller's answer, while a third host had room."""
+    async with _deploy_cut('a1', 'a1', 'a1') as deployment:
+        deployment.hosts[1]._components.records._is_read = False  # noqa: SLF001
+        statuses = [(await deployment.send('/w/x', 'POST'))[0] for _ in '1234']
+        assert set(statuses) == {200}
+
+
 async def test_request_is_passed_on_within_its_home_regions_only() -> None:
     async with _deploy_cut('a1', 'a1', 'b1', cut=(0, 1)) as deployment:
         assert (await deployment.send('/a/x'))[0] == 200
