Keep rows of crashes through a store that comes back from an older copy

What callers would see: all hosts start and read which requests crash servers; the store comes back from a copy without these rows; all start again, and the request crashes three servers more. Or a request that was released is suspected again by hosts that start, since the copy brought its rows back.

Cause: only hosts that saw a crash wrote it again after a return, so what had merely been read had no owner; and nobody remembered what was removed.

Evidence: test_rows_of_former_processes_outlast_an_older_copy and test_rows_that_an_older_copy_brings_back_are_removed, which failed before.

Why it works: the host that rendezvous hashing names keeps each request's rows as well, so there is an owner after any start; removals are remembered and repeated after a return. What to write and to remove is decided in crashes/_keeping.py, apart from the calls; one line is logged for a call instead of one for a row.

--- a/crocusshunt/crashes/__init__.py
+++ b/crocusshunt/crashes/__init__.py
@@ -13,16 +13,16 @@
     Origin,
     OriginIsolation,
 )
+from crocusshunt.crashes._keeping import RecordChanges, RecordKeeping
 from crocusshunt.crashes._ledger import CrashLedger
 from crocusshunt.crashes._records import (
     CrashRecord,
     create_records,
     decode_record,
     encode_record,
-    find_fingerprint,
     report_records,
 )
-from crocusshunt.crashes._reports import CrashReport, History
+from crocusshunt.crashes._reports import CrashReport
 
 __all__ = (
     'START_SEPARATOR',
@@ -31,16 +31,16 @@
     'CrashReport',
     'CrashSettings',
     'Crashes',
-    'History',
     'IsolationSettings',
     'MalformedCrashRecordError',
     'Origin',
     'OriginIsolation',
+    'RecordChanges',
+    'RecordKeeping',
     'compute_fingerprint',
     'create_records',
     'decode_record',
     'encode_record',
     'find_culprits',
-    'find_fingerprint',
     'report_records',
 )
--- a/crocusshunt/crashes/_records.py
+++ b/crocusshunt/crashes/_records.py
@@ -41,15 +41,6 @@
         return f'{self.fingerprint}{_KEY_SEPARATOR}{digest.hexdigest()}'
 
 
-def find_fingerprint(key: str) -> str:
-    """Return the request that the record with a key is about.
-
-    >>> find_fingerprint(CrashRecord('f1', 's1@7', 0).key)
-    'f1'
-    """
-    return key.partition(_KEY_SEPARATOR)[0]
-
-
 def create_records(
     histories: Mapping[str, History], offset_s: float
 ) -> dict[str, CrashRecord]:
--- a/crocusshunt/front/_crash_records.py
+++ b/crocusshunt/front/_crash_records.py
@@ -4,18 +4,16 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from itertools import islice
 
 from result import Err, Ok
 
 from crocusshunt.core import Clock, rank_by_rendezvous
 from crocusshunt.crashes import (
-    CrashRecord,
     CrashSettings,
+    RecordKeeping,
     create_records,
     decode_record,
     encode_record,
-    find_fingerprint,
     report_records,
 )
 from crocusshunt.feeds import (
@@ -40,9 +38,9 @@
     """Writes crashes into a table, which each host reads when it starts.
 
     There is one row for each crash, so hosts that write at the same time don't
-    undo each other's work, and rows may be written again. A host that saw a
-    crash under a request writes all crashes that it knows of; who wrote them,
-    or the host that rendezvous hashing names, removes them.
+    undo each other's work, and rows may be written again. All crashes under a
+    request are kept by the hosts that saw one of them, and by the host that
+    rendezvous hashing names.
 
     :param table: name of the table.
     """
@@ -52,14 +50,10 @@
     watch: CrashWatch
     followers: Followers
     clock: Clock
+    keeping: RecordKeeping = field(default_factory=RecordKeeping)
     _failed_reads: int = 0
     _is_read: bool = False
     _era: int = 0
-    # Keys of crashes that are to last, as of the last check; of those that
-    # this host wrote; and of rows to be removed.
-    _lasting: set[str] = field(default_factory=set)
-    _written: set[str] = field(default_factory=set)
-    _outdated: set[str] = field(default_factory=set)
 
     @property
     def is_known(self) -> bool:
@@ -86,27 +80,32 @@
             self._note_failed_read()
             log_event('crash records not read', cause=str(answer.err_value))
             return False
+        self._era = find_era(answer.ok_value.version)
         self._take_over(answer.ok_value.rows)
         self._is_read = True
         return True
 
     async def write_changes(self) -> bool:
         """Write and remove rows if needed; return whether the store did so."""
-        records = self._update()
-        missing = [key for key in records if key not in self._written]
+        self._update()
+        changes = self.keeping.plan(MAX_WRITE_COUNT)
+        if not changes.count:
+            return True
         writes = [
-            RowWrite(self.table, key, encode_record(records[key]))
-            for key in missing
+            RowWrite(self.table, record.key, encode_record(record))
+            for record in changes.writes
         ]
-        writes.extend(RowWrite(self.table, key) for key in self._outdated)
-        chosen = tuple(islice(writes, MAX_WRITE_COUNT))
-        if not chosen:
-            return True
-        done = await self.store.write(*chosen)
+        writes.extend(RowWrite(self.table, key) for key in changes.removals)
+        done = await self.store.write(*writes)
         if isinstance(done, Err):
             log_event('crash records not written', cause=str(done.err_value))
             return False
-        self._note_written(chosen)
+        self.keeping.note_done(changes)
+        log_event(
+            'crash records written',
+            added=len(changes.writes),
+            removed=len(changes.removals),
+        )
         return True
 
     def _note_failed_read(self) -> None:
@@ -131,50 +130,32 @@
         if not records:
             return
         log_event('crash records read', crashes=len(records))
+        self.keeping.note_read(record.key for record in records)
         reports = report_records(records, self.clock.wall(), CrashSettings())
         now = self.clock.monotonic()
         self.watch.merge(reports, now, passes_on=False)
 
-    def _update(self) -> dict[str, CrashRecord]:
-        """Find what is to be written and removed.
-
-        :return: the records that this host has to write, by key.
-        """
-        self._forget_lost_rows()
+    def _update(self) -> None:
+        """Find the crashes that are to last, and those that are kept here."""
+        self._note_era(find_era(self.followers.hosts.image.version))
         now = self.clock.monotonic()
         isolated = self.watch.isolation.isolation.list_isolated(now)
         lasting = self.watch.ledger.select_lasting(isolated)
-        offset_s = self.clock.wall() - now
-        records = create_records(lasting, offset_s)
-        ended = self._lasting - records.keys()
-        self._outdated |= {key for key in ended if self._may_remove(key)}
-        self._outdated -= records.keys()
-        self._lasting = set(records)
-        return {
-            key: record
+        records = create_records(lasting, self.clock.wall() - now)
+        kept = [
+            key
             for key, record in records.items()
             if lasting[record.fingerprint].own
-        }
+            or self._is_named(record.fingerprint)
+        ]
+        self.keeping.update(records, kept)
 
-    def _forget_lost_rows(self) -> None:
-        """Write all again to a store that came back from an older copy."""
-        era = find_era(self.followers.hosts.image.version)
+    def _note_era(self, era: int) -> None:
         if era > self._era:
             self._era = era
-            self._written.clear()
+            self.keeping.note_return()
 
-    def _may_remove(self, key: str) -> bool:
-        if key in self._written:
-            return True
+    def _is_named(self, fingerprint: str) -> bool:
+        """Tell whether rendezvous hashing names this host for a request."""
         fleet = self.watch.cluster.fleet
-        ranked = rank_by_rendezvous(find_fingerprint(key), fleet.names)
-        return ranked[0] == fleet.own.name
-
-    def _note_written(self, writes: Iterable[RowWrite]) -> None:
-        for write in writes:
-            if write.content is None:
-                self._written.discard(write.key)
-                self._outdated.discard(write.key)
-            else:
-                self._written.add(write.key)
-                log_event('crash written down', key=write.key)
+        return rank_by_rendezvous(fingerprint, fleet.names)[0] == fleet.own.name
--- a/crocusshunt/front/tests/test_crash_records.py
+++ b/crocusshunt/front/tests/test_crash_records.py
@@ -12,6 +12,7 @@
 from crocusshunt.crashes import Origin
 from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front.tests._region import Region
+from crocusshunt.standin import StoreCopy
 
 _NAMES = ('a1', 'a2', 'a3', 'b1', 'b2')
 _TABLE = 'crashes'
@@ -68,6 +69,13 @@
             for records in self.region.records.values():
                 await records.write_changes()
 
+    def return_from(self, copied: StoreCopy) -> None:
+        """Let the store come back from a copy, and hosts notice."""
+        self.region.store.return_from(copied)
+        image = Mock(rows={}, version=self.region.store.full_version)
+        for host in self.region.hosts.values():
+            host.followers.hosts.image = image
+
     def count_late(self) -> int:
         """Return how many sendings the users' bound counts."""
         if len(self.crashes) < _CRASH_COUNT:
@@ -153,15 +161,39 @@
     for name in _NAMES[:3]:
         await play.request(name)
     written = await _list_keys(play)
-    play.region.store.return_from(copied)
-    for host in play.region.hosts.values():
-        host.followers.hosts.image = Mock(
-            rows={}, version=play.region.store.full_version
-        )
+    play.return_from(copied)
     await play.advance(1)
     assert await _list_keys(play) == written
 
 
+async def test_rows_of_former_processes_outlast_an_older_copy() -> None:
+    """Hosts that had read them did not write what the store had lost."""
+    play = _Play()
+    copied = play.region.store.copy()
+    await play.start(_NAMES)
+    for name in _NAMES[:3]:
+        await play.request(name)
+    written = await _list_keys(play)
+    await play.start(_NAMES)
+    play.return_from(copied)
+    await play.advance(1)
+    assert await _list_keys(play) == written
+
+
+async def test_rows_that_an_older_copy_brings_back_are_removed() -> None:
+    """Hosts that started after it suspected a request that was released."""
+    play = _Play()
+    await play.start(_NAMES)
+    for name in _NAMES[:3]:
+        await play.request(name)
+    copied = play.region.store.copy()
+    play.region.hosts['b2'].crashes.note_answer('bad')
+    await play.advance(3)
+    play.return_from(copied)
+    await play.advance(1)
+    assert not await _list_keys(play)
+
+
 async def test_failed_write_is_repeated() -> None:
     play = _Play()
     await play.start(_NAMES)
