--- a/crocusshunt/front/_rate_limit.py
+++ b/crocusshunt/front/_rate_limit.py
@@ -6,10 +6,9 @@
 from crocusshunt.front._outcomes import Refusal, Status
 from crocusshunt.front._tokens import TokenService
 
-# How long a request may wait for a token, as a fraction of the latency
-# objective. A host's share of a rate is small, so the gaps between tokens are
-# noticeable.
-_TOKEN_WAIT_FRACTION = 0.3
+# How long a request may wait for a token, as a share of the latency objective.
+# A host's part of a rate is small, so the gaps between tokens are noticeable.
+_TOKEN_WAIT_SHARE = 0.3
 # Rate shares change each second, so a longer wait cannot be predicted.
 _MAX_REPORTED_WAIT_S = 2
 
@@ -24,7 +23,7 @@
     customer = admission.customer
     if customer is None:
         return None
-    max_wait_s = _TOKEN_WAIT_FRACTION * admission.route.objective_s
+    max_wait_s = _TOKEN_WAIT_SHARE * admission.route.objective_s
     grant = await tokens.take(customer, max_wait_s)
     if not grant.is_granted:
         wait_s = min(grant.wait_s, _MAX_REPORTED_WAIT_S)
--- a/crocusshunt/front/tests/test_crash_isolation.py
+++ b/crocusshunt/front/tests/test_crash_isolation.py
@@ -9,12 +9,8 @@
 import pytest
 from aiohttp import web
 
-from crocusshunt.front.tests._deployment import (
-    KEY,
-    Backend,
-    Deployment,
-    deploy,
-)
+from crocusshunt.front.tests._backend import Backend
+from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.standin import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
--- a/crocusshunt/front/tests/test_crashing_requests.py
+++ b/crocusshunt/front/tests/test_crashing_requests.py
@@ -11,12 +11,8 @@
 from aiohttp import web
 
 from crocusshunt.crashes import CrashSettings
-from crocusshunt.front.tests._deployment import (
-    NAMES,
-    Backend,
-    Deployment,
-    deploy,
-)
+from crocusshunt.front.tests._backend import NAMES, Backend
+from crocusshunt.front.tests._deployment import Deployment, deploy
 from crocusshunt.logs import start_logging
 from crocusshunt.upstream import Connection, NotConnectedError
 
--- a/crocusshunt/front/tests/test_draining_servers.py
+++ b/crocusshunt/front/tests/test_draining_servers.py
@@ -4,12 +4,11 @@
 from aiohttp import web
 
 from crocusshunt.core import ManualClock
+from crocusshunt.front.tests._backend import Backend, sign
 from crocusshunt.front.tests._deployment import (
-    Backend,
     Deployment,
     deploy,
     send_while_connecting,
-    sign,
 )
 from crocusshunt.front.tests._region import Region
 from crocusshunt.standin import SERVERS_TABLE, encode_server
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -6,8 +6,8 @@
 import pytest
 from aiohttp import web
 
+from crocusshunt.front.tests._backend import NAMES
 from crocusshunt.front.tests._deployment import (
-    NAMES,
     Deployment,
     crowd_one_object,
     deploy,
--- a/crocusshunt/front/tests/test_faulty_servers.py
+++ b/crocusshunt/front/tests/test_faulty_servers.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from crocusshunt.front.tests._deployment import NAMES, Backend, deploy
+from crocusshunt.front.tests._backend import NAMES, Backend
+from crocusshunt.front.tests._deployment import deploy
 from crocusshunt.standin import LOOPBACK, describe_route
 
 _ID = re.compile(f'{NAMES.request_id}: (.*?)\r\n'.encode(), re.IGNORECASE)
--- a/crocusshunt/front/tests/test_foreign_entries.py
+++ b/crocusshunt/front/tests/test_foreign_entries.py
@@ -8,7 +8,8 @@
 from crocusshunt.core import ManualClock
 from crocusshunt.feeds import Follower, FollowerSettings, Row
 from crocusshunt.fleet import decode_host
-from crocusshunt.front.tests._deployment import Backend, deploy
+from crocusshunt.front.tests._backend import Backend
+from crocusshunt.front.tests._deployment import deploy
 from crocusshunt.placement import parse_load
 from crocusshunt.standin import SERVERS_TABLE, MemoryFeedStore
 from crocusshunt.upstream import NotConnectedError
--- a/crocusshunt/front/tests/test_host.py
+++ b/crocusshunt/front/tests/test_host.py
@@ -6,12 +6,8 @@
 import pytest
 from aiohttp import web
 
-from crocusshunt.front.tests._deployment import (
-    NAMES,
-    Backend,
-    deploy,
-    sign,
-)
+from crocusshunt.front.tests._backend import NAMES, Backend, sign
+from crocusshunt.front.tests._deployment import deploy
 from crocusshunt.standin import describe_route
 
 
--- a/crocusshunt/front/tests/test_late_in_stop.py
+++ b/crocusshunt/front/tests/test_late_in_stop.py
@@ -13,12 +13,8 @@
 
 from crocusshunt.front import DeploymentLimits
 from crocusshunt.front._headers import RELAY_REFUSAL, RELAYED_BY
-from crocusshunt.front.tests._deployment import (
-    KEY,
-    NAMES,
-    Deployment,
-    deploy,
-)
+from crocusshunt.front.tests._backend import NAMES
+from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.standin import describe_route
 
 _GRACE_S = 2.0
--- a/crocusshunt/front/tests/test_lost_reads.py
+++ b/crocusshunt/front/tests/test_lost_reads.py
@@ -8,7 +8,8 @@
 from result import Err, Result
 
 from crocusshunt.feeds import Changes, FeedError, FeedUnreachableError
-from crocusshunt.front.tests._deployment import Backend, Deployment, deploy
+from crocusshunt.front.tests._backend import Backend
+from crocusshunt.front.tests._deployment import Deployment, deploy
 from crocusshunt.platform import SOURCE_FORMAT
 from crocusshunt.standin import MemoryFeedStore, describe_route
 
--- a/crocusshunt/front/tests/test_pipelining.py
+++ b/crocusshunt/front/tests/test_pipelining.py
@@ -10,14 +10,8 @@
 
 from crocusshunt.front import DeploymentLimits
 from crocusshunt.front._pipelining import WaitingRequest, count_startable
-from crocusshunt.front.tests._deployment import (
-    KEY,
-    NAMES,
-    Backend,
-    Deployment,
-    deploy,
-    sign,
-)
+from crocusshunt.front.tests._backend import NAMES, Backend, sign
+from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.standin import describe_route
 
 _READ_TIMEOUT_S = 5
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -14,13 +14,9 @@
 from crocusshunt.catalog import CatalogIndex
 from crocusshunt.front import FrontService
 from crocusshunt.front._headers import RELAYED_BY
+from crocusshunt.front.tests._backend import NAMES
 from crocusshunt.front.tests._cuts import CutKind, cut_from_servers
-from crocusshunt.front.tests._deployment import (
-    KEY,
-    NAMES,
-    Deployment,
-    deploy,
-)
+from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.logs import start_logging
 from crocusshunt.reports import explain_request
 from crocusshunt.standin import describe_route
--- a/crocusshunt/front/tests/test_server_backoffs.py
+++ b/crocusshunt/front/tests/test_server_backoffs.py
@@ -8,9 +8,8 @@
 import pytest
 from aiohttp import web
 
+from crocusshunt.front.tests._backend import NAMES, Backend
 from crocusshunt.front.tests._deployment import (
-    NAMES,
-    Backend,
     Deployment,
     deploy,
     send_while_connecting,
@@ -18,7 +17,6 @@
 from crocusshunt.logs import start_logging
 from crocusshunt.standin import describe_route
 
-
 _BACKOFF_S = 2
 # Longer than an entry takes to be gone and back.
 _LONG_BACKOFF_S = 5
--- a/crocusshunt/front/tests/test_server_limits.py
+++ b/crocusshunt/front/tests/test_server_limits.py
@@ -5,12 +5,8 @@
 
 from aiohttp import web
 
-from crocusshunt.front.tests._deployment import (
-    Backend,
-    Deployment,
-    deploy,
-    sign,
-)
+from crocusshunt.front.tests._backend import Backend, sign
+from crocusshunt.front.tests._deployment import Deployment, deploy
 
 _LIMIT_HEADER = 'Server-Limit'
 _RATE = 2
--- /dev/null
+++ b/crocusshunt/platform/_row_format.py
@@ -0,0 +1,126 @@
+"""Rows, answers and transactions as the platform's store sends them."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from result import Err, Ok, Result
+
+from crocusshunt.core import DECODE_ERRORS
+from crocusshunt.feeds import (
+    MAX_NUMBER,
+    Changes,
+    FeedError,
+    FeedMalformedError,
+    Row,
+    RowWrite,
+    join_version,
+)
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
+class _WireRow(msgspec.Struct, frozen=True):
+    """A row as the store sends it.
+
+    :param value: content of the row in base64.
+    :param ver: version of the store, the number of its transactions, at the
+        last change of the row.
+    """
+
+    key: str
+    value: str = ''
+    ver: _Number = 0
+    deleted: bool = False
+
+
+class _WireAnswer(msgspec.Struct, frozen=True):
+    rows: tuple[_WireRow, ...] = ()
+    ver: _Number = 0
+    has_more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Content of a successful answer, and the era of the store."""
+
+    content: bytes
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Rows of an answer, and the era in which their versions count."""
+
+    answer: _WireAnswer
+    era: int
+
+    @property
+    def version(self) -> int:
+        """Return the newest version of the store, with its era."""
+        return join_version(self.era, self.answer.ver)
+
+    def decode_rows(self) -> tuple[Row, ...]:
+        """Return the rows of this page."""
+        return tuple(_decode_row(row, self.era) for row in self.answer.rows)
+
+    def decode_changes(self) -> Changes:
+        """Return the rows of this page as changes up to its version."""
+        return Changes(self.decode_rows(), self.version)
+
+
+class _WireWrite(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    value: str
+    part: str = ''
+
+
+class _WireRemoval(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    part: str = ''
+
+
+class _WireTransaction(msgspec.Struct, frozen=True):
+    expect: tuple[_WireWrite, ...] = ()
+    writes: tuple[_WireWrite, ...] = ()
+    remove: tuple[_WireRemoval, ...] = ()
+
+
+def encode_writes(writes: Iterable[RowWrite]) -> bytes:
+    """Encode one transaction that writes and removes rows."""
+    changed = tuple(writes)
+    transaction = _WireTransaction(
+        writes=tuple(
+            _WireWrite(one.table, one.key, b64encode(one.content).decode())
+            for one in changed
+            if one.content is not None
+        ),
+        remove=tuple(
+            _WireRemoval(one.table, one.key)
+            for one in changed
+            if one.content is None
+        ),
+    )
+    return msgspec.json.encode(transaction)
+
+
+def decode_page(reply: Reply) -> Result[Page, FeedError]:
+    """Decode a successful answer; an error tells what is wrong with it."""
+    try:
+        answer = msgspec.json.decode(reply.content, type=_WireAnswer)
+    except DECODE_ERRORS as error:
+        return Err(FeedMalformedError(str(error)))
+    return Ok(Page(answer, reply.era))
+
+
+def _decode_row(row: _WireRow, era: int) -> Row:
+    """Decode a row; a value that is not base64 becomes empty content."""
+    try:
+        content = b64decode(row.value, validate=True)
+    except ValueError:
+        content = b''
+    return Row(row.key, content, join_version(era, row.ver), row.deleted)
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -1,21 +1,15 @@
 """Client of the platform's store: tables of rows, and their change feeds."""
 
 import asyncio
-from base64 import b64decode, b64encode
-from dataclasses import dataclass
 from functools import partial
-from typing import Annotated
 
 import aiohttp
-import msgspec
 from result import Err, Ok, Result
 
-from crocusshunt.core import DECODE_ERRORS, create_outgoing_socket
+from crocusshunt.core import create_outgoing_socket
 from crocusshunt.feeds import (
-    MAX_NUMBER,
     Changes,
     FeedError,
-    FeedMalformedError,
     FeedRefusedError,
     FeedUnreachableError,
     HistoryLostError,
@@ -23,9 +17,14 @@
     RowWrite,
     find_era,
     find_number,
-    join_version,
 )
 from crocusshunt.platform._eras import ERA_HEADER, EraReader
+from crocusshunt.platform._row_format import (
+    Page,
+    Reply,
+    decode_page,
+    encode_writes,
+)
 
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -39,74 +38,6 @@
 _KEEPALIVE_S = 20
 
 
-_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-
-
-class _WireRow(msgspec.Struct, frozen=True):
-    """A row as the store sends it.
-
-    :param value: content of the row in base64.
-    :param ver: version of the store, the number of its transactions, at the
-        last change of the row.
-    """
-
-    key: str
-    value: str = ''
-    ver: _Number = 0
-    deleted: bool = False
-
-
-class _WireAnswer(msgspec.Struct, frozen=True):
-    rows: tuple[_WireRow, ...] = ()
-    ver: _Number = 0
-    has_more: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class _Reply:
-    """Content of a successful answer, and the era of the store."""
-
-    content: bytes
-    era: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Page:
-    """Rows of an answer, and the era in which their versions count."""
-
-    answer: _WireAnswer
-    era: int
-
-    @property
-    def version(self) -> int:
-        return join_version(self.era, self.answer.ver)
-
-    def decode_rows(self) -> tuple[Row, ...]:
-        return tuple(_decode_row(row, self.era) for row in self.answer.rows)
-
-    def decode_changes(self) -> Changes:
-        return Changes(self.decode_rows(), self.version)
-
-
-class _WireWrite(msgspec.Struct, frozen=True):
-    table: str
-    key: str
-    value: str
-    part: str = ''
-
-
-class _WireRemoval(msgspec.Struct, frozen=True):
-    table: str
-    key: str
-    part: str = ''
-
-
-class _WireTransaction(msgspec.Struct, frozen=True):
-    expect: tuple[_WireWrite, ...] = ()
-    writes: tuple[_WireWrite, ...] = ()
-    remove: tuple[_WireRemoval, ...] = ()
-
-
 class RowStoreClient:
     """HTTP client of the store, with its own pool of connections."""
 
@@ -192,23 +123,11 @@
 
     async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
         """Write or remove rows, all or none, whatever their content is."""
-        transaction = _WireTransaction(
-            writes=tuple(
-                _WireWrite(one.table, one.key, b64encode(one.content).decode())
-                for one in writes
-                if one.content is not None
-            ),
-            remove=tuple(
-                _WireRemoval(one.table, one.key)
-                for one in writes
-                if one.content is None
-            ),
-        )
         answer = await self._call(
             'POST',
             '/rows-tx',
             _CALL_TIMEOUT_S,
-            body=msgspec.json.encode(transaction),
+            body=encode_writes(writes),
         )
         return answer.map(_discard_content)
 
@@ -217,9 +136,9 @@
         path: str,
         query: dict[str, str],
         timeout_s: float,
-    ) -> Result[_Page, FeedError]:
+    ) -> Result[Page, FeedError]:
         reply = await self._call('GET', path, timeout_s, query=query)
-        return reply.and_then(_decode_page)
+        return reply.and_then(decode_page)
 
     async def _call(
         self,
@@ -228,7 +147,7 @@
         timeout_s: float,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
-    ) -> Result[_Reply, FeedError]:
+    ) -> Result[Reply, FeedError]:
         session = self._open_session()
         try:
             async with (
@@ -249,7 +168,7 @@
         if isinstance(era, Err):
             return era
         checked = _check_status(status, content)
-        return checked.map(partial(_Reply, era=era.ok_value))
+        return checked.map(partial(Reply, era=era.ok_value))
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -274,22 +193,5 @@
     return Err(FeedRefusedError(detail))
 
 
-def _decode_page(reply: _Reply) -> Result[_Page, FeedError]:
-    try:
-        answer = msgspec.json.decode(reply.content, type=_WireAnswer)
-    except DECODE_ERRORS as error:
-        return Err(FeedMalformedError(str(error)))
-    return Ok(_Page(answer, reply.era))
-
-
-def _decode_row(row: _WireRow, era: int) -> Row:
-    """Decode a row; a value that is not base64 becomes empty content."""
-    try:
-        content = b64decode(row.value, validate=True)
-    except ValueError:
-        content = b''
-    return Row(row.key, content, join_version(era, row.ver), row.deleted)
-
-
-def _discard_content(_reply: _Reply) -> None:
+def _discard_content(_reply: Reply) -> None:
     """Discard the content of an answer of which only the status counts."""
