Let a host that starts count as having just sent to each cold server

What callers would see: a cold server crashes under more requests than it bears, when the hosts that may send to it end and start again.

Cause: each start forgot when the former process had sent the last request, so two hosts that start every 0.3 s sent eight requests in a second, 5.75 allowed at 0.5 a second.

Real starts take longer; the bound holds without counting on that now.

Why it works: the interval runs from the start of the process, which lies after the end of the former one. It costs a host one interval of a cold server at its start.

--- a/crocusshunt/front/_shared_parts.py
+++ b/crocusshunt/front/_shared_parts.py
@@ -15,6 +15,7 @@
 from crocusshunt.front._tokens import TokenService
 from crocusshunt.metrics import MetricsSettings, RequestMetrics
 from crocusshunt.services import TaskGroup
+from crocusshunt.sharing import MinIntervalLimiter
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +40,9 @@
     tasks = TaskGroup()
     outbox = Outbox(cluster.fleet)
     limits = create_shared_limits(cluster, settings, clock)
-    state = PlacerState()
+    state = PlacerState(
+        cold_limiter=MinIntervalLimiter(started_at=clock.monotonic())
+    )
     return SharedParts(
         cluster=cluster,
         state=state,
--- a/crocusshunt/sharing/_intervals.py
+++ b/crocusshunt/sharing/_intervals.py
@@ -1,17 +1,23 @@
 """Minimum time between events."""
 
 from dataclasses import dataclass, field
+from math import inf
 
 
 @dataclass(slots=True)
 class MinIntervalLimiter:
     """Allows events of one name only at a minimum interval.
 
-    >>> limiter = MinIntervalLimiter()
-    >>> limiter.take('s1', 0.5, now=0), limiter.take('s1', 0.5, now=0.2)
-    (True, False)
+    A former process may have had an event of each name until this one started.
+
+    :param started_at: when it did, in monotonic seconds.
+
+    >>> limiter = MinIntervalLimiter(started_at=10)
+    >>> [limiter.take('s1', 0.5, now) for now in (10.2, 10.5, 10.7, 11)]
+    [False, True, False, True]
     """
 
+    started_at: float = -inf
     _last_times: dict[str, float] = field(default_factory=dict)
 
     def take(self, name: str, min_interval_s: float, now: float) -> bool:
@@ -20,7 +26,8 @@
         :param min_interval_s: time since the last allowed event, in seconds.
         :param now: monotonic seconds.
         """
-        if now - self._last_times.get(name, float('-inf')) < min_interval_s:
+        last_at = self._last_times.get(name, self.started_at)
+        if now - last_at < min_interval_s:
             return False
         self._last_times[name] = now
         return True
