Show that a store's return from a copy brings a draining server back

Cause: rows of a store that returned from an older copy replace known ones whatever they hold, so a server known as draining is ready again.

--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import random
 import signal
@@ -479,6 +480,7 @@
         self.waiting = 0
         self.heartbeat_s = 1.5
         self.is_writing = True
+        self.written = None
         self.server = None
         self.writers = set()
         self._free = asyncio.Semaphore(slots)
@@ -488,36 +490,55 @@
         self.server = await asyncio.start_server(self._serve, LOOPBACK, port)
         self.port = self.server.sockets[0].getsockname()[1]
         self.address = f'{LOOPBACK}:{self.port}'
+        self.report()
+
+    def describe(self):
+        """Return this server's entry but for the sequence."""
+        return {
+            'address': self.address,
+            'born': self.born,
+            'info': {
+                'service': self.service,
+                'zone': self.zone,
+                'slots': self.slots,
+                'version': '1',
+            },
+            'status': {'state': self.state, 'cold_left_s': self.cold_left_s},
+        }
+
+    def report(self, state='ready'):
+        """Report a state, and check in from now on."""
+        self.state = state
         self.write_entry()
+        if self._beat is not None:
+            self._beat.cancel()
         self._beat = asyncio.create_task(self._keep_entry())
 
     def write_entry(self):
+        """Write the entry now."""
         self.sequence += 1
-        self.store.put_json(
-            'servers',
-            self.name,
-            {
-                'address': self.address,
-                'born': self.born,
-                'info': {
-                    'service': self.service,
-                    'zone': self.zone,
-                    'slots': self.slots,
-                    'version': '1',
-                },
-                'status': {
-                    'state': self.state,
-                    'sequence': self.sequence,
-                    'cold_left_s': self.cold_left_s,
-                },
-            },
-        )
+        self.written = self.describe()
+        status = {**self.written['status'], 'sequence': self.sequence}
+        self.store.put_json('servers', self.name, {**self.written, 'status': status})
 
     async def _keep_entry(self):
+        """Check in, every so long after a report.
+
+        The entry changes when more than the sequence changes.
+        """
         while True:
             await asyncio.sleep(self.heartbeat_s)
+            self.sequence += 1
             if self.is_writing and self.store.mode == 'up':
-                self.write_entry()
+                self._check_in()
+
+    def _check_in(self):
+        row = self.store.rows.get(('servers', self.name))
+        known = None if row is None else json.loads(base64.b64decode(row['value']))
+        if known is not None:
+            known['status'].pop('sequence')
+        if known != self.describe():
+            self.write_entry()
 
     async def end(self):
         """End the process of this server."""
@@ -817,6 +838,7 @@
     """
     # Channels that outlast the event loop can't be closed by its writers.
     sys.unraisablehook = lambda _unraisable: None
+    logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     record = Record(folder)
     hosts = []
 
