--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -155,22 +155,22 @@
         port = self.server.sockets[0].getsockname()[1]
         self.address = f'{LOOPBACK}:{port}'
 
-    def put(self, table, key, content):
+    def put(self, table, key, content, part=''):
         self.version += 1
         value = base64.b64encode(content).decode()
-        row = {'table': table, 'part': '', 'key': key, 'value': value}
+        row = {'table': table, 'part': part, 'key': key, 'value': value}
         row['ver'] = self.version
-        self.rows[table, key] = row
+        self.rows[table, key, part] = row
         self._change(row)
 
     def put_json(self, table, key, document):
         self.put(table, key, json.dumps(document).encode())
 
-    def remove(self, table, key):
-        if self.rows.pop((table, key), None) is None:
+    def remove(self, table, key, part=''):
+        if self.rows.pop((table, key, part), None) is None:
             return
         self.version += 1
-        row = {'table': table, 'part': '', 'key': key, 'ver': self.version}
+        row = {'table': table, 'part': part, 'key': key, 'ver': self.version}
         self._change({**row, 'deleted': True})
 
     def _change(self, row):
@@ -239,7 +239,12 @@
         start = given.get('from', '')
         limit = min(500, int(given.get('limit', 500)))
         rows = sorted(
-            (row for row in self.rows.values() if row['table'] == given['table']),
+            (
+                row
+                for row in self.rows.values()
+                if row['table'] == given['table']
+                and row['part'] == given.get('part', '')
+            ),
             key=lambda row: row['key'].encode(),
         )
         rows = [row for row in rows if row['key'] >= start]
@@ -274,9 +279,10 @@
             if row['table'] in ('op', 'servers'):
                 return self._encode(403, {})
         for row in writes:
-            self.put(row['table'], row['key'], base64.b64decode(row['value']))
+            content = base64.b64decode(row['value'])
+            self.put(row['table'], row['key'], content, row.get('part', ''))
         for row in removals:
-            self.remove(row['table'], row['key'])
+            self.remove(row['table'], row['key'], row.get('part', ''))
         return self._encode(200, {})
 
     def _encode(self, status, document):
@@ -533,7 +539,7 @@
                 self._check_in()
 
     def _check_in(self):
-        row = self.store.rows.get(('servers', self.name))
+        row = self.store.rows.get(('servers', self.name, ''))
         known = None if row is None else json.loads(base64.b64decode(row['value']))
         if known is not None:
             known['status'].pop('sequence')
