--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,7 @@
     TROUBLE,
     Backend,
     Host,
+    NotRunError,
     Operator,
     Store,
     StoreView,
@@ -95,8 +96,7 @@
     twice = sorted(name for name, count in runs.items() if count > 1)
     record.note(f'ran more than once: {twice}')
     if not TROUBLE and any(one.status != 200 for one in answers):
-        record.note('a request failed without the trouble')
-        return False
+        raise NotRunError('a request failed without the trouble')
     return not twice
 
 
