Log and count the responses that the HTTP library makes by itself

Of the statuses that a host can send, 400 was the only one without metric, port and line of its own; its traceback also held the line that was not understood, so possibly a caller's key, and the response repeated it.

Each port's connections now report such a response with port, status and kind of error, never with its text. No decision changes.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -1,11 +1,12 @@
 """Construction of a host from its components."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusshunt.core import Clock
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import FleetSettings
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._connections import LibraryResponses
 from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._handler import RequestHandler
@@ -38,6 +39,9 @@
     heartbeat_loop: HeartbeatLoop
     handler: RequestHandler
     metrics: RequestMetrics
+    library_responses: LibraryResponses = field(
+        default_factory=LibraryResponses
+    )
 
 
 def assemble_host(
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -50,6 +50,7 @@
             self._measure_shares(),
             self._measure_server_shares(),
             self._count_retries(),
+            self._count_library_responses(),
         )
         yield from self._measure_care()
         yield GaugeMetricFamily(
@@ -151,6 +152,20 @@
             family.add_metric((refused_pool, 'refused'), refused)
         return family
 
+    def _count_library_responses(self) -> Metric:
+        family = CounterMetricFamily(
+            'crocus_library_responses',
+            'Responses to requests that could not be parsed or handled.',
+            labels=('port', 'status', 'cause'),
+        )
+        for (
+            response,
+            count,
+        ) in self._components.library_responses.counts.items():
+            labels = (response.port.value, str(response.status), response.cause)
+            family.add_metric(labels, count)
+        return family
+
     def _measure_shares(self) -> Metric:
         family = GaugeMetricFamily(
             'crocus_customer_rate_share',
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -16,6 +16,12 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from crocusshunt.front._arrivals import Arrivals
+from crocusshunt.front._connections import (
+    HostConnection,
+    HostServer,
+    LibraryResponses,
+    Port,
+)
 from crocusshunt.front._in_flight import InFlight
 from crocusshunt.front._lingering import LingeringTransport
 from crocusshunt.front._startable import (
@@ -50,7 +56,7 @@
     response: asyncio.Task[web.Response]
 
 
-class PipelinedConnection(web.RequestHandler):
+class PipelinedConnection(HostConnection):
     """A caller's connection that processes several requests at a time."""
 
     def __init__(
@@ -191,15 +197,22 @@
         )
 
 
-class PipelinedServer(web.Server):
+class PipelinedServer(HostServer):
     """A server whose connections process several requests at a time."""
 
-    def __init__(self, responder: Responder, **options: Any) -> None:
+    def __init__(
+        self,
+        responder: Responder,
+        library_responses: LibraryResponses,
+        **options: Any,
+    ) -> None:
         """Pass each request to a responder.
 
         :param options: options of aiohttp's server and of its connections.
         """
-        super().__init__(_respond_in_turn, **options)
+        super().__init__(
+            _respond_in_turn, Port.callers, library_responses, **options
+        )
         self._responder = responder
 
     def __call__(self) -> web.RequestHandler:
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -12,6 +12,7 @@
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import open_datagram_endpoint
 from crocusshunt.front._assembly import assemble_host
+from crocusshunt.front._connections import HostServer, Port
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runners
 from crocusshunt.front._headers import RELAYED_BY
@@ -142,17 +143,23 @@
         )
         ready = ReadyCheck(components.readiness)
         internal = f'{settings.ip}:{settings.internal_port}'
-        front = PipelinedServer(components.handler, **_SERVER_OPTIONS)
+        front = PipelinedServer(
+            components.handler, components.library_responses, **_SERVER_OPTIONS
+        )
         self._request_runners.append(
             await self._listen_with(settings.front_address, front)
         )
-        await self._listen(settings.directory_address, directory.handle)
-        await self._listen(settings.ready_address, ready.handle)
+        await self._listen(
+            settings.directory_address, Port.directory, directory.handle
+        )
+        await self._listen(settings.ready_address, Port.readiness, ready.handle)
         self._request_runners.append(
-            await self._listen(internal, self._serve_host)
+            await self._listen(internal, Port.hosts, self._serve_host)
         )
         metrics = f'{settings.ip}:{settings.internal_port + 1}'
-        await self._listen(metrics, MetricsEndpoint(components).handle)
+        await self._listen(
+            metrics, Port.metrics, MetricsEndpoint(components).handle
+        )
 
     async def _serve_host(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer another host: a request passed on, or a copy of a table."""
@@ -160,8 +167,11 @@
             return await self._components.handler.respond_relayed(request)
         return await self._components.followers.serve_image(request)
 
-    async def _listen(self, address: str, handle: Handler) -> web.ServerRunner:
-        server = web.Server(handle, **_SERVER_OPTIONS)
+    async def _listen(
+        self, address: str, port: Port, handle: Handler
+    ) -> web.ServerRunner:
+        responses = self._components.library_responses
+        server = HostServer(handle, port, responses, **_SERVER_OPTIONS)
         return await self._listen_with(address, server)
 
     async def _listen_with(
