Log the configuration by which a request was denied, and whether it had a key

A request that ended with 401 or 404 was logged with configuration 0, so a host that lacks a part of the newest configuration could not be told from one that applies it.

The lines of all requests now have the version that applied, the Host asked for, and whether a key came with it. The test fails before: the version is 0.

--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -208,9 +208,10 @@
         if trace.relayed_by and is_behind(request.headers, index):
             wait_s = OTHER_HOST_RETRY_S
             return Err(refuse_unavailable(CAUSE_OLDER_CONFIGURATION, wait_s))
+        trace.record_request(request_info, index)
         admission_result = admit(request_info, index)
         if isinstance(admission_result, Ok):
-            trace.record_admission(admission_result.ok_value, index)
+            trace.record_admission(admission_result.ok_value)
             if not self._components.information.is_complete:
                 wait_s = OTHER_HOST_RETRY_S
                 return Err(refuse_unavailable(CAUSE_STARTING, wait_s))
--- a/crocusshunt/front/_trace.py
+++ b/crocusshunt/front/_trace.py
@@ -13,6 +13,7 @@
     from crocusshunt.catalog import CatalogIndex
     from crocusshunt.front._admission import Admission
     from crocusshunt.front._attempts import Outcome
+    from crocusshunt.front._headers import RequestInfo
     from crocusshunt.front._placements import Placement
     from crocusshunt.front._refusals import PassedOver
     from crocusshunt.placement import TrackedServer
@@ -82,6 +83,8 @@
     :param arrived_at: arrival, seconds since the Unix epoch.
     :param host: the host that processes the request.
     :param configuration: version of the configuration that applied.
+    :param asked_host: value of the Host header.
+    :param has_key: whether the request came with a key.
     :param caller_timeout_s: how long the caller waits, None if unknown.
     :param objective_s: latency objective of the route, None without a route.
     :param expected_s: expected seconds until the response when the request was
@@ -102,6 +105,8 @@
     pool: str = ''
     customer: str = ''
     configuration: int = 0
+    asked_host: str = ''
+    has_key: bool = False
     caller_timeout_s: float | None = None
     objective_s: float | None = None
     retry_after_s: float | None = None
@@ -125,18 +130,23 @@
             for one in self.attempts
         )
 
-    def record_admission(
+    def record_request(
         self,
-        admission: 'Admission',
+        request_info: 'RequestInfo',
         index: 'CatalogIndex | None',
     ) -> None:
-        """Record the route, the customer and the configuration version."""
+        """Record by what a request is admitted, also if it is refused."""
+        self.asked_host = request_info.host
+        self.has_key = request_info.key is not None
+        if index is not None:
+            self.configuration = index.catalog.version
+
+    def record_admission(self, admission: 'Admission') -> None:
+        """Record the route and the customer."""
         self.route = admission.route.name
         self.objective_s = admission.route.objective_s
         if admission.customer is not None:
             self.customer = admission.customer.name
-        if index is not None:
-            self.configuration = index.catalog.version
 
     def record_attempt(
         self,
@@ -220,6 +230,8 @@
         log_request(
             record,
             configuration=self.configuration,
+            asked_host=self.asked_host,
+            has_key=self.has_key,
             patience_s=self.caller_timeout_s,
             objective_s=self.objective_s,
             expected_s=self.expected_s,
--- a/crocusshunt/front/tests/test_explanations.py
+++ b/crocusshunt/front/tests/test_explanations.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 
+import msgspec
 import pytest
 from aiohttp import web
 
@@ -136,3 +137,15 @@
     text = log.getvalue()
     assert text.count('"event":"store lost"') == 3
     assert text.count('"event":"store regained"') == 3
+
+
+async def test_denied_request_says_by_what_it_was_judged(
+    log: io.StringIO,
+) -> None:
+    async with deploy('s1') as deployment:
+        assert (await deployment.send(key='unknown'))[0] == 401
+    lines = log.getvalue().splitlines()
+    line = next(one for one in lines if '"unknown-key"' in one)
+    denied = msgspec.json.decode(line)
+    assert (denied['configuration'], denied['asked_host']) == (1, 'a.example')
+    assert denied['has_key'] is True
