--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -43,6 +43,11 @@
         """Tell whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the process, None before its first start."""
+        return None if self._process is None else self._process.pid
+
     def write_settings(self) -> None:
         """Write the settings file in the format of the platform."""
         content = encode_settings(self.document, REGIONS)
--- a/crocusshunt/standin/_documents.py
+++ b/crocusshunt/standin/_documents.py
@@ -1,6 +1,6 @@
 """Documents in the platform's formats, for the store and for hosts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -57,10 +57,12 @@
     routes: Iterable[dict[str, Any]],
     customers: Iterable[CustomerDocument],
     pools: Iterable[str] = (),
+    limits: Mapping[str, Any] | None = None,
 ) -> bytes:
     """Return the row content of a configuration.
 
     :param pools: names of the pools that the configuration lists.
+    :param limits: limits on requests and connections, None to give none.
     """
     resources = [
         _describe_resource('routes', f'r{number}', spec)
@@ -74,6 +76,8 @@
         }
         resources.append(_describe_resource('tenants', customer.name, spec))
     resources.extend(_describe_resource('services', pool, {}) for pool in pools)
+    if limits is not None:
+        resources.append(_describe_resource('limits', 'limits', limits))
     document = {'version': f'{version:08x}', 'resources': resources}
     return msgspec.json.encode(document)
 
@@ -107,6 +111,7 @@
     :param store: address of the store, ``ip:port``.
     :param grace_s: time from SIGTERM until the process is killed, in seconds.
     :param retry_extra: retries a window, over all hosts, beyond the ratio.
+    :param limits: limits of its process, by name, None to give none.
     """
 
     name: str
@@ -115,6 +120,7 @@
     store: str
     grace_s: float = 6
     retry_extra: float = 60
+    limits: Mapping[str, float] | None = None
 
     @property
     def front(self) -> str:
@@ -145,13 +151,16 @@
 
     :param regions: region of each failure domain.
     """
+    own_host: dict[str, Any] = {
+        'node_name': host.name,
+        'ip': LOOPBACK,
+        'zone': host.failure_domain,
+        'region': regions[host.failure_domain],
+    }
+    if host.limits is not None:
+        own_host['limits'] = host.limits
     document = {
-        'self': {
-            'node_name': host.name,
-            'ip': LOOPBACK,
-            'zone': host.failure_domain,
-            'region': regions[host.failure_domain],
-        },
+        'self': own_host,
         'network': {
             'listen': {
                 'front': host.front,
@@ -175,6 +184,6 @@
 def _describe_resource(
     kind: str,
     name: str,
-    spec: dict[str, Any],
+    spec: Mapping[str, Any],
 ) -> dict[str, Any]:
     return {'resource_kind': kind, 'metadata': {'name': name}, 'spec': spec}
