Read requests by a parser of our own

Callers saw proper requests end with 400, after which their connection closed: those with more than 120 or so small fields, with a repeated User-Agent, Content-Type or ETag, with a method that isn't registered, or with a space after the size of a chunk. A target in absolute form got 404. Fields over max_header_bytes were taken.

The HTTP library reads requests with bounds and checks of its own, answers by itself, and knows nothing of the configuration.

crocusshunt/http1 reads heads and bodies by RFC 9112 and by the limits of the configuration alone; all five ports use it. Fields over max_header_bytes get 431. The port between hosts takes 65,536 bytes, or max_header_bytes if that is more, and 4,096 for the fields that a host adds: a host with an older configuration must not refuse what a newer one allows. Framing that others may read otherwise (a length beside chunks, differing lengths, CR, LF or NUL in a field, two hosts) is still refused. Chunks that can't be decoded are a refusal of the handler's (malformed-body), once, and end the connection; before, a caller had no end of its connection within 5 s.

test_library_responses.py expects the name of the new error as the cause: the library's class no longer occurs.

--- a/crocusshunt/front/_bodies.py
+++ b/crocusshunt/front/_bodies.py
@@ -12,13 +12,12 @@
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-def get_max_body_bytes(index: CatalogIndex | None) -> int:
-    """Return the size of the largest body that a caller may send.
+def get_request_limits(index: CatalogIndex | None) -> RequestLimits:
+    """Return the limits on callers' requests.
 
     :param index: the current configuration, None before the first one.
     """
-    limits = RequestLimits() if index is None else index.catalog.limits
-    return limits.body_bytes
+    return RequestLimits() if index is None else index.catalog.limits
 
 
 async def read_body(
@@ -44,6 +43,9 @@
             if refusal is not None:
                 in_flight.buffered_bytes -= len(body)
                 return Err(refusal)
+    except web.RequestPayloadError:
+        in_flight.buffered_bytes -= len(body)
+        return Err(Refusal(Status.bad_request, 'malformed-body'))
     except BaseException:
         in_flight.buffered_bytes -= len(body)
         raise
--- a/crocusshunt/front/_connections.py
+++ b/crocusshunt/front/_connections.py
@@ -6,12 +6,15 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from aiohttp import web
 
+from crocusshunt.front._request_parser import RequestParser
+from crocusshunt.http1 import ReadLimits
 from crocusshunt.logs import log_event
 
 
@@ -69,6 +72,20 @@
         super().__init__(server, **options)
         self._port = server.port
         self._library_responses = server.library_responses
+        self._parser: Any = RequestParser(self, self._loop, server.get_limits)
+        # Whether received bytes are left to be parsed in a later turn.
+        self._is_behind = False
+
+    def data_received(self, received: bytes) -> None:
+        """Parse received bytes, and what is left of them in later turns."""
+        super().data_received(received)
+        if self._is_behind or self._close or self._force_close:
+            return
+        if not self._parser.has_more:
+            return
+        self._is_behind = True
+        self._pause_transport_reading()
+        self._loop.call_soon(self._catch_up)
 
     def handle_error(
         self,
@@ -92,6 +109,31 @@
         response.force_close()
         return response
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; close after it if the body couldn't be read."""
+        if request.content.exception() is not None:
+            resp.force_close()
+        if self._parser is not None:
+            self._parser.discard_body(request.content)
+        return await super().finish_response(request, resp, start_time)
+
+    def _resume_transport_reading(self) -> None:
+        if not self._is_behind:
+            super()._resume_transport_reading()
+
+    def _catch_up(self) -> None:
+        """Parse more of the bytes that are left."""
+        self._is_behind = False
+        self.data_received(b'')
+        is_held = self._is_behind or self._reading_paused
+        if not is_held and not self._buffer_paused:
+            self._resume_transport_reading()
+
 
 class HostServer(web.Server):
     """A server of one of a host's ports."""
@@ -101,15 +143,18 @@
         handler: Any,
         port: Port,
         library_responses: LibraryResponses,
+        get_limits: Callable[[], ReadLimits],
         **options: Any,
     ) -> None:
         """Pass each request to a handler.
 
+        :param get_limits: called for each request.
         :param options: options of aiohttp's server and of its connections.
         """
         super().__init__(handler, **options)
         self.port = port
         self.library_responses = library_responses
+        self.get_limits = get_limits
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -9,7 +9,7 @@
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._arrivals import measure_wait
 from crocusshunt.front._attempts import RequestTemplate
-from crocusshunt.front._bodies import get_max_body_bytes, read_body
+from crocusshunt.front._bodies import get_request_limits, read_body
 from crocusshunt.front._handler_components import HandlerComponents
 from crocusshunt.front._headers import (
     RELAYED_BY,
@@ -176,7 +176,9 @@
             if refused is not None:
                 return Err(refused)
         body_result = await read_body(
-            request, self.in_flight, get_max_body_bytes(cluster.index)
+            request,
+            self.in_flight,
+            get_request_limits(cluster.index).body_bytes,
         )
         if isinstance(body_result, Err):
             return body_result
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
@@ -24,11 +25,8 @@
 )
 from crocusshunt.front._in_flight import InFlight
 from crocusshunt.front._lingering import LingeringTransport
-from crocusshunt.front._startable import (
-    WaitingRequest,
-    count_startable,
-    split_after_heads,
-)
+from crocusshunt.front._startable import WaitingRequest, count_startable
+from crocusshunt.http1 import ReadLimits
 
 # Requests of one connection that are processed at the same time.
 _MAX_CONCURRENT_COUNT = 8
@@ -89,8 +87,7 @@
         """Parse received bytes and begin the requests that may begin."""
         if self.is_lingering:
             return
-        for piece in split_after_heads(received):
-            super().data_received(piece)
+        super().data_received(received)
         read = (message for message, _payload in self._messages)
         self._arrivals.note(read, self._loop.time())
         self._start_waiting()
@@ -204,14 +201,20 @@
         self,
         responder: Responder,
         library_responses: LibraryResponses,
+        get_limits: Callable[[], ReadLimits],
         **options: Any,
     ) -> None:
         """Pass each request to a responder.
 
+        :param get_limits: called for each request.
         :param options: options of aiohttp's server and of its connections.
         """
         super().__init__(
-            _respond_in_turn, Port.callers, library_responses, **options
+            _respond_in_turn,
+            Port.callers,
+            library_responses,
+            get_limits,
+            **options,
         )
         self._responder = responder
 
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -12,6 +12,7 @@
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import open_datagram_endpoint
 from crocusshunt.front._assembly import assemble_host
+from crocusshunt.front._bodies import get_request_limits
 from crocusshunt.front._connections import HostServer, Port
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runners
@@ -21,10 +22,14 @@
 from crocusshunt.front._registration import Registration
 from crocusshunt.front._reload import ReadSettings, SettingsReload
 from crocusshunt.front._settings import FrontSettings, SourceFormat
+from crocusshunt.http1 import ReadLimits
 from crocusshunt.logs import log_event
 
 _BACKLOG = 1024
-_MAX_HEADER_BYTES = 65_536
+# Fields of requests between hosts: those of a caller, by a configuration that
+# may be newer than this host's, and those that the other host adds.
+_MIN_HOST_FIELD_BYTES = 65_536
+_ADDED_FIELD_BYTES = 4096
 _KEEPALIVE_S = 75
 # A stopping host accepts requests for so long, since callers cache lookups.
 # Callers that come later get no connection and go on to another host.
@@ -40,9 +45,6 @@
         'access_log': None,
         'handler_cancellation': True,
         'keepalive_timeout': _KEEPALIVE_S,
-        'max_line_size': _MAX_HEADER_BYTES,
-        'max_field_size': _MAX_HEADER_BYTES,
-        'auto_decompress': False,
     },
 )
 
@@ -144,7 +146,10 @@
         ready = ReadyCheck(components.readiness)
         internal = f'{settings.ip}:{settings.internal_port}'
         front = PipelinedServer(
-            components.handler, components.library_responses, **_SERVER_OPTIONS
+            components.handler,
+            components.library_responses,
+            self._get_read_limits,
+            **_SERVER_OPTIONS,
         )
         self._request_runners.append(
             await self._listen_with(settings.front_address, front)
@@ -161,6 +166,15 @@
             metrics, Port.metrics, MetricsEndpoint(components).handle
         )
 
+    def _get_read_limits(self) -> ReadLimits:
+        limits = get_request_limits(self._components.cluster.index)
+        return ReadLimits(limits.header_bytes)
+
+    def _get_host_read_limits(self) -> ReadLimits:
+        limits = get_request_limits(self._components.cluster.index)
+        passed_on = max(limits.header_bytes, _MIN_HOST_FIELD_BYTES)
+        return ReadLimits(passed_on + _ADDED_FIELD_BYTES)
+
     async def _serve_host(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer another host: a request passed on, or a copy of a table."""
         if RELAYED_BY in request.headers:
@@ -171,7 +185,14 @@
         self, address: str, port: Port, handle: Handler
     ) -> web.ServerRunner:
         responses = self._components.library_responses
-        server = HostServer(handle, port, responses, **_SERVER_OPTIONS)
+        get_limits = (
+            self._get_host_read_limits
+            if port is Port.hosts
+            else self._get_read_limits
+        )
+        server = HostServer(
+            handle, port, responses, get_limits, **_SERVER_OPTIONS
+        )
         return await self._listen_with(address, server)
 
     async def _listen_with(
--- a/crocusshunt/front/_startable.py
+++ b/crocusshunt/front/_startable.py
@@ -1,10 +1,8 @@
 """Which pipelined requests may begin before those in front are answered."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-_HEAD_END = b'\r\n\r\n'
-
 
 @dataclass(frozen=True, slots=True)
 class WaitingRequest:
@@ -48,20 +46,3 @@
         if request.closes:
             break
     return count
-
-
-def split_after_heads(received: bytes) -> Iterator[bytes]:
-    r"""Split received bytes after the end of each request head.
-
-    The parser discards the requests that it read in the same call before a
-    malformed one; in pieces, each complete request is kept.
-
-    >>> list(split_after_heads(b'GET /1\r\n\r\nGET /2\r\n\r\nGET'))
-    [b'GET /1\r\n\r\n', b'GET /2\r\n\r\n', b'GET']
-    """
-    pieces = received.split(_HEAD_END)
-    last = pieces.pop()
-    for piece in pieces:
-        yield piece + _HEAD_END
-    if last or not pieces:
-        yield last
--- a/crocusshunt/front/tests/test_library_responses.py
+++ b/crocusshunt/front/tests/test_library_responses.py
@@ -42,12 +42,12 @@
         for port, address in _list_addresses(deployment).items():
             received = await _send_raw(address, _MALFORMED)
             assert b' 400 ' in received.splitlines()[0]
-            noted = LibraryResponse(port, 400, 'BadHttpMessage')
+            noted = LibraryResponse(port, 400, 'MalformedRequestError')
             assert components.library_responses.counts[noted] == 1
         text = render_metrics(components.metrics, HostCollector(components))
     line = (
         b'crocus_library_responses_total'
-        b'{cause="BadHttpMessage",port="hosts",status="400"} 1.0'
+        b'{cause="MalformedRequestError",port="hosts",status="400"} 1.0'
     )
     assert line in text
     assert 'key-of-court' not in caplog.text
