Take the scheme of a caller's key in any case

A caller that wrote "token KEY" got 401, as the scheme was compared byte by byte; RFC 9110, section 11.1 says that its case doesn't matter.

test_key_schemes.py on: 2 failed, 2 passed; now: 4 passed.

--- a/crocusshunt/front/_headers.py
+++ b/crocusshunt/front/_headers.py
@@ -160,9 +160,13 @@
 
 def _find_key(headers: Headers, names: HeaderNames) -> str | None:
     values = headers.getall(_AUTHORIZATION, ())
-    if len(values) != 1 or not values[0].startswith(names.key_scheme):
+    if len(values) != 1:
         return None
-    return values[0].removeprefix(names.key_scheme).strip()
+    size = len(names.key_scheme)
+    # The case of a scheme doesn't matter: RFC 9110, section 11.1.
+    if values[0][:size].lower() != names.key_scheme.lower():
+        return None
+    return values[0][size:].strip()
 
 
 def _parse_timeout(headers: Headers, names: HeaderNames) -> float | None:
