--- a/crocusshunt/catalog/_index.py
+++ b/crocusshunt/catalog/_index.py
@@ -31,6 +31,8 @@
     >>> index = CatalogIndex(Catalog(1, routes=(wide, narrow)))
     >>> index.match('EXAMPLE:80', '/a/b/c?d').name
     'narrow'
+    >>> index.match('example.', '/a/').name
+    'wide'
     >>> index.match('example', '/b/') is None
     True
     """
@@ -52,7 +54,7 @@
                 self._top_priorities[target.pool] = min(known, rule.priority)
         self._routes_by_host: dict[str, tuple[RouteRule, ...]] = {}
         for route in sorted(catalog.routes, key=_build_sort_key):
-            host = route.host.lower()
+            host = route.host.lower().removesuffix('.')
             self._routes_by_host[host] = (
                 *self._routes_by_host.get(host, ()),
                 route,
@@ -73,7 +75,8 @@
         :param target: path and query of the request, not normalized.
         """
         path = target.partition('?')[0]
-        name = host.partition(':')[0].lower()
+        # A final dot only says that the name is complete.
+        name = host.partition(':')[0].lower().removesuffix('.')
         for route in self._routes_by_host.get(name, ()):
             if path.startswith(route.prefix):
                 return route
