Take no unmarked answer of another host for a server's

What callers would see: a 4xx that no server gave, from a host that their request was passed on to. An answer of the library there lacks the request's id and was dropped before that (by reading), so this closes the way and was seen nowhere.

An unmarked answer under 500 without a server's signature gives 502 now.

--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from result import Err, Ok
 
@@ -96,7 +97,7 @@
             record.detail = 'timeout'
             return Err(Refusal(Status.timeout, 'timeout'))
         self._give_back(host, connection)
-        relayed = _read_result(response)
+        relayed = _read_result(response, self.names)
         record.detail = 'not taken' if relayed is None else ''
         return relayed
 
@@ -131,18 +132,32 @@
         self.cluster.connections.give_back(host.name, address, connection)
 
 
-def _read_result(response: UpstreamAnswer) -> DispatchResult | None:
+def _read_result(
+    response: UpstreamAnswer, names: HeaderNames
+) -> DispatchResult | None:
     """Return a server's response, or the refusal of the other host.
 
     Return None if that host did not take the request, so that it was not run
     and another host may take it.
     """
     refusal = decode_refusal(response)
-    if refusal is None and response.status in NOT_RUN_STATUSES:
-        # An older build passed on what its server did not promise.
-        return Err(Refusal(Status.bad_gateway, 'server-failed'))
     if refusal is None:
-        return Ok(response)
+        if _is_of_server(response, names):
+            return Ok(response)
+        return Err(Refusal(Status.bad_gateway, 'server-failed'))
     if is_not_taken(response, refusal):
         return None
     return Err(refusal)
+
+
+def _is_of_server(response: UpstreamAnswer, names: HeaderNames) -> bool:
+    """Tell whether a response that is no refusal may be a server's.
+
+    Servers' failures may lack the signature. An older build passes on what its
+    server did not promise.
+    """
+    if response.status in NOT_RUN_STATUSES:
+        return False
+    if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return True
+    return response.find(names.signature.lower().encode()) is not None
