--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -5,12 +5,14 @@
 from crocusshunt.core import Clock
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import FleetSettings
+from crocusshunt.front._bodies import get_request_limits
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._connections import LibraryResponses
 from crocusshunt.front._crash_records import CrashRecords
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._handler import RequestHandler
 from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._ingress import Ingress, create_ingress
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._region_loads import RegionLoads
@@ -39,6 +41,7 @@
     heartbeat_loop: HeartbeatLoop
     handler: RequestHandler
     metrics: RequestMetrics
+    ingress: Ingress
     library_responses: LibraryResponses = field(
         default_factory=LibraryResponses
     )
@@ -85,4 +88,5 @@
         heartbeat_loop,
         handler,
         parts.metrics,
+        create_ingress(settings, lambda: get_request_limits(cluster.index)),
     )
--- /dev/null
+++ b/crocusshunt/front/_connection_times.py
@@ -0,0 +1,111 @@
+"""Bounds on the time for which a connection may be open without a request."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from crocusshunt.catalog import RequestLimits
+from crocusshunt.ingress import EndCause
+
+# A connection that is closed waits so long for its last bytes to leave.
+_MAX_CLOSING_S = 60
+
+
+class TimedConnection(Protocol):
+    """What is known of a connection whose time is bounded."""
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request has begun and no answer is unsent."""
+
+    @property
+    def is_in_head(self) -> bool:
+        """Tell whether a head has begun that isn't whole."""
+
+    @property
+    def is_closed_by_host(self) -> bool:
+        """Tell whether the connection is closing."""
+
+    def end(self, cause: EndCause) -> None:
+        """End the connection."""
+
+
+class ConnectionTimes:
+    """Ends one connection when its time is over.
+
+    A head must be whole within a time of its first byte, or of the moment when
+    it is next on its connection. A connection may be idle for a time.
+    """
+
+    def __init__(
+        self,
+        connection: TimedConnection,
+        loop: asyncio.AbstractEventLoop,
+        get_limits: Callable[[], RequestLimits],
+    ) -> None:
+        """Begin with a connection that has just been opened."""
+        self._connection = connection
+        self._loop = loop
+        self._get_limits = get_limits
+        self._active_at = loop.time()
+        self._head_began_at: float | None = None
+        self._closing_since: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._schedule(get_limits().header_timeout_s)
+
+    def stop(self) -> None:
+        """End nothing any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def note_active(self) -> None:
+        """Note that a response was written."""
+        self._active_at = self._loop.time()
+
+    def note_head(self) -> None:
+        """Look whether a head has begun that is next on its connection."""
+        connection = self._connection
+        if not (connection.is_idle and connection.is_in_head):
+            self._head_began_at = None
+        elif self._head_began_at is None:
+            self._head_began_at = self._loop.time()
+            if self._timer is not None:
+                self._schedule(self._get_limits().header_timeout_s)
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(delay_s, self._check)
+
+    def _check(self) -> None:
+        self.note_head()
+        now = self._loop.time()
+        limits = self._get_limits()
+        cause = self._find_cause(now, limits)
+        if cause is not None:
+            self.stop()
+            self._connection.end(cause)
+            return
+        delay_s = limits.header_timeout_s
+        if self._head_began_at is not None:
+            delay_s -= now - self._head_began_at
+        elif self._connection.is_idle:
+            left_s = limits.idle_timeout_s - (now - self._active_at)
+            delay_s = min(delay_s, left_s)
+        self._schedule(max(0, delay_s))
+
+    def _find_cause(self, now: float, limits: RequestLimits) -> EndCause | None:
+        if self._connection.is_closed_by_host:
+            if self._closing_since is None:
+                self._closing_since = now
+            is_over = now - self._closing_since >= _MAX_CLOSING_S
+            return EndCause.unread if is_over else None
+        if self._head_began_at is not None:
+            is_late = now - self._head_began_at >= limits.header_timeout_s
+            return EndCause.head_timeout if is_late else None
+        if not self._connection.is_idle:
+            self._active_at = now
+            return None
+        is_over = now - self._active_at >= limits.idle_timeout_s
+        return EndCause.idle if is_over else None
--- a/crocusshunt/front/_connections.py
+++ b/crocusshunt/front/_connections.py
@@ -5,29 +5,23 @@
 are logged and counted here.
 """
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 
+from crocusshunt.front._connection_bounds import ConnectionBounds
+from crocusshunt.front._ingress import Ingress, Port
 from crocusshunt.front._request_parser import RequestParser
+from crocusshunt.front._waiting_heads import count_pieces
 from crocusshunt.http1 import ReadLimits
+from crocusshunt.ingress import Account, EndCause
 from crocusshunt.logs import log_event
 
 
-class Port(Enum):
-    """What a port of a host is for."""
-
-    callers = 'callers'
-    directory = 'directory'
-    readiness = 'readiness'
-    hosts = 'hosts'
-    metrics = 'metrics'
-
-
 @dataclass(frozen=True, slots=True)
 class LibraryResponse:
     """A response that the library made by itself.
@@ -72,20 +66,76 @@
         super().__init__(server, **options)
         self._port = server.port
         self._library_responses = server.library_responses
+        self._ingress = server.ingress
         self._parser: Any = RequestParser(self, self._loop, server.get_limits)
+        # Parts of requests that were parsed, and those counted before.
+        self._step_count = 0
         # Whether received bytes are left to be parsed in a later turn.
         self._is_behind = False
+        self._bounds: ConnectionBounds | None = None
+        # The library forgets its own reference when it closes a connection.
+        self._own_transport: asyncio.Transport | None = None
+
+    @property
+    def account(self) -> Account | None:
+        """Return what counts the kept bytes, None before the connection."""
+        return None if self._bounds is None else self._bounds.account
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request has begun and no answer is unsent."""
+        transport = self._own_transport
+        waiter = self._waiter
+        is_waiting = waiter is not None and not waiter.done()
+        if transport is None or self._messages or not is_waiting:
+            return False
+        return not transport.get_write_buffer_size()
+
+    @property
+    def is_in_head(self) -> bool:
+        """Tell whether a head has begun that isn't whole."""
+        return self._parser is not None and self._parser.is_in_head
+
+    @property
+    def is_closed_by_host(self) -> bool:
+        """Tell whether the connection is closing."""
+        transport = self._own_transport
+        return self._force_close or transport is None or transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count a new connection, for which another one may have to go."""
+        self._own_transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
+        self._bounds = ConnectionBounds(
+            self, self._port, self._ingress, self._own_transport.abort
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give back what the connection made the host keep."""
+        super().connection_lost(exc)
+        if self._bounds is not None:
+            self._bounds.close()
+        self._own_transport = None
+
+    def end(self, cause: EndCause) -> None:
+        """End the connection at once, and drop what it keeps."""
+        if self.account is not None:
+            self.account.end(cause)
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes, and what is left of them in later turns."""
         super().data_received(received)
-        if self._is_behind or self._close or self._force_close:
+        parser = self._parser
+        if parser is None or self._bounds is None:
             return
-        if not self._parser.has_more:
+        self._bounds.note_received(_count_kept(self), self._messages)
+        steps = parser.step_count - self._step_count
+        self._step_count = parser.step_count
+        delay_s = self._bounds.reserve_steps(steps, len(received))
+        if self._close or self._force_close:
             return
-        self._is_behind = True
-        self._pause_transport_reading()
-        self._loop.call_soon(self._catch_up)
+        if delay_s or parser.has_more:
+            self._fall_behind(delay_s)
 
     def handle_error(
         self,
@@ -115,20 +165,37 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Write a response; close after it if the body couldn't be read."""
+        """Write a response; close after it if the body couldn't be read.
+
+        After it, the connection may be idle.
+        """
         if request.content.exception() is not None:
             resp.force_close()
         if self._parser is not None:
             self._parser.discard_body(request.content)
-        return await super().finish_response(request, resp, start_time)
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            if self._bounds is not None and self._parser is not None:
+                self._bounds.note_response(_count_kept(self), self._messages)
 
     def _resume_transport_reading(self) -> None:
         if not self._is_behind:
             super()._resume_transport_reading()
 
+    def _fall_behind(self, delay_s: float) -> None:
+        """Receive nothing more until the rest is parsed in a later turn."""
+        if self._is_behind:
+            return
+        self._is_behind = True
+        self._pause_transport_reading()
+        self._loop.call_later(delay_s, self._catch_up)
+
     def _catch_up(self) -> None:
         """Parse more of the bytes that are left."""
         self._is_behind = False
+        if self._parser is None:
+            return
         self.data_received(b'')
         is_held = self._is_behind or self._reading_paused
         if not is_held and not self._buffer_paused:
@@ -144,18 +211,29 @@
         port: Port,
         library_responses: LibraryResponses,
         get_limits: Callable[[], ReadLimits],
+        ingress: Ingress,
         **options: Any,
     ) -> None:
         """Pass each request to a handler.
 
         :param get_limits: called for each request.
+        :param ingress: bounds what callers make the host keep.
         :param options: options of aiohttp's server and of its connections.
         """
         super().__init__(handler, **options)
         self.port = port
         self.library_responses = library_responses
         self.get_limits = get_limits
+        self.ingress = ingress
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         return HostConnection(self, loop=self._loop, **self._kwargs)
+
+
+def _count_kept(connection: HostConnection) -> int:
+    """Return the bytes to be parsed, and the unread ones of a request."""
+    current = connection._current_request  # noqa: SLF001
+    content = None if current is None else current.content
+    parser = connection._parser  # noqa: SLF001
+    return int(parser.held_bytes) + count_pieces(content)
--- a/crocusshunt/front/_lingering.py
+++ b/crocusshunt/front/_lingering.py
@@ -56,7 +56,12 @@
             self._transport.close()
             return
         self._is_ended = True
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The peer has reset the connection.
+            self._transport.abort()
+            return
         # What is read now is dropped.
         self._transport.resume_reading()
         loop = asyncio.get_running_loop()
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -51,6 +51,7 @@
             self._measure_server_shares(),
             self._count_retries(),
             self._count_library_responses(),
+            self._count_ended_connections(),
         )
         yield from self._measure_care()
         yield GaugeMetricFamily(
@@ -166,6 +167,16 @@
             family.add_metric(labels, count)
         return family
 
+    def _count_ended_connections(self) -> Metric:
+        family = CounterMetricFamily(
+            'crocus_connections_ended',
+            'Connections that the host ended by itself.',
+            labels=('port', 'cause'),
+        )
+        for (port, cause), count in self._components.ingress.ended.items():
+            family.add_metric((port.value, cause.value), count)
+        return family
+
     def _measure_shares(self) -> Metric:
         family = GaugeMetricFamily(
             'crocus_customer_rate_share',
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -21,9 +21,9 @@
     HostConnection,
     HostServer,
     LibraryResponses,
-    Port,
 )
 from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._ingress import Ingress, Port
 from crocusshunt.front._lingering import LingeringTransport
 from crocusshunt.front._startable import WaitingRequest, count_startable
 from crocusshunt.http1 import ReadLimits
@@ -202,10 +202,12 @@
         responder: Responder,
         library_responses: LibraryResponses,
         get_limits: Callable[[], ReadLimits],
+        ingress: Ingress,
         **options: Any,
     ) -> None:
         """Pass each request to a responder.
 
+        :param ingress: bounds what callers make the host keep.
         :param get_limits: called for each request.
         :param options: options of aiohttp's server and of its connections.
         """
@@ -214,6 +216,7 @@
             Port.callers,
             library_responses,
             get_limits,
+            ingress,
             **options,
         )
         self._responder = responder
--- a/crocusshunt/front/_request_parser.py
+++ b/crocusshunt/front/_request_parser.py
@@ -63,6 +63,8 @@
         self._is_last = False
         self._is_ended = False
         self._has_more = False
+        # Parts of requests that were parsed so far.
+        self.step_count = 0
 
     @property
     def held_bytes(self) -> int:
@@ -119,6 +121,7 @@
         for _ in range(_TURN_STEPS):
             if self._is_paused or self._is_ended or not self._step():
                 return
+            self.step_count += 1
         self._has_more = bool(self._received)
 
     def _step(self) -> bool:
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -13,10 +13,11 @@
 from crocusshunt.fleet import open_datagram_endpoint
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._bodies import get_request_limits
-from crocusshunt.front._connections import HostServer, Port
+from crocusshunt.front._connections import HostServer
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runners
 from crocusshunt.front._headers import RELAYED_BY
+from crocusshunt.front._ingress import Port
 from crocusshunt.front._metrics import MetricsEndpoint
 from crocusshunt.front._pipelining import PipelinedServer
 from crocusshunt.front._registration import Registration
@@ -30,7 +31,8 @@
 # may be newer than this host's, and those that the other host adds.
 _MIN_HOST_FIELD_BYTES = 65_536
 _ADDED_FIELD_BYTES = 4096
-_KEEPALIVE_S = 75
+# Idle connections are closed by their own limits, not by the library's.
+_KEEPALIVE_S = 1_000_000
 # A stopping host accepts requests for so long, since callers cache lookups.
 # Callers that come later get no connection and go on to another host.
 _ACCEPT_AT_STOP_S = 2.5
@@ -149,6 +151,7 @@
             components.handler,
             components.library_responses,
             self._get_read_limits,
+            components.ingress,
             **_SERVER_OPTIONS,
         )
         self._request_runners.append(
@@ -184,14 +187,18 @@
     async def _listen(
         self, address: str, port: Port, handle: Handler
     ) -> web.ServerRunner:
-        responses = self._components.library_responses
         get_limits = (
             self._get_host_read_limits
             if port is Port.hosts
             else self._get_read_limits
         )
         server = HostServer(
-            handle, port, responses, get_limits, **_SERVER_OPTIONS
+            handle,
+            port,
+            self._components.library_responses,
+            get_limits,
+            self._components.ingress,
+            **_SERVER_OPTIONS,
         )
         return await self._listen_with(address, server)
 
--- a/crocusshunt/front/_settings.py
+++ b/crocusshunt/front/_settings.py
@@ -46,6 +46,8 @@
     :param regions: region of each failure domain.
     :param limits: limits that the platform sets.
     :param is_first_start: whether no process of this host ran before.
+    :param memory_bytes: memory of its machine.
+    :param max_descriptors: most descriptors of its process.
     """
 
     name: str
@@ -60,6 +62,8 @@
     store_address: str
     limits: DeploymentLimits = field(default_factory=DeploymentLimits)
     is_first_start: bool = False
+    memory_bytes: int = 200_000_000
+    max_descriptors: int = 4100
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/front/tests/test_denied_requests.py
+++ b/crocusshunt/front/tests/test_denied_requests.py
@@ -10,7 +10,8 @@
 import msgspec
 import pytest
 
-from crocusshunt.front._connections import LibraryResponse, Port
+from crocusshunt.front._connections import LibraryResponse
+from crocusshunt.front._ingress import Port
 from crocusshunt.front.tests._backend import NAMES
 from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.front.tests._lenient_backend import LenientBackend
--- a/crocusshunt/front/tests/test_library_responses.py
+++ b/crocusshunt/front/tests/test_library_responses.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from crocusshunt.front._connections import LibraryResponse, Port
+from crocusshunt.front._connections import LibraryResponse
+from crocusshunt.front._ingress import Port
 from crocusshunt.front.tests._deployment import Deployment, deploy
 from crocusshunt.metrics import render_metrics
 from crocusshunt.front._metrics import HostCollector
--- a/crocusshunt/ingress/__init__.py
+++ b/crocusshunt/ingress/__init__.py
@@ -2,6 +2,7 @@
 
 from crocusshunt.ingress._ledger import Account, EndCause, Holding, HostLedger
 from crocusshunt.ingress._limits import IngressLimits, create_ingress_limits
+from crocusshunt.ingress._roster import Roster
 
 __all__ = (
     'Account',
@@ -9,5 +10,6 @@
     'Holding',
     'HostLedger',
     'IngressLimits',
+    'Roster',
     'create_ingress_limits',
 )
--- a/crocusshunt/ingress/_limits.py
+++ b/crocusshunt/ingress/_limits.py
@@ -10,6 +10,7 @@
 _BODY_FRACTION = 0.62
 # The rest is for connections to servers, other hosts and the store, and files.
 _CONNECTION_FRACTION = 0.5
+_RESERVED_FRACTION = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +39,7 @@
     small_reserve_bytes: int = 4_000_000
     max_connection_bytes: int = 37_748_736
     max_connections: int = 2050
-    reserved_connections: int = 64
+    reserved_connections: int = 205
     unread_timeout_s: float = 15
 
 
@@ -58,4 +59,5 @@
         max_host_bytes=host_bytes,
         max_body_bytes=max(_MIN_BODY_BYTES, int(host_bytes * _BODY_FRACTION)),
         max_connections=int(max_descriptors * _CONNECTION_FRACTION),
+        reserved_connections=int(max_descriptors * _RESERVED_FRACTION),
     )
--- /dev/null
+++ b/crocusshunt/ingress/_roster.py
@@ -0,0 +1,80 @@
+"""Connections of one port, in the order in which they may be given up."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+# A connection that was idle between requests for so long may be given up.
+_MIN_IDLE_S = 1
+
+Member = TypeVar('Member')
+
+
+class Roster(Generic[Member]):
+    """Chooses the connection that makes room for a new one.
+
+    >>> roster = Roster[str](2)
+    >>> roster.add('old', 0)
+    >>> roster.add('new', 1)
+    >>> roster.note_busy('old')
+    >>> roster.choose(lambda _name: True, now=1)
+    'new'
+    >>> roster.note_busy('new')
+    >>> roster.note_idle('old', 2)
+    >>> roster.choose(lambda _name: True, now=2.5)
+    >>> roster.choose(lambda _name: True, now=3)
+    'old'
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Begin without connections.
+
+        :param limit: most connections.
+        """
+        self._limit = limit
+        self._members: set[Member] = set()
+        # Those without a whole request so far, the oldest first.
+        self._silent: dict[Member, float] = {}
+        # Those between requests, the longest idle first.
+        self._idle: dict[Member, float] = {}
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether there are as many connections as there may be."""
+        return len(self._members) >= self._limit
+
+    def add(self, member: Member, now: float) -> None:
+        """Count a new connection."""
+        self._members.add(member)
+        self._silent[member] = now
+
+    def drop(self, member: Member) -> None:
+        """Forget a connection."""
+        self._members.discard(member)
+        self.note_busy(member)
+
+    def note_busy(self, member: Member) -> None:
+        """Note that a request of a connection has begun."""
+        self._silent.pop(member, None)
+        self._idle.pop(member, None)
+
+    def note_idle(self, member: Member, now: float) -> None:
+        """Note that a response was written."""
+        if member in self._members:
+            self._idle.pop(member, None)
+            self._idle[member] = now
+
+    def choose(
+        self, is_idle: Callable[[Member], bool], now: float
+    ) -> Member | None:
+        """Return the connection to close for a new one, None if there is none.
+
+        :param is_idle: tells whether one that wrote a response owes nothing.
+        """
+        if self._silent:
+            return next(iter(self._silent))
+        for member, idle_since in self._idle.items():
+            if now - idle_since < _MIN_IDLE_S:
+                return None
+            if is_idle(member):
+                return member
+        return None
--- a/crocusshunt/platform/_settings.py
+++ b/crocusshunt/platform/_settings.py
@@ -14,9 +14,15 @@
 
 SETTINGS_VARIABLE = 'CROCUSSHUNT_CONFIG'
 
+_BYTES_PER_MB = 1_000_000
 _READ_ERRORS = (OSError, LookupError, *DECODE_ERRORS)
 
 
+class _MachineSection(msgspec.Struct, frozen=True):
+    memory_mb: float = 200
+    max_fds: int = 4100
+
+
 class _HostSection(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
@@ -24,6 +30,7 @@
     region: str
     # True when the whole system starts for the first time.
     bootstrap: bool = False
+    limits: _MachineSection = _MachineSection()
 
 
 class _NetworkSection(msgspec.Struct, frozen=True):
@@ -97,4 +104,6 @@
             max_lookup_ttl_s=bounds.ttl_max_s,
         ),
         is_first_start=own_host.bootstrap,
+        memory_bytes=int(own_host.limits.memory_mb * _BYTES_PER_MB),
+        max_descriptors=own_host.limits.max_fds,
     )
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -14,6 +14,7 @@
     UpstreamRequest,
 )
 from crocusshunt.upstream._pool import ConnectionPool, PoolSettings
+from crocusshunt.upstream._reading import ReadingBudget
 
 __all__ = (
     'AnswerBrokenError',
@@ -24,6 +25,7 @@
     'EchoPolicy',
     'NotConnectedError',
     'PoolSettings',
+    'ReadingBudget',
     'UpstreamAnswer',
     'UpstreamError',
     'UpstreamRequest',
