--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -9,7 +9,11 @@
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._arrivals import measure_wait
 from crocusshunt.front._attempts import RequestTemplate
-from crocusshunt.front._bodies import get_request_limits, read_body
+from crocusshunt.front._bodies import (
+    get_request_limits,
+    read_body,
+    release_body,
+)
 from crocusshunt.front._handler_components import HandlerComponents
 from crocusshunt.front._headers import (
     RELAYED_BY,
@@ -177,8 +181,8 @@
                 return Err(refused)
         body_result = await read_body(
             request,
-            self.in_flight,
             get_request_limits(cluster.index).body_bytes,
+            admission.route.timeout_s,
         )
         if isinstance(body_result, Err):
             return body_result
@@ -198,7 +202,7 @@
                 lambda: create_relay_template(request, template, self._names),
             )
         finally:
-            self.in_flight.buffered_bytes -= len(body or b'')
+            release_body(request, body)
 
     def _admit(
         self,
--- a/crocusshunt/front/_in_flight.py
+++ b/crocusshunt/front/_in_flight.py
@@ -15,13 +15,11 @@
 
     :param busy: number of unanswered requests of each connection that has
         any.
-    :param buffered_bytes: total size of the request bodies held in memory.
     :param answer_by: when a stopping host must have answered all requests,
         monotonic seconds; infinite until it stops.
     """
 
     busy: dict[object, int] = field(default_factory=dict)
-    buffered_bytes: int = 0
     is_stopping: bool = False
     answer_by: float = float('inf')
     # The same on the clock of the event loop, None until the host stops.
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -26,14 +26,15 @@
 class Status(IntEnum):
     """Status codes of the responses that this system generates itself.
 
-    ``too_many`` and ``unavailable`` guarantee that the request was not
-    executed and never will be; after ``bad_gateway`` and ``timeout`` it may
-    have been.
+    ``body_timeout``, ``too_many`` and ``unavailable`` guarantee that the
+    request was not executed and never will be; after ``bad_gateway`` and
+    ``timeout`` it may have been.
     """
 
     bad_request = 400
     unknown_key = 401
     no_route = 404
+    body_timeout = 408
     too_large = 413
     too_many = 429
     bad_gateway = 502
--- a/crocusshunt/front/tests/test_ingress.py
+++ b/crocusshunt/front/tests/test_ingress.py
@@ -14,6 +14,7 @@
 from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.ingress import EndCause, HostLedger, IngressLimits, Roster
 from crocusshunt.metrics import render_metrics
+from crocusshunt.standin import describe_route
 
 _LIMITS = RequestLimits(header_timeout_s=0.3, idle_timeout_s=0.6)
 _UNKNOWN = b'GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n'
@@ -199,3 +200,50 @@
 def _count_steps(runner: object) -> int:
     connections = runner.server.connections  # type: ignore[attr-defined]
     return sum(one._parser.step_count for one in connections)  # noqa: SLF001
+
+
+async def _send_raw(deployment: Deployment, content: bytes) -> bytes:
+    """Return the head of the response to a request."""
+    streams = await _connect(deployment, Port.callers)
+    streams[1].write(content)
+    received = await _read_head(streams)
+    streams[1].close()
+    return received
+
+
+async def test_long_body_is_refused_unread() -> None:
+    async with deploy('s1') as deployment:
+        head = b'POST%sContent-Length: 67108865\r\n\r\n' % _PROPER[:-2]
+        assert b' 413 ' in await _send_raw(deployment, head)
+        assert deployment.backends[0].received == []
+
+
+async def test_body_must_be_whole_in_time() -> None:
+    """It is refused with the promise that it was not run."""
+    async with deploy('s1') as deployment:
+        deployment.configure(describe_route(timeout_s=0.3))
+        await deployment.wait_for_sync()
+        head = b'POST%sContent-Length: 4\r\n\r\nabc' % _PROPER[:-2]
+        received = await _send_raw(deployment, head)
+        assert b' 408 ' in received
+        ledger = _get_ingress(deployment).ledger
+        assert (ledger.body_total, deployment.backends[0].received) == (0, [])
+
+
+async def test_body_without_room_is_refused() -> None:
+    """Nothing is ended for it, and small bodies still have room."""
+    async with deploy('s1') as deployment:
+        ingress = _get_ingress(deployment)
+        limits = IngressLimits(max_body_bytes=100_000)
+        ingress.ledger = HostLedger(limits)
+        holder = ingress.ledger.open(lambda _cause: None)
+        assert holder.try_hold_body(90_000)
+        head = b'POST%sContent-Length: %d\r\n\r\n'
+        large = head % (_PROPER[:-2], 80_000)
+        received = await _send_raw(deployment, large + bytes(80_000))
+        assert b' 503 ' in received
+        small = head % (_PROPER[:-2].replace(b'req-x', b'req-y'), 20_000)
+        received = await _send_raw(deployment, small + bytes(20_000))
+        assert b' 200 ' in received
+        assert ingress.ledger.body_total == 90_000
+        assert not ingress.ended
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -134,6 +134,10 @@
         'the body was larger than the configuration allows',
         'compare with the limits of the configuration',
     ),
+    'body-timeout': (
+        "the body wasn't whole within the timeout of the route",
+        'ask the caller; look at its link',
+    ),
     'buffers-full': (
         'this host held too many bytes of request bodies',
         'see crocus_requests_in_flight; look for slow callers',
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -121,7 +121,8 @@
             encoded = _encode_request(self._parser, request)
         except h11.LocalProtocolError as error:
             raise NotConnectedError(f'invalid request: {error}') from error
-        self._protocol.write(encoded)
+        for part in encoded:
+            self._protocol.write(part)
         for _ in range(_MAX_RESPONSES):
             response = await self._read_response()
             if self._is_response_to(response, request):
@@ -264,17 +265,21 @@
     return h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
 
 
-def _encode_request(parser: h11.Connection, request: UpstreamRequest) -> bytes:
+def _encode_request(
+    parser: h11.Connection, request: UpstreamRequest
+) -> list[bytes]:
+    """Return the parts of a request; its body isn't copied."""
     head = h11.Request(
         method=request.method,
         target=request.target,
         headers=list(request.headers),
     )
-    parts = [parser.send(head)]
+    parts = parser.send_with_data_passthrough(head) or []
     if request.body:
-        parts.append(parser.send(h11.Data(data=request.body)))
-    parts.append(parser.send(h11.EndOfMessage()))
-    return b''.join(part for part in parts if part)
+        body = h11.Data(data=request.body)
+        parts.extend(parser.send_with_data_passthrough(body) or [])
+    parser.send(h11.EndOfMessage())
+    return parts
 
 
 def _find_idle_limit(response: UpstreamAnswer) -> float:
