--- a/crocusshunt/front/_connection_bounds.py
+++ b/crocusshunt/front/_connection_bounds.py
@@ -24,6 +24,10 @@
     def peername(self) -> Any:
         """Return the address of the peer, None if it is not known any more."""
 
+    @property
+    def is_in_body(self) -> bool:
+        """Tell whether more of a request's body must come from the caller."""
+
 
 class ConnectionBounds:
     """Counts what one connection makes the host keep, and ends it.
@@ -50,11 +54,12 @@
         self._roster = ingress.rosters[port]
         self._heads = WaitingHeads()
         self._free_steps = _FREE_STEPS
+        self._received_at = self._loop.time()
         self.account = ingress.ledger.open(self._end)
         self.times = ConnectionTimes(connection, self._loop, ingress.get_limits)
         now = self._loop.time()
         is_full = self._roster.is_full
-        chosen = self._roster.choose(_is_idle, now) if is_full else None
+        chosen = self._choose_other(now) if is_full else None
         self._roster.add(self, now)
         if is_full:
             (chosen or self).account.end(EndCause.connections)
@@ -78,6 +83,7 @@
         :param kept: bytes that are still to be parsed.
         :param waiting: requests that have not begun, with their pieces.
         """
+        self._received_at = self._loop.time()
         if waiting:
             self._roster.note_busy(self)
         self._measure(kept, waiting)
@@ -110,6 +116,22 @@
             return 0
         return self._ingress.budget.reserve(-left, self._loop.time())
 
+    def measure_stall(self) -> float:
+        """Return the seconds since the last piece of a body that isn't whole.
+
+        :return: 0 if no such body is read.
+        """
+        if not self._connection.is_in_body:
+            return 0
+        return self._loop.time() - self._received_at
+
+    def _choose_other(self, now: float) -> 'ConnectionBounds | None':
+        """Return the connection that goes for this one, None for this one."""
+        chosen = self._roster.choose(_is_idle, now)
+        if chosen is None:
+            return self._roster.find_stalled(_measure_stall, now)
+        return chosen
+
     def _measure(self, kept: int, waiting: Collection[tuple[Any, Any]]) -> None:
         size = kept + self._heads.measure(waiting)
         self.account.set(Holding.received, size)
@@ -124,3 +146,7 @@
 
 def _is_idle(bounds: ConnectionBounds) -> bool:
     return bounds.is_idle
+
+
+def _measure_stall(bounds: ConnectionBounds) -> float:
+    return bounds.measure_stall()
--- a/crocusshunt/front/_connections.py
+++ b/crocusshunt/front/_connections.py
@@ -96,6 +96,14 @@
         """Tell whether a head has begun that isn't whole."""
         return self._parser is not None and self._parser.is_in_head
 
+    @property
+    def is_in_body(self) -> bool:
+        """Tell whether more of a request's body must come from the caller."""
+        parser = self._parser
+        if parser is None or self._reading_paused or self._is_behind:
+            return False
+        return bool(parser.is_in_body)
+
     @property
     def is_closed_by_host(self) -> bool:
         """Tell whether the connection is closing."""
@@ -134,8 +142,12 @@
         delay_s = self._bounds.reserve_steps(steps, len(received))
         if self._close or self._force_close:
             return
-        if delay_s or parser.has_more:
-            self._fall_behind(delay_s)
+        if self._is_behind or not (delay_s or parser.has_more):
+            return
+        # Nothing more is received until the rest is parsed in a later turn.
+        self._is_behind = True
+        self._pause_transport_reading()
+        self._loop.call_later(delay_s, self._catch_up)
 
     def handle_error(
         self,
@@ -183,14 +195,6 @@
         if not self._is_behind:
             super()._resume_transport_reading()
 
-    def _fall_behind(self, delay_s: float) -> None:
-        """Receive nothing more until the rest is parsed in a later turn."""
-        if self._is_behind:
-            return
-        self._is_behind = True
-        self._pause_transport_reading()
-        self._loop.call_later(delay_s, self._catch_up)
-
     def _catch_up(self) -> None:
         """Parse more of the bytes that are left."""
         self._is_behind = False
--- a/crocusshunt/front/_ingress.py
+++ b/crocusshunt/front/_ingress.py
@@ -42,6 +42,7 @@
 
     :param get_limits: returns those that the configuration names.
     :param budget: time of the event loop for requests in many pieces.
+    :param early_count: requests under way that began before their turn.
     :param ended: connections that the host ended by itself.
     """
 
@@ -49,6 +50,7 @@
     get_limits: Callable[[], RequestLimits]
     ledger: HostLedger
     rosters: dict[Port, 'Roster[ConnectionBounds]']
+    early_count: int = 0
     budget: ReadingBudget = field(default_factory=ReadingBudget)
     ended: Counter[tuple[Port, EndCause]] = field(default_factory=Counter)
 
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -157,6 +157,7 @@
         limit = min(
             _MAX_CONCURRENT_COUNT - 1 - running,
             _MAX_STARTED_COUNT - 1 - len(self._started),
+            self._ingress.limits.max_early_requests - self._ingress.early_count,
         )
         count = count_startable(map(self._describe, waiting), limit)
         for request in waiting[:count]:
@@ -174,10 +175,15 @@
         self._responder.in_flight.begin(self)
         self._arrivals.take(request)
         response = self._loop.create_task(self._responder.respond(request))
-        response.add_done_callback(lambda _ended: self._start_waiting())
+        self._ingress.early_count += 1
+        response.add_done_callback(self._note_ended)
         message = request._message  # noqa: SLF001
         self._started.append(_StartedRequest(message, response))
 
+    def _note_ended(self, _response: asyncio.Task[web.Response]) -> None:
+        self._ingress.early_count -= 1
+        self._start_waiting()
+
     def _create_request(self, message: Any, payload: Any) -> web.BaseRequest:
         assert self._request_factory is not None  # noqa: S101
         assert self._task_handler is not None  # noqa: S101
--- a/crocusshunt/front/_request_parser.py
+++ b/crocusshunt/front/_request_parser.py
@@ -76,6 +76,11 @@
         """Tell whether a head has begun that isn't whole."""
         return self._body is None and bool(self._received)
 
+    @property
+    def is_in_body(self) -> bool:
+        """Tell whether a body has begun that isn't whole."""
+        return self._body is not None
+
     @property
     def has_more(self) -> bool:
         """Tell whether received bytes can be parsed in a later turn."""
--- a/crocusshunt/ingress/_limits.py
+++ b/crocusshunt/ingress/_limits.py
@@ -8,9 +8,11 @@
 _MIN_HOST_BYTES = 75_497_472
 _MIN_BODY_BYTES = 67_108_864
 _BODY_FRACTION = 0.62
-# The rest is for connections to servers, other hosts and the store, and files.
-_CONNECTION_FRACTION = 0.5
-_RESERVED_FRACTION = 0.05
+# Each connection may need another one to a server. The rest is for connections
+# to other hosts and the store, and files.
+_CONNECTION_FRACTION = 0.32
+_RESERVED_FRACTION = 0.04
+_EARLY_FRACTION = 0.07
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,8 @@
         it fits the longest answer of a server.
     :param max_connections: most connections of callers.
     :param reserved_connections: most connections to each of the other ports.
+    :param max_early_requests: most requests that have begun before their turn
+        on their connections.
     :param unread_timeout_s: longest time without progress of an unread answer,
         in seconds.
     """
@@ -38,8 +42,9 @@
     small_body_bytes: int = 65_536
     small_reserve_bytes: int = 4_000_000
     max_connection_bytes: int = 37_748_736
-    max_connections: int = 2050
-    reserved_connections: int = 205
+    max_connections: int = 1312
+    reserved_connections: int = 164
+    max_early_requests: int = 287
     unread_timeout_s: float = 15
 
 
@@ -60,4 +65,5 @@
         max_body_bytes=max(_MIN_BODY_BYTES, int(host_bytes * _BODY_FRACTION)),
         max_connections=int(max_descriptors * _CONNECTION_FRACTION),
         reserved_connections=int(max_descriptors * _RESERVED_FRACTION),
+        max_early_requests=int(max_descriptors * _EARLY_FRACTION),
     )
--- a/crocusshunt/ingress/_roster.py
+++ b/crocusshunt/ingress/_roster.py
@@ -5,6 +5,8 @@
 
 # A connection that was idle between requests for so long may be given up.
 _MIN_IDLE_S = 1
+# How often all connections are looked at for one that is stalled.
+_SEARCH_INTERVAL_S = 0.1
 
 Member = TypeVar('Member')
 
@@ -31,6 +33,7 @@
         :param limit: most connections.
         """
         self._limit = limit
+        self._searched_at = float('-inf')
         self._members: set[Member] = set()
         # Those without a whole request so far, the oldest first.
         self._silent: dict[Member, float] = {}
@@ -78,3 +81,17 @@
             if is_idle(member):
                 return member
         return None
+
+    def find_stalled(
+        self, measure_stall: Callable[[Member], float], now: float
+    ) -> Member | None:
+        """Return the connection whose request comes no further for longest.
+
+        :param measure_stall: returns the seconds since the last piece of a
+            request that isn't whole, 0 if there is none.
+        """
+        if now - self._searched_at < _SEARCH_INTERVAL_S or not self._members:
+            return None
+        self._searched_at = now
+        found = max(self._members, key=measure_stall)
+        return found if measure_stall(found) >= _MIN_IDLE_S else None
