Bound what answers that callers don't read take, and for how long

Cause: nothing counted an answer once it was whole. Those that wait for their turn, the one that is written, and what waits in the transport grew with the callers, and the library kept the last one of each idle connection.

Unsent answers count on their connection's account; beyond 256 KB it reads and begins nothing. Answers fetched before their turn share 3 MB a connection; what exceeds it is read no further until its turn. Long answers under way reserve room for their length within 0.3 of the host's bytes, one more may exceed it; others wait up to 3 s. The first 64 KB of each are always read, so ordinary ones don't wait. Answers are written in pieces, joined without a second copy, and dropped once sent.

--- a/crocusshunt/front/_lingering.py
+++ b/crocusshunt/front/_lingering.py
@@ -43,6 +43,11 @@
         """Tell whether the peer has not received all that was written."""
         return self._is_ended and not self._transport.is_closing()
 
+    def count_unconfirmed(self) -> int:
+        """Return how many bytes that left the peer has not confirmed."""
+        sock = self._transport.get_extra_info('socket')
+        return 0 if sock is None else _count_unconfirmed(sock)
+
     def is_closing(self) -> bool:
         """Tell whether nothing more can be written."""
         return self._is_ended or self._transport.is_closing()
@@ -85,10 +90,7 @@
     def _count_unreceived(self) -> int:
         """Return how many written bytes the peer's kernel has not confirmed."""
         queued = int(self._transport.get_write_buffer_size())
-        sock = self._transport.get_extra_info('socket')
-        if sock is None:
-            return queued
-        return queued + _count_unconfirmed(sock)
+        return queued + self.count_unconfirmed()
 
 
 def _count_unconfirmed(sock: socket.socket) -> int:
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -10,22 +10,23 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol, cast
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http import StreamWriter
 from aiohttp.http_parser import RawRequestMessage
 
+from crocusshunt.front._answer_memory import AnswerKeeper
 from crocusshunt.front._arrivals import Arrivals
+from crocusshunt.front._answering import AnsweringConnection
 from crocusshunt.front._connections import (
-    HostConnection,
     HostServer,
     LibraryResponses,
 )
-from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._early_shares import EarlyShare, EarlyShares
 from crocusshunt.front._ingress import Ingress, Port
-from crocusshunt.front._lingering import LingeringTransport
-from crocusshunt.front._startable import WaitingRequest, count_startable
+from crocusshunt.front._responder import Responder, describe
+from crocusshunt.front._startable import count_startable
 from crocusshunt.http1 import ReadLimits
 
 # Requests of one connection that are processed at the same time.
@@ -34,27 +35,14 @@
 _MAX_STARTED_COUNT = 32
 
 
-class Responder(Protocol):
-    """Processes requests, whatever connection they come from."""
-
-    @property
-    def in_flight(self) -> InFlight:
-        """Return the counter of requests in flight."""
-
-    async def respond(self, request: web.BaseRequest) -> web.Response:
-        """Return the response to one request."""
-
-    def is_repeatable(self, request: web.BaseRequest) -> bool:
-        """Tell whether a request may be executed more than once."""
-
-
 @dataclass(frozen=True, slots=True)
 class _StartedRequest:
     message: RawRequestMessage
     response: asyncio.Task[web.Response]
+    share: EarlyShare
 
 
-class PipelinedConnection(HostConnection):
+class PipelinedConnection(AnsweringConnection):
     """A caller's connection that processes several requests at a time."""
 
     def __init__(
@@ -64,24 +52,14 @@
 
         :param options: options of aiohttp's connections.
         """
-        super().__init__(server, **options)
+        super().__init__(server, server.keeper, **options)
         self._responder = responder
         self._started: deque[_StartedRequest] = deque()
         self._arrivals = Arrivals()
         # Whether the response that is written belongs to a counted request;
         # those to malformed requests do not.
         self._is_writing = False
-        self._lingering: LingeringTransport | None = None
-
-    @property
-    def is_lingering(self) -> bool:
-        """Tell whether a connection that was closed still delivers answers."""
-        return self._lingering is not None and self._lingering.is_lingering
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Let answers reach the caller before the connection is closed."""
-        self._lingering = LingeringTransport(cast(asyncio.Transport, transport))
-        super().connection_made(cast(asyncio.BaseTransport, self._lingering))
+        self._early = EarlyShares()
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes and begin the requests that may begin."""
@@ -130,10 +108,17 @@
                 self._is_writing = False
                 self._responder.in_flight.end(self)
 
+    def hold(self, is_full: bool) -> None:
+        """Read and begin nothing while the caller has too much to take."""
+        super().hold(is_full)
+        if not is_full:
+            self._start_waiting()
+
     async def _take_response(self, request: web.BaseRequest) -> web.Response:
         message = request._message  # noqa: SLF001
         if self._started and self._started[0].message is message:
             started = self._started.popleft()
+            started.share.end()
             self._start_waiting()
             return await started.response
         self._responder.in_flight.begin(self)
@@ -146,6 +131,8 @@
         current = self._current_request
         if current is None or not current.keep_alive or self._is_closing:
             return
+        if self._memory.is_full:
+            return
         known = {id(one.message) for one in self._started}
         waiting = [
             self._create_request(message, payload)
@@ -159,7 +146,9 @@
             _MAX_STARTED_COUNT - 1 - len(self._started),
             self._ingress.limits.max_early_requests - self._ingress.early_count,
         )
-        count = count_startable(map(self._describe, waiting), limit)
+        count = count_startable(
+            (describe(self._responder, one) for one in waiting), limit
+        )
         for request in waiting[:count]:
             self._start(request)
 
@@ -174,14 +163,20 @@
     def _start(self, request: web.BaseRequest) -> None:
         self._responder.in_flight.begin(self)
         self._arrivals.take(request)
-        response = self._loop.create_task(self._responder.respond(request))
         self._ingress.early_count += 1
-        response.add_done_callback(self._note_ended)
+        share = self._early.open()
+        response = self._loop.create_task(
+            self._responder.respond(request), context=share.create_context()
+        )
+        response.add_done_callback(self._note_ready)
         message = request._message  # noqa: SLF001
-        self._started.append(_StartedRequest(message, response))
+        self._started.append(_StartedRequest(message, response, share))
 
-    def _note_ended(self, _response: asyncio.Task[web.Response]) -> None:
+    def _note_ready(self, response: asyncio.Task[web.Response]) -> None:
         self._ingress.early_count -= 1
+        is_known = any(one.response is response for one in self._started)
+        if is_known and not response.cancelled() and not response.exception():
+            self._memory.keep(response.result())
         self._start_waiting()
 
     def _create_request(self, message: Any, payload: Any) -> web.BaseRequest:
@@ -192,13 +187,6 @@
             message, payload, self, writer, self._task_handler
         )
 
-    def _describe(self, request: web.BaseRequest) -> WaitingRequest:
-        return WaitingRequest(
-            request.content.is_eof(),
-            self._responder.is_repeatable(request),
-            not request.keep_alive,
-        )
-
 
 class PipelinedServer(HostServer):
     """A server whose connections process several requests at a time."""
@@ -209,6 +197,7 @@
         library_responses: LibraryResponses,
         get_limits: Callable[[], ReadLimits],
         ingress: Ingress,
+        keeper: AnswerKeeper,
         **options: Any,
     ) -> None:
         """Pass each request to a responder.
@@ -226,6 +215,7 @@
             **options,
         )
         self._responder = responder
+        self.keeper = keeper
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
--- a/crocusshunt/front/_request_parser.py
+++ b/crocusshunt/front/_request_parser.py
@@ -118,9 +118,6 @@
         if self._body is not None and self._body.payload is payload:
             self._body.is_discarded = True
 
-    def set_upgraded(self, upgraded: bool) -> None:  # noqa: FBT001
-        """Do nothing: no other protocol is spoken."""
-
     def _parse(self) -> None:
         self._has_more = False
         for _ in range(_TURN_STEPS):
--- a/crocusshunt/front/_responses.py
+++ b/crocusshunt/front/_responses.py
@@ -4,12 +4,13 @@
 
 from crocusshunt.front._headers import select_response_headers
 from crocusshunt.front._outcomes import Refusal
+from crocusshunt.front._sending import AnswerResponse
 from crocusshunt.upstream import UpstreamAnswer
 
 
 def create_response(upstream_response: UpstreamAnswer) -> web.Response:
     """Return a backend server's response as the caller gets it."""
-    return web.Response(
+    return AnswerResponse(
         status=upstream_response.status,
         reason=upstream_response.reason.decode('latin-1') or None,
         headers=select_response_headers(upstream_response.headers),
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -11,6 +11,7 @@
 from crocusshunt.core import Clock
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import open_datagram_endpoint
+from crocusshunt.front._answer_memory import AnswerKeeper
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._bodies import get_request_limits
 from crocusshunt.front._connections import HostServer
@@ -152,6 +153,10 @@
             components.library_responses,
             self._get_read_limits,
             components.ingress,
+            AnswerKeeper(
+                components.cluster.connections.buffer_limit,
+                components.ingress.ledger,
+            ),
             **_SERVER_OPTIONS,
         )
         self._request_runners.append(
--- a/crocusshunt/ingress/_limits.py
+++ b/crocusshunt/ingress/_limits.py
@@ -33,8 +33,6 @@
     :param reserved_connections: most connections to each of the other ports.
     :param max_early_requests: most requests that have begun before their turn
         on their connections.
-    :param unread_timeout_s: longest time without progress of an unread answer,
-        in seconds.
     """
 
     max_host_bytes: int = 110_000_000
@@ -45,7 +43,6 @@
     max_connections: int = 1312
     reserved_connections: int = 164
     max_early_requests: int = 287
-    unread_timeout_s: float = 15
 
 
 def create_ingress_limits(
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -1,6 +1,10 @@
 """Connections to backend servers, and single exchanges on them."""
 
-from crocusshunt.upstream._buffering import BufferLimit
+from crocusshunt.upstream._buffering import (
+    ANSWER_SHARE,
+    FREE_ANSWER_BYTES,
+    BufferLimit,
+)
 from crocusshunt.upstream._connection import Connection, open_connection
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
@@ -17,6 +21,8 @@
 from crocusshunt.upstream._reading import ReadingBudget
 
 __all__ = (
+    'ANSWER_SHARE',
+    'FREE_ANSWER_BYTES',
     'AnswerBrokenError',
     'BufferLimit',
     'Connection',
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -15,6 +15,7 @@
 )
 from crocusshunt.upstream._messages import (
     EchoPolicy,
+    Header,
     UpstreamAnswer,
     UpstreamRequest,
 )
@@ -140,7 +141,7 @@
             head.status_code,
             bytes(head.reason),
             headers,
-            await self._read_body(),
+            await self._read_body(_find_length(headers)),
         )
 
     async def _read_head(self) -> h11.Response:
@@ -154,10 +155,11 @@
                 raise ConnectionLostError('closed')
         raise AnswerBrokenError('informational responses only')
 
-    async def _read_body(self) -> bytes:
-        with BodyBuffer(self._buffer_limit) as body:
+    async def _read_body(self, length: int) -> bytes | bytearray:
+        with BodyBuffer(self._buffer_limit, length) as body:
             event = await self._next_event()
             while isinstance(event, h11.Data):
+                await body.wait_for_room(len(event.data))
                 body.append(event.data)
                 event = await self._next_event()
             if not isinstance(event, h11.EndOfMessage):
@@ -282,6 +284,12 @@
     return parts
 
 
+def _find_length(headers: tuple[Header, ...]) -> int:
+    """Return how long a body is said to be, 0 if that isn't said."""
+    lengths = [text for name, text in headers if name == b'content-length']
+    return int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+
+
 def _find_idle_limit(response: UpstreamAnswer) -> float:
     hint = (response.find(b'keep-alive') or b'').decode('latin-1')
     for part in hint.split(','):
--- a/crocusshunt/upstream/_messages.py
+++ b/crocusshunt/upstream/_messages.py
@@ -55,7 +55,7 @@
     status: int
     reason: bytes
     headers: tuple[Header, ...]
-    body: bytes
+    body: bytes | bytearray
 
     def find(self, name: bytes) -> bytes | None:
         """Return the value of the first header of a name, or None.
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -62,7 +62,7 @@
         self._settings = settings
         self._echo_policy = echo_policy
         self._clock = clock
-        self._buffer_limit = BufferLimit()
+        self.buffer_limit = BufferLimit()
         self._idle: dict[tuple[str, str], deque[_IdleConnection]] = {}
         self._reuse_idle_limit_s: float = 0
         self._reuse_limited_until: float = 0
@@ -132,7 +132,7 @@
             address,
             self._echo_policy,
             self._settings.connect_timeout_s,
-            self._buffer_limit,
+            self.buffer_limit,
         )
 
     def give_back(
--- a/crocusshunt/upstream/_protocol.py
+++ b/crocusshunt/upstream/_protocol.py
@@ -6,11 +6,12 @@
 from typing import cast
 
 from crocusshunt.core import prepare_outgoing
+from crocusshunt.upstream._receiving import ReceivingProtocol
 
-_READ_AHEAD_BYTES = 262_144
+_READ_AHEAD_BYTES = 32_768
 
 
-class StreamProtocol(asyncio.Protocol):
+class StreamProtocol(ReceivingProtocol):
     """Buffers the bytes that a peer sends until they are read.
 
     ``is_idle`` is true between exchanges. Bytes that arrive then belong to no
