Leave room for answers under way beside bodies, and take no burst of connections

By calculation, bodies (68 MB) beside answers under way (33 MB and one more of 32) passed the 200 MB of the smallest machine, as bodies were admitted without regard to answers.

A body over 64 KB fits only beside what is under way, and the backlog of a port is a tenth of the host's descriptors at most.

--- a/crocusshunt/front/_answer_memory.py
+++ b/crocusshunt/front/_answer_memory.py
@@ -62,6 +62,10 @@
         self.limit.max_total_bytes = int(host_bytes * _HOST_FRACTION)
         self.limit.get_spare = self._get_spare
         self.limit.make_room = self._make_room
+        self.ledger.count_under_way = self._count_under_way
+
+    def _count_under_way(self) -> int:
+        return self.limit.used_bytes + self.limit.reserved_bytes
 
     def _get_spare(self) -> float:
         return self.ledger.limits.max_host_bytes - self.ledger.total
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -27,7 +27,9 @@
 from crocusshunt.http1 import ReadLimits
 from crocusshunt.logs import log_event
 
-_BACKLOG = 1024
+# Connections that wait are all taken at once, before others make room.
+_MAX_BACKLOG = 1024
+_BACKLOG_FRACTION = 0.1
 # Fields of requests between hosts: those of a caller, by a configuration that
 # may be newer than this host's, and those that the other host adds.
 _MIN_HOST_FIELD_BYTES = 65_536
@@ -213,7 +215,9 @@
         host, _separator, port = address.rpartition(':')
         runner = web.ServerRunner(server)
         await runner.setup()
-        site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
+        most = int(self.settings.max_descriptors * _BACKLOG_FRACTION)
+        backlog = min(_MAX_BACKLOG, most)
+        site = web.TCPSite(runner, host, int(port), backlog=backlog)
         await site.start()
         self._runners.append(runner)
         return runner
--- a/crocusshunt/ingress/_ledger.py
+++ b/crocusshunt/ingress/_ledger.py
@@ -124,6 +124,8 @@
         """Keep to limits."""
         self.limits = limits
         self.total = 0
+        # Bytes of answers under way, which are on no account yet.
+        self.count_under_way: Callable[[], int] = _count_nothing
         self._body_total = 0
         self._accounts: set[Account] = set()
 
@@ -144,10 +146,14 @@
     def has_room(self, account: Account, size: int) -> bool:
         """Tell whether a body may grow by so many bytes."""
         limits = self.limits
-        allowed = limits.max_body_bytes
         if account.body_bytes + size <= limits.small_body_bytes:
-            allowed += limits.small_reserve_bytes
-        return self._body_total + size <= allowed
+            allowed = limits.max_body_bytes + limits.small_reserve_bytes
+            return self._body_total + size <= allowed
+        kept = self.total + self.count_under_way() + size
+        is_within_host = kept <= limits.max_host_bytes
+        return is_within_host and self._body_total + size <= (
+            limits.max_body_bytes
+        )
 
     def change(self, account: Account, kind: Holding, change: int) -> None:
         """Count a change of an account, and end what gets too much."""
@@ -167,6 +173,10 @@
         self._accounts.discard(account)
 
 
+def _count_nothing() -> int:
+    return 0
+
+
 def _count_endable(account: Account) -> int:
     """Return what a connection keeps that isn't refused when it's too much."""
     return account.total - account.body_bytes
