Count the head of a request under way, and unread answers on every port

What callers would see: a host out of memory, or a port for look-ups or readiness that takes no connection.

The head of a request stays on its connection's account until its response is written. Connections of all ports count what their callers don't read, with the same times. On the ports whose requests take little time the oldest connection goes if no other may. Other hosts have a limit of their own, 12 % of the descriptors: they keep several idle connections each, and 75 of them more than the 4 % that each such port had. test_head_of_the_request_under_way_counts failed before by reading only: it was not run there.

--- a/crocusshunt/front/_answering.py
+++ b/crocusshunt/front/_answering.py
@@ -6,7 +6,11 @@
 from aiohttp import web
 
 from crocusshunt.front._answer_memory import AnswerKeeper, AnswerMemory
-from crocusshunt.front._connections import HostConnection, HostServer
+from crocusshunt.front._connections import (
+    HostConnection,
+    HostServer,
+    count_kept,
+)
 from crocusshunt.front._lingering import LingeringTransport
 
 
@@ -16,15 +20,13 @@
     Answers still reach the caller after the connection was closed.
     """
 
-    def __init__(
-        self, server: HostServer, keeper: AnswerKeeper, **options: Any
-    ) -> None:
+    def __init__(self, server: 'AnsweringServer', **options: Any) -> None:
         """Use the port of a server.
 
         :param options: options of aiohttp's connections.
         """
         super().__init__(server, **options)
-        self._memory = AnswerMemory(keeper, self)
+        self._memory = AnswerMemory(server.keeper, self)
         self._lingering: LingeringTransport | None = None
 
     @property
@@ -39,6 +41,11 @@
         self._memory.attach(lingering)
         super().connection_made(cast(asyncio.BaseTransport, lingering))
 
+    def data_received(self, received: bytes) -> None:
+        """Parse received bytes, unless the connection was closed."""
+        if not self.is_lingering:
+            super().data_received(received)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Keep nothing for a caller that has left."""
         super().connection_lost(exc)
@@ -64,6 +71,43 @@
         elif not (self._reading_paused or self._buffer_paused):
             self._resume_transport_reading()
 
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Any,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Count the head of a request until its response is written."""
+        self._current_message = request._message  # noqa: SLF001
+        if self._bounds is not None:
+            self._bounds.measure(count_kept(self), self._messages)
+        try:
+            return await super()._handle_request(
+                request, start_time, request_handler
+            )
+        finally:
+            self._current_message = None
+            if self._bounds is not None and self._parser is not None:
+                self._bounds.note_response(count_kept(self), self._messages)
+
     def _resume_transport_reading(self) -> None:
         if not self._memory.is_full:
             super()._resume_transport_reading()
+
+
+class AnsweringServer(HostServer):
+    """A server whose connections count the answers that they keep."""
+
+    def __init__(
+        self, handler: Any, keeper: AnswerKeeper, **options: Any
+    ) -> None:
+        """Pass each request to a handler.
+
+        :param options: those of other servers of a host.
+        """
+        super().__init__(handler, **options)
+        self.keeper = keeper
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return AnsweringConnection(self, loop=self._loop, **self._kwargs)
--- a/crocusshunt/front/_connection_bounds.py
+++ b/crocusshunt/front/_connection_bounds.py
@@ -86,7 +86,7 @@
         self._received_at = self._loop.time()
         if waiting:
             self._roster.note_busy(self)
-        self._measure(kept, waiting)
+        self.measure(kept, waiting)
         self.times.note_head()
 
     def note_response(
@@ -98,12 +98,17 @@
         :param waiting: requests that have not begun, with their pieces.
         """
         self._free_steps = max(self._free_steps, _FREE_STEPS)
-        self._measure(kept, waiting)
+        self.measure(kept, waiting)
         self.times.note_active()
         if not waiting:
             self._roster.note_idle(self, self._loop.time())
             self._loop.call_soon(self.times.note_head)
 
+    def measure(self, kept: int, waiting: Collection[tuple[Any, Any]]) -> None:
+        """Count again what isn't part of a body under way."""
+        size = kept + self._heads.measure(waiting)
+        self.account.set(Holding.received, size)
+
     def reserve_steps(self, count: int, size: int) -> float:
         """Return how long to wait before more is parsed, in seconds.
 
@@ -132,10 +137,6 @@
             return self._roster.find_stalled(_measure_stall, now)
         return chosen
 
-    def _measure(self, kept: int, waiting: Collection[tuple[Any, Any]]) -> None:
-        size = kept + self._heads.measure(waiting)
-        self.account.set(Holding.received, size)
-
     def _end(self, cause: EndCause) -> None:
         caller = self._connection.peername
         address = caller[0] if isinstance(caller, tuple) else None
--- a/crocusshunt/front/_connections.py
+++ b/crocusshunt/front/_connections.py
@@ -16,7 +16,7 @@
 from crocusshunt.front._connection_bounds import ConnectionBounds
 from crocusshunt.front._ingress import Ingress, Port
 from crocusshunt.front._request_parser import RequestParser
-from crocusshunt.front._waiting_heads import count_pieces
+from crocusshunt.front._waiting_heads import count_pieces, measure_head
 from crocusshunt.http1 import ReadLimits
 from crocusshunt.ingress import Account, EndCause
 from crocusshunt.logs import log_event
@@ -75,6 +75,8 @@
         self._bounds: ConnectionBounds | None = None
         # The library forgets its own reference when it closes a connection.
         self._own_transport: asyncio.Transport | None = None
+        # The request whose response is not written yet.
+        self._current_message: Any = None
 
     @property
     def account(self) -> Account | None:
@@ -136,7 +138,7 @@
         parser = self._parser
         if parser is None or self._bounds is None:
             return
-        self._bounds.note_received(_count_kept(self), self._messages)
+        self._bounds.note_received(count_kept(self), self._messages)
         steps = parser.step_count - self._step_count
         self._step_count = parser.step_count
         delay_s = self._bounds.reserve_steps(steps, len(received))
@@ -177,19 +179,12 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Write a response; close after it if the body couldn't be read.
-
-        After it, the connection may be idle.
-        """
+        """Write a response; close after it if the body couldn't be read."""
         if request.content.exception() is not None:
             resp.force_close()
         if self._parser is not None:
             self._parser.discard_body(request.content)
-        try:
-            return await super().finish_response(request, resp, start_time)
-        finally:
-            if self._bounds is not None and self._parser is not None:
-                self._bounds.note_response(_count_kept(self), self._messages)
+        return await super().finish_response(request, resp, start_time)
 
     def _resume_transport_reading(self) -> None:
         if not self._is_behind:
@@ -230,14 +225,13 @@
         self.get_limits = get_limits
         self.ingress = ingress
 
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
-        return HostConnection(self, loop=self._loop, **self._kwargs)
-
 
-def _count_kept(connection: HostConnection) -> int:
-    """Return the bytes to be parsed, and the unread ones of a request."""
+def count_kept(connection: HostConnection) -> int:
+    """Return the bytes to be parsed, and those of the request under way."""
     current = connection._current_request  # noqa: SLF001
     content = None if current is None else current.content
     parser = connection._parser  # noqa: SLF001
-    return int(parser.held_bytes) + count_pieces(content)
+    held = 0 if parser is None else int(parser.held_bytes)
+    message = connection._current_message  # noqa: SLF001
+    head = 0 if message is None else measure_head(message)
+    return held + head + count_pieces(content)
--- a/crocusshunt/front/_ingress.py
+++ b/crocusshunt/front/_ingress.py
@@ -83,7 +83,9 @@
         settings.memory_bytes, min(settings.max_descriptors, descriptors)
     )
     rosters: dict[Port, Roster[ConnectionBounds]] = {
-        port: Roster(limits.reserved_connections) for port in Port
+        port: Roster(limits.reserved_connections, is_brief=True)
+        for port in Port
     }
+    rosters[Port.hosts] = Roster(limits.max_host_connections)
     rosters[Port.callers] = Roster(limits.max_connections)
     return Ingress(limits, get_limits, HostLedger(limits), rosters)
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,16 +17,13 @@
 
 from crocusshunt.front._answer_memory import AnswerKeeper
 from crocusshunt.front._arrivals import Arrivals
-from crocusshunt.front._answering import AnsweringConnection
-from crocusshunt.front._connections import (
-    HostServer,
-    LibraryResponses,
+from crocusshunt.front._answering import (
+    AnsweringConnection,
+    AnsweringServer,
 )
 from crocusshunt.front._early_shares import EarlyShare, EarlyShares
-from crocusshunt.front._ingress import Ingress, Port
 from crocusshunt.front._responder import Responder, describe
 from crocusshunt.front._startable import count_startable
-from crocusshunt.http1 import ReadLimits
 
 # Requests of one connection that are processed at the same time.
 _MAX_CONCURRENT_COUNT = 8
@@ -52,7 +48,7 @@
 
         :param options: options of aiohttp's connections.
         """
-        super().__init__(server, server.keeper, **options)
+        super().__init__(server, **options)
         self._responder = responder
         self._started: deque[_StartedRequest] = deque()
         self._arrivals = Arrivals()
@@ -188,34 +184,18 @@
         )
 
 
-class PipelinedServer(HostServer):
+class PipelinedServer(AnsweringServer):
     """A server whose connections process several requests at a time."""
 
     def __init__(
-        self,
-        responder: Responder,
-        library_responses: LibraryResponses,
-        get_limits: Callable[[], ReadLimits],
-        ingress: Ingress,
-        keeper: AnswerKeeper,
-        **options: Any,
+        self, responder: Responder, keeper: AnswerKeeper, **options: Any
     ) -> None:
         """Pass each request to a responder.
 
-        :param ingress: bounds what callers make the host keep.
-        :param get_limits: called for each request.
-        :param options: options of aiohttp's server and of its connections.
+        :param options: those of other servers of a host.
         """
-        super().__init__(
-            _respond_in_turn,
-            Port.callers,
-            library_responses,
-            get_limits,
-            ingress,
-            **options,
-        )
+        super().__init__(_respond_in_turn, keeper, **options)
         self._responder = responder
-        self.keeper = keeper
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -12,9 +12,9 @@
 from crocusshunt.feeds import FeedStore
 from crocusshunt.fleet import open_datagram_endpoint
 from crocusshunt.front._answer_memory import AnswerKeeper
+from crocusshunt.front._answering import AnsweringServer
 from crocusshunt.front._assembly import assemble_host
 from crocusshunt.front._bodies import get_request_limits
-from crocusshunt.front._connections import HostServer
 from crocusshunt.front._directory import Directory, ReadyCheck
 from crocusshunt.front._draining import drain_runners
 from crocusshunt.front._headers import RELAYED_BY
@@ -80,6 +80,10 @@
         # Those that requests to be sent to servers come in through.
         self._request_runners: list[web.ServerRunner] = []
         self._components = assemble_host(settings, source, store, clock)
+        self._keeper = AnswerKeeper(
+            self._components.cluster.connections.buffer_limit,
+            self._components.ingress.ledger,
+        )
         self._reload = SettingsReload(settings, read_settings, self._apply)
 
     def reload(self) -> None:
@@ -152,14 +156,8 @@
         internal = f'{settings.ip}:{settings.internal_port}'
         front = PipelinedServer(
             components.handler,
-            components.library_responses,
-            self._get_read_limits,
-            components.ingress,
-            AnswerKeeper(
-                components.cluster.connections.buffer_limit,
-                components.ingress.ledger,
-            ),
-            **_SERVER_OPTIONS,
+            self._keeper,
+            **self._get_server_options(Port.callers),
         )
         self._request_runners.append(
             await self._listen_with(settings.front_address, front)
@@ -194,20 +192,20 @@
     async def _listen(
         self, address: str, port: Port, handle: Handler
     ) -> web.ServerRunner:
-        get_limits = (
-            self._get_host_read_limits
+        options = self._get_server_options(port)
+        server = AnsweringServer(handle, self._keeper, **options)
+        return await self._listen_with(address, server)
+
+    def _get_server_options(self, port: Port) -> dict[str, Any]:
+        return {
+            'port': port,
+            'library_responses': self._components.library_responses,
+            'get_limits': self._get_host_read_limits
             if port is Port.hosts
-            else self._get_read_limits
-        )
-        server = HostServer(
-            handle,
-            port,
-            self._components.library_responses,
-            get_limits,
-            self._components.ingress,
+            else self._get_read_limits,
+            'ingress': self._components.ingress,
             **_SERVER_OPTIONS,
-        )
-        return await self._listen_with(address, server)
+        }
 
     async def _listen_with(
         self, address: str, server: web.Server
--- a/crocusshunt/front/_waiting_heads.py
+++ b/crocusshunt/front/_waiting_heads.py
@@ -28,7 +28,7 @@
         for message, _payload in reversed(tuple(waiting)):
             if message is self._last:
                 break
-            added.append(_measure_head(message))
+            added.append(measure_head(message))
         self._sizes.extend(reversed(added))
         while len(self._sizes) > len(waiting):
             self._sizes.popleft()
@@ -42,7 +42,8 @@
     return int(getattr(payload, '_size', 0))
 
 
-def _measure_head(message: Any) -> int:
+def measure_head(message: Any) -> int:
+    """Return about how many bytes the head of a request takes."""
     fields = getattr(message, 'raw_headers', ())
     texts = sum(len(name) + len(text) for name, text in fields)
     return _REQUEST_BYTES + _COPIES * texts + _FIELD_BYTES * len(fields)
--- a/crocusshunt/front/tests/test_ingress.py
+++ b/crocusshunt/front/tests/test_ingress.py
@@ -247,3 +247,23 @@
         assert b' 200 ' in received
         assert ingress.ledger.body_total == 90_000
         assert not ingress.ended
+
+
+async def test_head_of_the_request_under_way_counts() -> None:
+    fields = ''.join(f'X{number}: a\r\n' for number in range(1000))
+    head = (
+        f'POST /a/x HTTP/1.1\r\nHost: a.example\r\n'
+        f'Authorization: Token {KEY}\r\nContent-Length: 9\r\n{fields}\r\na'
+    )
+    async with deploy('s1') as deployment:
+        ledger = _get_ingress(deployment).ledger
+        before = ledger.total
+        _reader, writer = await _connect(deployment, Port.callers)
+        writer.write(head.encode())
+        await asyncio.sleep(0.2)
+        writer.write(b'b')
+        await asyncio.sleep(0.2)
+        assert ledger.total - before > 256 * 1000
+        writer.close()
+        await asyncio.sleep(0.2)
+        assert ledger.total == before
--- a/crocusshunt/ingress/_limits.py
+++ b/crocusshunt/ingress/_limits.py
@@ -11,7 +11,8 @@
 # Each connection may need another one to a server. The rest is for connections
 # to other hosts and the store, and files.
 _CONNECTION_FRACTION = 0.32
-_RESERVED_FRACTION = 0.04
+_HOST_FRACTION = 0.12
+_RESERVED_FRACTION = 0.03
 _EARLY_FRACTION = 0.07
 
 
@@ -30,6 +31,7 @@
     :param max_connection_bytes: most bytes of one connection without bodies;
         it fits the longest answer of a server.
     :param max_connections: most connections of callers.
+    :param max_host_connections: most connections of other hosts.
     :param reserved_connections: most connections to each of the other ports.
     :param max_early_requests: most requests that have begun before their turn
         on their connections.
@@ -41,7 +43,8 @@
     small_reserve_bytes: int = 4_000_000
     max_connection_bytes: int = 37_748_736
     max_connections: int = 1312
-    reserved_connections: int = 164
+    max_host_connections: int = 492
+    reserved_connections: int = 123
     max_early_requests: int = 287
 
 
@@ -61,6 +64,7 @@
         max_host_bytes=host_bytes,
         max_body_bytes=max(_MIN_BODY_BYTES, int(host_bytes * _BODY_FRACTION)),
         max_connections=int(max_descriptors * _CONNECTION_FRACTION),
+        max_host_connections=int(max_descriptors * _HOST_FRACTION),
         reserved_connections=int(max_descriptors * _RESERVED_FRACTION),
         max_early_requests=int(max_descriptors * _EARLY_FRACTION),
     )
--- a/crocusshunt/ingress/_roster.py
+++ b/crocusshunt/ingress/_roster.py
@@ -25,16 +25,24 @@
     >>> roster.choose(lambda _name: True, now=2.5)
     >>> roster.choose(lambda _name: True, now=3)
     'old'
+    >>> brief = Roster[str](1, is_brief=True)
+    >>> brief.add('stuck', 0)
+    >>> brief.note_busy('stuck')
+    >>> brief.choose(lambda _name: True, now=1)
+    'stuck'
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, *, is_brief: bool = False) -> None:
         """Begin without connections.
 
         :param limit: most connections.
+        :param is_brief: whether requests take so little time that the oldest
+            connection may be given up, if no other one may.
         """
         self._limit = limit
+        self._is_brief = is_brief
         self._searched_at = float('-inf')
-        self._members: set[Member] = set()
+        self._members: dict[Member, float] = {}
         # Those without a whole request so far, the oldest first.
         self._silent: dict[Member, float] = {}
         # Those between requests, the longest idle first.
@@ -47,12 +55,12 @@
 
     def add(self, member: Member, now: float) -> None:
         """Count a new connection."""
-        self._members.add(member)
+        self._members[member] = now
         self._silent[member] = now
 
     def drop(self, member: Member) -> None:
         """Forget a connection."""
-        self._members.discard(member)
+        self._members.pop(member, None)
         self.note_busy(member)
 
     def note_busy(self, member: Member) -> None:
@@ -77,10 +85,10 @@
             return next(iter(self._silent))
         for member, idle_since in self._idle.items():
             if now - idle_since < _MIN_IDLE_S:
-                return None
+                break
             if is_idle(member):
                 return member
-        return None
+        return next(iter(self._members)) if self._is_brief else None
 
     def find_stalled(
         self, measure_stall: Callable[[Member], float], now: float
