Let a connection be idle from when its answer was received

What callers would see: a connection that closes before four fifths of idle_timeout_s are over, where an answer is long and the caller slow; and, between hosts, a request that is lost with a connection that the other one still keeps, where the configuration names less than the 8 s for which hosts keep theirs. Found by the review: the time ran from when the answer was written, and applied to all ports.

What the peer's kernel has not confirmed is looked at each tenth of the idle time; such a connection isn't idle, for 60 s at most.

--- a/crocusshunt/front/_answer_memory.py
+++ b/crocusshunt/front/_answer_memory.py
@@ -41,9 +41,6 @@
     def hold(self, is_full: bool) -> None:
         """Read and begin nothing, or go on."""
 
-    def end(self, cause: EndCause) -> None:
-        """End the connection at once, and say so in the log."""
-
 
 @dataclass(slots=True)
 class AnswerKeeper:
@@ -165,7 +162,9 @@
 
     def end(self, cause: EndCause) -> None:
         """End the connection at once."""
-        self._owner.end(cause)
+        account = self._owner.account
+        if account is not None:
+            account.end(cause)
         self.close()
 
     @property
--- a/crocusshunt/front/_answering.py
+++ b/crocusshunt/front/_answering.py
@@ -34,6 +34,12 @@
         """Tell whether a connection that was closed still delivers answers."""
         return self._lingering is not None and self._lingering.is_lingering
 
+    @property
+    def is_delivered(self) -> bool:
+        """Tell whether the peer has received all that was written."""
+        lingering = self._lingering
+        return lingering is None or not lingering.count_unconfirmed()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Let answers reach the caller before the connection is closed."""
         lingering = LingeringTransport(cast(asyncio.Transport, transport))
--- a/crocusshunt/front/_connection_bounds.py
+++ b/crocusshunt/front/_connection_bounds.py
@@ -56,7 +56,12 @@
         self._free_steps = _FREE_STEPS
         self._received_at = self._loop.time()
         self.account = ingress.ledger.open(self._end)
-        self.times = ConnectionTimes(connection, self._loop, ingress.get_limits)
+        self.times = ConnectionTimes(
+            connection,
+            self._loop,
+            ingress.find_limits_getter(port),
+            self.account.end,
+        )
         now = self._loop.time()
         is_full = self._roster.is_full
         chosen = self._choose_other(now) if is_full else None
--- a/crocusshunt/front/_connection_times.py
+++ b/crocusshunt/front/_connection_times.py
@@ -9,6 +9,9 @@
 
 # A connection that is closed waits so long for its last bytes to leave.
 _MAX_CLOSING_S = 60
+# How often a connection is looked at, as a fraction of its longest idle time:
+# the end of a response is seen so late, and callers use four fifths.
+_CHECK_FRACTION = 0.1
 
 
 class TimedConnection(Protocol):
@@ -26,8 +29,9 @@
     def is_closed_by_host(self) -> bool:
         """Tell whether the connection is closing."""
 
-    def end(self, cause: EndCause) -> None:
-        """End the connection."""
+    @property
+    def is_delivered(self) -> bool:
+        """Tell whether the peer has received all that was written."""
 
 
 class ConnectionTimes:
@@ -42,14 +46,20 @@
         connection: TimedConnection,
         loop: asyncio.AbstractEventLoop,
         get_limits: Callable[[], RequestLimits],
+        end: Callable[[EndCause], None],
     ) -> None:
-        """Begin with a connection that has just been opened."""
+        """Begin with a connection that has just been opened.
+
+        :param end: ends the connection.
+        """
         self._connection = connection
         self._loop = loop
         self._get_limits = get_limits
+        self._end = end
         self._active_at = loop.time()
         self._head_began_at: float | None = None
         self._closing_since: float | None = None
+        self._undelivered_since: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._schedule(get_limits().header_timeout_s)
 
@@ -66,7 +76,7 @@
     def note_head(self) -> None:
         """Look whether a head has begun that is next on its connection."""
         connection = self._connection
-        if not (connection.is_idle and connection.is_in_head):
+        if not (connection.is_in_head and connection.is_idle):
             self._head_began_at = None
         elif self._head_began_at is None:
             self._head_began_at = self._loop.time()
@@ -85,11 +95,13 @@
         cause = self._find_cause(now, limits)
         if cause is not None:
             self.stop()
-            self._connection.end(cause)
+            self._end(cause)
             return
-        delay_s = limits.header_timeout_s
+        step_s = limits.idle_timeout_s * _CHECK_FRACTION
+        delay_s = min(limits.header_timeout_s, step_s)
         if self._head_began_at is not None:
-            delay_s -= now - self._head_began_at
+            left_s = limits.header_timeout_s - (now - self._head_began_at)
+            delay_s = left_s
         elif self._connection.is_idle:
             left_s = limits.idle_timeout_s - (now - self._active_at)
             delay_s = min(delay_s, left_s)
@@ -107,5 +119,19 @@
         if not self._connection.is_idle:
             self._active_at = now
             return None
+        if not self._connection.is_delivered:
+            return self._note_undelivered(now)
+        self._undelivered_since = None
         is_over = now - self._active_at >= limits.idle_timeout_s
         return EndCause.idle if is_over else None
+
+    def _note_undelivered(self, now: float) -> EndCause | None:
+        """Note that the peer has not received a response that was sent.
+
+        Its time between requests begins when it has.
+        """
+        self._active_at = now
+        if self._undelivered_since is None:
+            self._undelivered_since = now
+        is_over = now - self._undelivered_since >= _MAX_CLOSING_S
+        return EndCause.unread if is_over else None
--- a/crocusshunt/front/_connections.py
+++ b/crocusshunt/front/_connections.py
@@ -18,7 +18,7 @@
 from crocusshunt.front._request_parser import RequestParser
 from crocusshunt.front._waiting_heads import count_pieces, measure_head
 from crocusshunt.http1 import ReadLimits
-from crocusshunt.ingress import Account, EndCause
+from crocusshunt.ingress import Account
 from crocusshunt.logs import log_event
 
 
@@ -93,6 +93,11 @@
             return False
         return not transport.get_write_buffer_size()
 
+    @property
+    def is_delivered(self) -> bool:
+        """Tell whether the peer has received all that was written."""
+        return True
+
     @property
     def is_in_head(self) -> bool:
         """Tell whether a head has begun that isn't whole."""
@@ -127,11 +132,6 @@
             self._bounds.close()
         self._own_transport = None
 
-    def end(self, cause: EndCause) -> None:
-        """End the connection at once, and drop what it keeps."""
-        if self.account is not None:
-            self.account.end(cause)
-
     def data_received(self, received: bytes) -> None:
         """Parse received bytes, and what is left of them in later turns."""
         super().data_received(received)
--- a/crocusshunt/front/_ingress.py
+++ b/crocusshunt/front/_ingress.py
@@ -3,7 +3,7 @@
 import resource
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from crocusshunt.front._connection_bounds import ConnectionBounds
 
+# Well above the time for which hosts keep idle connections to each other.
+_MIN_HOST_IDLE_S = 60
 # An idle connection is ended by design, and so often that no line tells it.
 _UNLOGGED_CAUSES = frozenset((EndCause.idle,))
 
@@ -54,6 +56,13 @@
     budget: ReadingBudget = field(default_factory=ReadingBudget)
     ended: Counter[tuple[Port, EndCause]] = field(default_factory=Counter)
 
+    def find_limits_getter(self, port: Port) -> Callable[[], RequestLimits]:
+        """Return what returns the limits on the connections of a port.
+
+        Other hosts reuse theirs for longer than callers may.
+        """
+        return self._get_host_limits if port is Port.hosts else self.get_limits
+
     def note_end(self, port: Port, cause: EndCause, caller: str | None) -> None:
         """Log and count the end of a connection.
 
@@ -68,6 +77,11 @@
                 caller=caller,
             )
 
+    def _get_host_limits(self) -> RequestLimits:
+        limits = self.get_limits()
+        idle_s = max(limits.idle_timeout_s, _MIN_HOST_IDLE_S)
+        return replace(limits, idle_timeout_s=idle_s)
+
 
 def create_ingress(
     settings: FrontSettings, get_limits: Callable[[], RequestLimits]
