Charge heads by their fields, and end the share of an answer that nobody awaits

A head counts a part more for each four fields now. The number of requests that wait is the library's own, since its connections stall if the two differ. A caller that leaves ends the share of its early answers, and 100 Continue isn't sent for a body that is there.

--- a/crocusshunt/front/_bodies.py
+++ b/crocusshunt/front/_bodies.py
@@ -44,7 +44,8 @@
         return Ok(None)
     if (request.content_length or 0) > max_bytes:
         return Err(_create_too_large())
-    if request.headers.get('Expect') and request.transport is not None:
+    is_expected = request.headers.get('Expect') and not request.content.is_eof()
+    if is_expected and request.transport is not None:
         request.transport.write(_CONTINUE)
     account = _get_account(request)
     body = bytearray()
--- a/crocusshunt/front/_pipelining.py
+++ b/crocusshunt/front/_pipelining.py
@@ -70,7 +70,9 @@
         """Cancel all requests of a caller that has left."""
         super().connection_lost(exc)
         while self._started:
-            self._started.popleft().response.cancel()
+            started = self._started.popleft()
+            started.share.end()
+            started.response.cancel()
             self._responder.in_flight.end(self)
 
     async def respond(self, request: web.BaseRequest) -> web.Response:
--- a/crocusshunt/front/_request_parser.py
+++ b/crocusshunt/front/_request_parser.py
@@ -11,7 +11,10 @@
 
 from aiohttp import web
 from aiohttp.streams import EMPTY_PAYLOAD
-from aiohttp.web_protocol import _ErrInfo  # noqa: WPS450
+from aiohttp.web_protocol import (  # noqa: WPS450
+    MAX_MSG_QUEUE_SIZE,
+    _ErrInfo,
+)
 
 from crocusshunt.front._request_bodies import (
     IncomingBody,
@@ -27,9 +30,11 @@
 
 # Heads, lines and pieces that are read before other callbacks have their turn.
 _TURN_STEPS = 256
-# Requests of a connection that were read and have not begun. The library's
-# connections ask for more once their queue of as many has drained.
-_MAX_WAITING_COUNT = 32
+# The library's connections ask for more requests once their queue of so many
+# has drained.
+_MAX_WAITING_COUNT = MAX_MSG_QUEUE_SIZE
+# So many fields take about as long as one other part.
+_FIELDS_PER_STEP = 4
 
 Message = tuple[Any, Any]
 
@@ -151,6 +156,7 @@
         if head is None:
             return False
         self._reader = None
+        self.step_count += len(head.fields) // _FIELDS_PER_STEP
         message = create_message(head)
         self._body = open_body(head, limits, self._protocol)
         self._waiting_count += 1
