Refuse a length of a body that is given as a list

Callers would see 500 for 'Content-Length: 3, 3': the parser took it for one length, and the handler's own reading of the field failed on it. Found by reading. RFC 9112 lets a recipient refuse it; the same field twice is still one length. test_lengths.py fails before for the list.

--- a/crocusshunt/http1/_heads.py
+++ b/crocusshunt/http1/_heads.py
@@ -112,7 +112,7 @@
 ) -> int | None:
     """Return the size of the body, None for one in chunks."""
     codings = _split_list(_find_values(fields, 'transfer-encoding'))
-    sizes = _split_list(_find_values(fields, 'content-length'))
+    sizes = _find_values(fields, 'content-length')
     if not codings:
         return _parse_size(sizes)
     # Two framings of one body may be read differently by others.
