--- a/crocusshunt/platform/_settings.py
+++ b/crocusshunt/platform/_settings.py
@@ -1,6 +1,7 @@
 """Settings file that the users' platform writes for a process of a host."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -15,12 +16,14 @@
 SETTINGS_VARIABLE = 'CROCUSSHUNT_CONFIG'
 
 _BYTES_PER_MB = 1_000_000
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
 _READ_ERRORS = (OSError, LookupError, *DECODE_ERRORS)
 
 
 class _MachineSection(msgspec.Struct, frozen=True):
-    memory_mb: float = 200
-    max_fds: int = 4100
+    memory_mb: _Positive = 200
+    max_fds: _PositiveCount = 4100
 
 
 class _HostSection(msgspec.Struct, frozen=True):
--- a/crocusshunt/platform/tests/test_decoding.py
+++ b/crocusshunt/platform/tests/test_decoding.py
@@ -155,6 +155,37 @@
     assert settings.limits.retry_ratio == pytest.approx(0.2)
 
 
+def _write_settings(folder: Path, limits: dict[str, int]) -> Path:
+    settings = json.loads(_encode(_SETTINGS))
+    settings['self']['limits'] = limits
+    path = folder / 'node.json'
+    path.write_bytes(_encode(settings))
+    return path
+
+
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        ({'memory_mb': 552, 'max_fds': 8192}, (552_000_000, 8192)),
+        ({}, (200_000_000, 4100)),
+    ],
+)
+def test_limits_of_the_machine_are_read(
+    tmp_path: Path, limits: dict[str, int], expected: tuple[int, int]
+) -> None:
+    path = _write_settings(tmp_path, limits)
+    settings = read_front_settings(path).unwrap()
+    assert (settings.memory_bytes, settings.max_descriptors) == expected
+
+
+@pytest.mark.parametrize('limits', [{'memory_mb': 0}, {'max_fds': -1}])
+def test_impossible_limits_of_the_machine_are_a_typed_error(
+    tmp_path: Path, limits: dict[str, int]
+) -> None:
+    path = _write_settings(tmp_path, limits)
+    assert read_front_settings(path).is_err()
+
+
 @pytest.mark.parametrize('missing', ['self', 'network', 'platform'])
 def test_incomplete_settings_are_a_typed_error(
     tmp_path: Path,
