--- a/crocusshunt/programs/tests/test_clients_that_misbehave.py
+++ b/crocusshunt/programs/tests/test_clients_that_misbehave.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -61,6 +62,9 @@
 _HEADERS = {'Host': HOST_NAME, 'Authorization': f'Token {KEY}'}
 _HEAD_CROWD = CrowdKind(send_heads_in_turn, clients=40)
 _LONG_ANSWER_BYTES = 8_000_000
+# The longest body, and a machine, of the smallest sizes that occur.
+_LONGEST_BODY_BYTES = 67_108_864
+_SMALL_MACHINE = {'memory_mb': 200, 'max_fds': 4100}
 
 _FindAddress = Callable[[HostDocument], str]
 # The other ports of a host.
@@ -92,13 +96,14 @@
             content = encode_server(address, 'pool', 'a1')
             self.store.put(SERVERS_TABLE, name, content)
 
-    def write_configuration(self) -> None:
+    def write_configuration(self, max_body_bytes: int = _BODY_BYTES) -> None:
         """Write a configuration with low limits."""
+        limits = {**_REQUEST_LIMITS, 'max_body_bytes': max_body_bytes}
         content = encode_configuration(
             1,
             [describe_route()],
             [CustomerDocument('court', (KEY,))],
-            limits=_REQUEST_LIMITS,
+            limits=limits,
         )
         self.store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, content)
 
@@ -155,8 +160,10 @@
         return Path(f'/proc/{self.host.pid}')
 
 
-@pytest.fixture
-async def empty_site(tmp_path: Path) -> AsyncIterator[Site]:
+@asynccontextmanager
+async def _run_site(
+    tmp_path: Path, process_limits: dict[str, int]
+) -> AsyncIterator[Site]:
     """Start a host whose store holds no configuration."""
     store = MemoryFeedStore()
     runners: list[web.AppRunner] = []
@@ -167,7 +174,7 @@
         failure_domain='a1',
         first_port=ports[0],
         store=await _serve(application, runners),
-        limits=_PROCESS_LIMITS,
+        limits=process_limits,
     )
     site = Site(HostProcess(document, tmp_path), store, runners)
     try:
@@ -179,6 +186,13 @@
         await site.stop()
 
 
+@pytest.fixture
+async def empty_site(tmp_path: Path) -> AsyncIterator[Site]:
+    """Start a host with low limits and no configuration."""
+    async with _run_site(tmp_path, _PROCESS_LIMITS) as running:
+        yield running
+
+
 @pytest.fixture
 async def site(empty_site: Site) -> Site:
     """Return a host that is ready."""
@@ -222,6 +236,16 @@
         assert await _post(site, b'a' * size) == _describe_size(size)
 
 
+async def test_longest_body_fits_the_smallest_machine(tmp_path: Path) -> None:
+    async with asyncio.timeout(_CASE_TIMEOUT_S):
+        async with _run_site(tmp_path, _SMALL_MACHINE) as running:
+            running.write_configuration(_LONGEST_BODY_BYTES)
+            await wait_until_ready([running.host])
+            answer = await _post(running, b'a' * _LONGEST_BODY_BYTES)
+            assert running.read_peak_mb() < _SMALL_MACHINE['memory_mb']
+    assert answer == _describe_size(_LONGEST_BODY_BYTES)
+
+
 async def test_body_in_chunks_of_one_byte_is_served(site: Site) -> None:
     size = 20_000
     chunks = b'1\r\na\r\n' * size
@@ -371,7 +395,7 @@
             },
         )
 
-    application = web.Application(client_max_size=_BODY_BYTES + 1)
+    application = web.Application(client_max_size=_LONGEST_BODY_BYTES + 1)
     application.router.add_route('*', '/{path:.*}', answer)
     return application
 
