Split the connection to servers, and give counts names that say so

The handler passes the configuration to the reading of bodies in place of a number from it. No decision changes.

--- a/crocusshunt/front/_bodies.py
+++ b/crocusshunt/front/_bodies.py
@@ -31,17 +31,18 @@
 
 
 async def read_body(
-    request: web.BaseRequest, max_bytes: int, timeout_s: float
+    request: web.BaseRequest, index: CatalogIndex | None, timeout_s: float
 ) -> Result[bytes | None, Refusal]:
     """Return the whole body, None for a request without one.
 
     Its size counts on the account of the connection until it is released.
 
-    :param max_bytes: a longer body is refused.
+    :param index: the current configuration, which limits its size.
     :param timeout_s: a body that isn't whole by then is refused, in seconds.
     """
     if not request.body_exists:
         return Ok(None)
+    max_bytes = get_request_limits(index).body_bytes
     if (request.content_length or 0) > max_bytes:
         return Err(_create_too_large())
     is_expected = request.headers.get('Expect') and not request.content.is_eof()
--- a/crocusshunt/front/_connection_bounds.py
+++ b/crocusshunt/front/_connection_bounds.py
@@ -11,8 +11,8 @@
 
 # Parts of requests that are parsed without drawing on the budget of the host:
 # at first, and after each response.
-_FREE_STEPS = 256
-_MAX_FREE_STEPS = 4096
+_FREE_STEP_COUNT = 256
+_MAX_FREE_STEP_COUNT = 4096
 # A part of so many bytes takes no more time than reading them.
 _BYTES_PER_FREE_STEP = 1024
 
@@ -53,7 +53,7 @@
         self._loop = asyncio.get_running_loop()
         self._roster = ingress.rosters[port]
         self._heads = WaitingHeads()
-        self._free_steps = _FREE_STEPS
+        self._free_steps = _FREE_STEP_COUNT
         self._received_at = self._loop.time()
         self.account = ingress.ledger.open(self._end)
         self.times = ConnectionTimes(
@@ -102,7 +102,7 @@
         :param kept: bytes that are still to be parsed.
         :param waiting: requests that have not begun, with their pieces.
         """
-        self._free_steps = max(self._free_steps, _FREE_STEPS)
+        self._free_steps = max(self._free_steps, _FREE_STEP_COUNT)
         self.measure(kept, waiting)
         self.times.note_active()
         if not waiting:
@@ -121,7 +121,7 @@
         :param size: bytes that have just been received.
         """
         left = self._free_steps + size // _BYTES_PER_FREE_STEP - count
-        self._free_steps = min(max(left, 0), _MAX_FREE_STEPS)
+        self._free_steps = min(max(left, 0), _MAX_FREE_STEP_COUNT)
         if left >= 0:
             return 0
         return self._ingress.budget.reserve(-left, self._loop.time())
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -9,11 +9,7 @@
 from crocusshunt.front._admission import Admission, admit
 from crocusshunt.front._arrivals import measure_wait
 from crocusshunt.front._attempts import RequestTemplate
-from crocusshunt.front._bodies import (
-    get_request_limits,
-    read_body,
-    release_body,
-)
+from crocusshunt.front._bodies import read_body, release_body
 from crocusshunt.front._handler_components import HandlerComponents
 from crocusshunt.front._headers import (
     RELAYED_BY,
@@ -180,9 +176,7 @@
             if refused is not None:
                 return Err(refused)
         body_result = await read_body(
-            request,
-            get_request_limits(cluster.index).body_bytes,
-            admission.route.timeout_s,
+            request, cluster.index, admission.route.timeout_s
         )
         if isinstance(body_result, Err):
             return body_result
--- a/crocusshunt/front/_request_parser.py
+++ b/crocusshunt/front/_request_parser.py
@@ -29,7 +29,7 @@
 )
 
 # Heads, lines and pieces that are read before other callbacks have their turn.
-_TURN_STEPS = 256
+_TURN_STEP_COUNT = 256
 # The library's connections ask for more requests once their queue of so many
 # has drained.
 _MAX_WAITING_COUNT = MAX_MSG_QUEUE_SIZE
@@ -125,7 +125,7 @@
 
     def _parse(self) -> None:
         self._has_more = False
-        for _ in range(_TURN_STEPS):
+        for _ in range(_TURN_STEP_COUNT):
             if self._is_paused or self._is_ended or not self._step():
                 return
             self.step_count += 1
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -28,7 +28,7 @@
 from crocusshunt.logs import log_event
 
 # Connections that wait are all taken at once, before others make room.
-_MAX_BACKLOG = 1024
+_MAX_BACKLOG_COUNT = 1024
 _BACKLOG_FRACTION = 0.1
 # Fields of requests between hosts: those of a caller, by a configuration that
 # may be newer than this host's, and those that the other host adds.
@@ -214,7 +214,7 @@
         runner = web.ServerRunner(server)
         await runner.setup()
         most = int(self.settings.max_descriptors * _BACKLOG_FRACTION)
-        backlog = min(_MAX_BACKLOG, most)
+        backlog = min(_MAX_BACKLOG_COUNT, most)
         site = web.TCPSite(runner, host, int(port), backlog=backlog)
         await site.start()
         self._runners.append(runner)
--- a/crocusshunt/front/_waiting_heads.py
+++ b/crocusshunt/front/_waiting_heads.py
@@ -8,7 +8,7 @@
 _REQUEST_BYTES = 2048
 _FIELD_BYTES = 256
 # A field is kept as text and as bytes.
-_COPIES = 2
+_COPY_COUNT = 2
 
 
 class WaitingHeads:
@@ -46,4 +46,4 @@
     """Return about how many bytes the head of a request takes."""
     fields = getattr(message, 'raw_headers', ())
     texts = sum(len(name) + len(text) for name, text in fields)
-    return _REQUEST_BYTES + _COPIES * texts + _FIELD_BYTES * len(fields)
+    return _REQUEST_BYTES + _COPY_COUNT * texts + _FIELD_BYTES * len(fields)
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -22,7 +22,7 @@
 _SIZES = {'large': _LARGE_BYTES, 'largest': _LARGEST_BYTES}
 _WINDOW_BYTES = 16_384
 _PIECE_BYTES = 65_536
-_CALLERS = 12
+_CALLER_COUNT = 12
 _PIPELINED = 8
 # What one connection may keep: an answer that is sent, and early ones.
 _CONNECTION_BYTES = _LARGE_BYTES + 3_000_000 + 8 * 65_536
@@ -145,7 +145,7 @@
         deployment = await stack.enter_async_context(_deploy())
         limit = _get_limit(deployment)
         limit.max_total_bytes = 3 * _LARGE_BYTES
-        for _ in range(_CALLERS):
+        for _ in range(_CALLER_COUNT):
             caller = await stack.enter_async_context(_call(deployment))
             await caller.ask(*_NAMES)
         peak = 0
@@ -154,7 +154,7 @@
             assert status == 200, text
             peak = max(peak, limit.kept_bytes + limit.used_bytes)
             await asyncio.sleep(0.05)
-        free = _CALLERS * _PIPELINED * _PIECE_BYTES
+        free = _CALLER_COUNT * _PIPELINED * _PIECE_BYTES
         assert peak <= limit.max_total_bytes + limit.max_answer_bytes + free
         assert peak <= 4 * _LARGE_BYTES + 2 * free
         reader = await stack.enter_async_context(_call(deployment))
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -5,7 +5,7 @@
     FREE_ANSWER_BYTES,
     BufferLimit,
 )
-from crocusshunt.upstream._connection import Connection, open_connection
+from crocusshunt.upstream._connection import Connection
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
     ConnectionLostError,
@@ -17,6 +17,7 @@
     UpstreamAnswer,
     UpstreamRequest,
 )
+from crocusshunt.upstream._opening import open_connection
 from crocusshunt.upstream._pool import ConnectionPool, PoolSettings
 from crocusshunt.upstream._reading import ReadingBudget
 
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -1,12 +1,9 @@
 """HTTP/1.1 connection to a backend server, one exchange at a time."""
 
-import asyncio
 from typing import Any
 
 import h11
-from result import Err
 
-from crocusshunt.core import parse_count, parse_socket_address
 from crocusshunt.upstream._buffering import BodyBuffer, BufferLimit
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
@@ -15,25 +12,25 @@
 )
 from crocusshunt.upstream._messages import (
     EchoPolicy,
-    Header,
     UpstreamAnswer,
     UpstreamRequest,
 )
+from crocusshunt.upstream._parsing import (
+    DEFAULT_IDLE_LIMIT_S,
+    check_status,
+    create_parser,
+    encode_request,
+    find_idle_limit,
+    find_length,
+)
 from crocusshunt.upstream._protocol import StreamProtocol
 from crocusshunt.upstream._reading import ReadingTurns
 
-_MAX_HEAD_BYTES = 65_536
 # Informational responses, or responses to other requests, that may come before
 # the one to a request.
 _MAX_RESPONSES = 16
 # Refused requests that a connection remembers before it is closed.
 _MAX_REFUSAL_COUNT = 64
-# Servers close idle connections after a timeout of their own; a request sent
-# at that moment would be lost.
-_IDLE_MARGIN_S = 1
-_DEFAULT_IDLE_LIMIT_S = 0.5
-# The parser takes any three digits from 200 on for a final status.
-_MAX_STATUS = 599
 _END_EVENTS = (h11.EndOfMessage, h11.ConnectionClosed)
 
 
@@ -63,11 +60,11 @@
         self._buffer_limit = buffer_limit
         self._turns = ReadingTurns(buffer_limit.budget)
         self._echo_policy = echo_policy
-        self._parser = _create_parser()
+        self._parser = create_parser()
         self._is_persistent = True
         self._is_new = True
         self._refused_ids: set[bytes] = set()
-        self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
+        self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.idle_s: float = 0
 
     @property
@@ -119,7 +116,7 @@
 
     async def _exchange(self, request: UpstreamRequest) -> UpstreamAnswer:
         try:
-            encoded = _encode_request(self._parser, request)
+            encoded = encode_request(self._parser, request)
         except h11.LocalProtocolError as error:
             raise NotConnectedError(f'invalid request: {error}') from error
         for part in encoded:
@@ -141,7 +138,7 @@
             head.status_code,
             bytes(head.reason),
             headers,
-            await self._read_body(_find_length(headers)),
+            await self._read_body(find_length(headers)),
         )
 
     async def _read_head(self) -> h11.Response:
@@ -149,7 +146,7 @@
         for _ in range(_MAX_RESPONSES):
             head = await self._next_event()
             if isinstance(head, h11.Response):
-                _check_status(head.status_code)
+                check_status(head.status_code)
                 return head
             if isinstance(head, _END_EVENTS):
                 raise ConnectionLostError('closed')
@@ -200,8 +197,8 @@
         ):
             raise AnswerBrokenError('response to another request')
         trailing, _is_closed = self._parser.trailing_data
-        self._parser = _create_parser()
-        _encode_request(self._parser, request)
+        self._parser = create_parser()
+        encode_request(self._parser, request)
         if trailing:
             self._parser.receive_data(trailing)
 
@@ -215,7 +212,7 @@
             self.close()
             return
         self._parser.start_next_cycle()
-        self.idle_limit_s = _find_idle_limit(response)
+        self.idle_limit_s = find_idle_limit(response)
 
     def _is_clean(self) -> bool:
         if len(self._refused_ids) > _MAX_REFUSAL_COUNT:
@@ -226,75 +223,3 @@
             return False
         states = (self._parser.our_state, self._parser.their_state)
         return states == (h11.DONE, h11.DONE)
-
-
-async def open_connection(
-    address: str,
-    echo_policy: EchoPolicy,
-    timeout_s: float,
-    buffer_limit: BufferLimit,
-) -> Connection:
-    """Open a connection.
-
-    :param address: ``ip:port`` of the backend server.
-    :param buffer_limit: bounds the bodies of all connections that use it.
-    :param timeout_s: longest wait for the connection, in seconds.
-    :raises NotConnectedError: it could not be opened in time.
-    """
-    parsed = parse_socket_address(address)
-    if isinstance(parsed, Err):
-        raise NotConnectedError(str(parsed.err_value))
-    target = parsed.ok_value
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_s):
-            _transport, protocol = await loop.create_connection(
-                StreamProtocol,
-                target.host,
-                target.port,
-            )
-    except (OSError, TimeoutError) as error:
-        raise NotConnectedError(type(error).__name__) from error
-    return Connection(protocol, echo_policy, buffer_limit)
-
-
-def _check_status(status: int) -> None:
-    if status > _MAX_STATUS:
-        raise AnswerBrokenError(f'status {status}')
-
-
-def _create_parser() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
-
-
-def _encode_request(
-    parser: h11.Connection, request: UpstreamRequest
-) -> list[bytes]:
-    """Return the parts of a request; its body isn't copied."""
-    head = h11.Request(
-        method=request.method,
-        target=request.target,
-        headers=list(request.headers),
-    )
-    parts = parser.send_with_data_passthrough(head) or []
-    if request.body:
-        body = h11.Data(data=request.body)
-        parts.extend(parser.send_with_data_passthrough(body) or [])
-    parser.send(h11.EndOfMessage())
-    return parts
-
-
-def _find_length(headers: tuple[Header, ...]) -> int:
-    """Return how long a body is said to be, 0 if that isn't said."""
-    lengths = [text for name, text in headers if name == b'content-length']
-    return int(lengths[0]) if lengths and lengths[0].isdigit() else 0
-
-
-def _find_idle_limit(response: UpstreamAnswer) -> float:
-    hint = (response.find(b'keep-alive') or b'').decode('latin-1')
-    for part in hint.split(','):
-        name, _separator, text = part.strip().partition('=')
-        limit_s = parse_count(text) if name.lower() == 'timeout' else None
-        if limit_s is not None:
-            return max(_DEFAULT_IDLE_LIMIT_S, limit_s - _IDLE_MARGIN_S)
-    return _DEFAULT_IDLE_LIMIT_S
--- a/crocusshunt/upstream/_pool.py
+++ b/crocusshunt/upstream/_pool.py
@@ -5,7 +5,8 @@
 
 from crocusshunt.core import Clock
 from crocusshunt.upstream._buffering import BufferLimit
-from crocusshunt.upstream._connection import Connection, open_connection
+from crocusshunt.upstream._connection import Connection
+from crocusshunt.upstream._opening import open_connection
 from crocusshunt.upstream._messages import EchoPolicy
 
 # On a stale connection, one that the server has dropped without closing it, the
