--- a/crocusshunt/front/tests/test_ingress.py
+++ b/crocusshunt/front/tests/test_ingress.py
@@ -276,7 +276,10 @@
     """Nothing is ended for it, and small bodies still have room."""
     async with deploy('s1') as deployment:
         ingress = _get_ingress(deployment)
-        limits = IngressLimits(max_body_bytes=100_000)
+        limits = IngressLimits(
+            max_body_bytes=100_000,
+            small_reserve_bytes=50_000,
+        )
         ingress.ledger = HostLedger(limits)
         holder = ingress.ledger.open(lambda _cause: None)
         assert holder.try_hold_body(90_000)
