Count no answer that waits for room at the host as load of its server

Cause: an answer of which 64 KiB were read waits for room, or for its turn on its connection; meanwhile its request counted as running at the server, and the whole wait as the server's time. A trace showed 48 such requests at a server of four slots, and the third ordinary request refused. Such a wait counts neither as load nor as time now. What the server itself says of its load holds as before.

New test: test_unread_answers_are_no_load_of_their_server, with one server of four slots.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -25,6 +25,7 @@
 )
 from crocusshunt.upstream import (
     AnswerBrokenError,
+    AnswerHold,
     Connection,
     NotConnectedError,
     UpstreamAnswer,
@@ -80,8 +81,11 @@
         load = self._state.find_load(server.entry.name)
         load_before = load.estimate(started_at)
         load.in_flight += 1
+        hold = AnswerHold(self._clock, load.note_hold)
         try:
-            outcome = await self._attempt(template, server, placement_request)
+            outcome = await self._attempt(
+                template, server, placement_request, hold
+            )
         except asyncio.CancelledError:
             self._note_given_up(template, server, placement_request)
             raise
@@ -112,6 +116,7 @@
         template: RequestTemplate,
         server: TrackedServer,
         placement_request: PlacementRequest,
+        hold: AnswerHold,
     ) -> Outcome:
         remaining_s = placement_request.final_at - self._clock.monotonic()
         try:
@@ -128,6 +133,7 @@
                         server,
                         placement_request,
                         connection,
+                        hold,
                     )
         except (NotConnectedError, AnswerBrokenError, WithheldError) as failed:
             return classify_failure(failed)
@@ -135,7 +141,7 @@
             return Outcome(
                 Verdict.timed_out, detail=self._describe_timeout(template)
             )
-        took_s = self._clock.monotonic() - sent_at
+        took_s = self._clock.monotonic() - sent_at - hold.held_s
         return replace(classify_answer(response, self._names), took_s=took_s)
 
     def _note_given_up(
@@ -181,6 +187,7 @@
         server: TrackedServer,
         placement_request: PlacementRequest,
         connection: Connection,
+        hold: AnswerHold,
     ) -> UpstreamAnswer:
         entry = server.entry
         if not self._may_still_send(server):
@@ -195,7 +202,8 @@
         ]
         if customer is not None:
             added.append((names.customer, customer.name))
-        response = await self._send_on(connection, template.build(added), entry)
+        request = template.build(added)
+        response = await self._send_on(connection, request, entry, hold)
         self._give_back(entry, connection)
         self._recorder.record_headers(server, response)
         return response
@@ -220,10 +228,11 @@
         connection: Connection,
         request: UpstreamRequest,
         entry: ServerEntry,
+        hold: AnswerHold,
     ) -> UpstreamAnswer:
         sent_at = self._clock.monotonic()
         try:
-            return await connection.exchange(request)
+            return await connection.exchange(request, hold)
         except AnswerBrokenError:
             after_s = self._clock.monotonic() - sent_at
             if self._cluster.connections.note_broken(connection, after_s):
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -88,8 +88,8 @@
 
 
 @asynccontextmanager
-async def _deploy() -> AsyncIterator[Deployment]:
-    async with deploy('s1', 's2', 's3') as deployment:
+async def _deploy(*names: str) -> AsyncIterator[Deployment]:
+    async with deploy(*(names or ('s1', 's2', 's3'))) as deployment:
         for backend in deployment.backends:
             backend.override = _answer
         yield deployment
@@ -164,6 +164,29 @@
     await _wait_until(lambda: not limit.kept_bytes + limit.used_bytes)
 
 
+async def test_unread_answers_are_no_load_of_their_server() -> None:
+    """Their server has run them, and others are not refused for them."""
+    async with AsyncExitStack() as stack:
+        deployment = await stack.enter_async_context(_deploy('s1'))
+        limit = _get_limit(deployment)
+        limit.max_total_bytes = 3 * _LARGE_BYTES
+        for _ in range(_CALLER_COUNT):
+            caller = await stack.enter_async_context(_call(deployment))
+            await caller.ask(*_NAMES)
+        await _wait_until(lambda: limit.used_bytes > 2 * _LARGE_BYTES)
+        components = deployment.service._components  # noqa: SLF001
+        state = components.heartbeat_loop.planner.state
+        load = state.find_load('s1')
+        await _wait_until(lambda: load.in_flight <= 1)
+        before_s = state.times.estimate_slot_release('pool', 1, 's1')
+        for number in range(40):
+            status, text, _response = await deployment.send(f'/a/{number}')
+            assert status == 200, text
+            await asyncio.sleep(0.05)
+        after_s = state.times.estimate_slot_release('pool', 1, 's1')
+        assert after_s <= before_s
+
+
 async def test_caller_that_takes_nothing_is_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/crocusshunt/placement/_loads.py
+++ b/crocusshunt/placement/_loads.py
@@ -47,7 +47,8 @@
     the server's last report to this or another host; the estimate decays
     exponentially with the age of the report.
 
-    :param in_flight: requests of this host that the server has not answered.
+    :param in_flight: requests of this host that the server has not answered,
+        without those whose answers this host has no room for yet.
     :param reported: requests running or waiting, by this host's last report.
 
     >>> load = ServerLoad()
@@ -66,6 +67,10 @@
         """Tell whether any host read a report of the server."""
         return math.isfinite(self._reported_at)
 
+    def note_hold(self, is_held: bool) -> None:
+        """Record that an answer begins or ends to wait for room here."""
+        self.in_flight += -1 if is_held else 1
+
     def note_report(self, report: LoadReport, now: float) -> None:
         """Record the report of an answer that has just arrived."""
         self.reported = report.running + report.waiting
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -12,6 +12,7 @@
     NotConnectedError,
     UpstreamError,
 )
+from crocusshunt.upstream._holds import AnswerHold
 from crocusshunt.upstream._messages import (
     EchoPolicy,
     UpstreamAnswer,
@@ -25,6 +26,7 @@
     'ANSWER_SHARE',
     'FREE_ANSWER_BYTES',
     'AnswerBrokenError',
+    'AnswerHold',
     'BufferLimit',
     'Connection',
     'ConnectionLostError',
--- a/crocusshunt/upstream/_buffering.py
+++ b/crocusshunt/upstream/_buffering.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import nullcontext
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from crocusshunt.upstream._errors import AnswerBrokenError
+from crocusshunt.upstream._holds import AnswerHold
 from crocusshunt.upstream._reading import ReadingBudget
 
 # Pieces are joined to blocks of this size: small ones take many times their
@@ -119,6 +121,7 @@
     :param reserved_bytes: of these, those that are still to come and that
         there is room for.
     :param size: bytes that were read.
+    :param hold: counts the time for which there is no room, if any.
 
     >>> limit = BufferLimit(max_answer_bytes=8)
     >>> with BodyBuffer(limit) as body:
@@ -133,6 +136,7 @@
     expected_bytes: int = 0
     reserved_bytes: int = 0
     size: int = 0
+    hold: AnswerHold | None = None
     _blocks: list[bytes] = field(default_factory=list)
     _last: bytearray = field(default_factory=bytearray)
 
@@ -153,14 +157,14 @@
         :param added: how many.
         :raises TimeoutError: there was no room for long.
         """
-        share = ANSWER_SHARE.get()
-        while share is not None and not share.admit(self.size + added):
-            await asyncio.sleep(_ROOM_CHECK_S)
-        if self._may_grow(added):
+        if self._has_turn(added) and self._may_grow(added):
             return
-        async with asyncio.timeout(_MAX_ROOM_WAIT_S):
-            while not self._may_grow(added):
+        with nullcontext() if self.hold is None else self.hold.track():
+            while not self._has_turn(added):
                 await asyncio.sleep(_ROOM_CHECK_S)
+            async with asyncio.timeout(_MAX_ROOM_WAIT_S):
+                while not self._may_grow(added):
+                    await asyncio.sleep(_ROOM_CHECK_S)
 
     def append(self, received: bytes) -> None:
         """Add bytes to the body.
@@ -195,6 +199,10 @@
             start = end
         return joined
 
+    def _has_turn(self, added: int) -> bool:
+        share = ANSWER_SHARE.get()
+        return share is None or share.admit(self.size + added)
+
     def _may_grow(self, added: int) -> bool:
         if self.limit.has_room(self, added):
             return True
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -10,6 +10,7 @@
     ConnectionLostError,
     NotConnectedError,
 )
+from crocusshunt.upstream._holds import AnswerHold
 from crocusshunt.upstream._messages import (
     EchoPolicy,
     UpstreamAnswer,
@@ -64,6 +65,7 @@
         self._is_persistent = True
         self._is_new = True
         self._refused_ids: set[bytes] = set()
+        self._hold: AnswerHold | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.idle_s: float = 0
 
@@ -81,11 +83,16 @@
         """Tell whether the server refused a request on this connection."""
         return request_id in self._refused_ids
 
-    async def exchange(self, request: UpstreamRequest) -> UpstreamAnswer:
+    async def exchange(
+        self,
+        request: UpstreamRequest,
+        hold: AnswerHold | None = None,
+    ) -> UpstreamAnswer:
         """Send a request and return the complete response.
 
         The connection is closed if the exchange fails or is cancelled.
 
+        :param hold: counts how long the response waits for room at this host.
         :raises AnswerBrokenError: no complete response came.
         :raises ConnectionLostError: the server ended the connection before.
         :raises NotConnectedError: the request is not valid HTTP; nothing was
@@ -94,6 +101,7 @@
         self._is_new = self._is_new and not self._protocol.has_unexpected_bytes
         self._protocol.is_idle = False
         self._turns = ReadingTurns(self._buffer_limit.budget)
+        self._hold = hold
         is_complete = False
         try:
             response = await self._exchange(request)
@@ -153,7 +161,7 @@
         raise AnswerBrokenError('informational responses only')
 
     async def _read_body(self, length: int) -> bytes | bytearray:
-        with BodyBuffer(self._buffer_limit, length) as body:
+        with BodyBuffer(self._buffer_limit, length, hold=self._hold) as body:
             event = await self._next_event()
             while isinstance(event, h11.Data):
                 await body.wait_for_room(len(event.data))
--- /dev/null
+++ b/crocusshunt/upstream/_holds.py
@@ -0,0 +1,51 @@
+"""Time for which a host doesn't take an answer that its server has ready."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from crocusshunt.core import Clock
+
+
+def _note_nothing(_is_held: bool) -> None:
+    """Take no notice."""
+
+
+@dataclass(slots=True)
+class AnswerHold:
+    """How long one answer waited for room at the host, or for its turn.
+
+    Its server has run the request by then, so such a wait tells nothing of
+    the server's speed or load.
+
+    :param note_change: called with whether the answer waits now.
+    :param held_s: seconds of all waits that have ended.
+    :param was_held: whether the answer has waited at all.
+
+    >>> from crocusshunt.core import ManualClock
+    >>> clock = ManualClock()
+    >>> hold = AnswerHold(clock, print)
+    >>> with hold.track():
+    ...     clock.advance(2)
+    True
+    False
+    >>> hold.held_s, hold.was_held
+    (2, True)
+    """
+
+    clock: Clock
+    note_change: Callable[[bool], None] = _note_nothing
+    held_s: float = 0
+    was_held: bool = False
+
+    @contextmanager
+    def track(self) -> Iterator[None]:
+        """Count the time of the body as a wait."""
+        started_at = self.clock.monotonic()
+        self.was_held = True
+        self.note_change(True)
+        try:
+            yield
+        finally:
+            self.held_s += self.clock.monotonic() - started_at
+            self.note_change(False)
