Blame no server when the host has no room for its answer

What callers saw: 503 no-warm-server. Such an attempt ends with an error of its own now, NoRoomError: the caller gets 504 as after the route's time, the log names the cause, the server's health stays.

New test: test_host_without_room_for_answers_blames_no_server; before, 502 server-broken.

--- a/crocusshunt/front/_answers.py
+++ b/crocusshunt/front/_answers.py
@@ -8,8 +8,10 @@
 from crocusshunt.upstream import (
     AnswerBrokenError,
     ConnectionLostError,
+    NoRoomError,
     NotConnectedError,
     UpstreamAnswer,
+    UpstreamError,
 )
 
 
@@ -42,12 +44,14 @@
 
 
 def classify_failure(
-    failed: NotConnectedError | AnswerBrokenError | WithheldError,
+    failed: UpstreamError | WithheldError,
 ) -> Outcome:
     """Return the outcome of an attempt without a complete response."""
     match failed:
         case NotConnectedError():
             return Outcome(Verdict.unreachable, detail=failed.detail)
+        case NoRoomError():
+            return Outcome(Verdict.timed_out, detail=failed.detail)
         case AnswerBrokenError():
             return Outcome(
                 Verdict.broken,
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -27,8 +27,8 @@
     AnswerBrokenError,
     AnswerHold,
     Connection,
-    NotConnectedError,
     UpstreamAnswer,
+    UpstreamError,
     UpstreamRequest,
 )
 
@@ -135,7 +135,7 @@
                         connection,
                         hold,
                     )
-        except (NotConnectedError, AnswerBrokenError, WithheldError) as failed:
+        except (UpstreamError, WithheldError) as failed:
             return classify_failure(failed)
         except TimeoutError:
             return Outcome(
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -187,6 +187,23 @@
         assert after_s <= before_s
 
 
+async def test_host_without_room_for_answers_blames_no_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The server was passed over, and no request reached it for a while."""
+    monkeypatch.setattr('crocusshunt.upstream._buffering._MAX_ROOM_WAIT_S', 0.3)
+    async with _deploy('s1') as deployment:
+        limit = _get_limit(deployment)
+        limit.get_spare = int
+        for _ in range(12):
+            reply = await deployment.send('/a/large')
+            assert reply[:2] == (504, 'timeout')
+        health = deployment.service._components.cluster.health  # noqa: SLF001
+        assert not health.find('s1').ejected_until > 0
+        status, text, _response = await deployment.send('/a/small')
+        assert status == 200, text
+
+
 async def test_caller_that_takes_nothing_is_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/crocusshunt/upstream/__init__.py
+++ b/crocusshunt/upstream/__init__.py
@@ -9,6 +9,7 @@
 from crocusshunt.upstream._errors import (
     AnswerBrokenError,
     ConnectionLostError,
+    NoRoomError,
     NotConnectedError,
     UpstreamError,
 )
@@ -32,6 +33,7 @@
     'ConnectionLostError',
     'ConnectionPool',
     'EchoPolicy',
+    'NoRoomError',
     'NotConnectedError',
     'PoolSettings',
     'ReadingBudget',
--- a/crocusshunt/upstream/_buffering.py
+++ b/crocusshunt/upstream/_buffering.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from crocusshunt.upstream._errors import AnswerBrokenError
+from crocusshunt.upstream._errors import AnswerBrokenError, NoRoomError
 from crocusshunt.upstream._holds import AnswerHold
 from crocusshunt.upstream._reading import ReadingBudget
 
@@ -155,16 +155,14 @@
         """Wait until bytes may be added.
 
         :param added: how many.
-        :raises TimeoutError: there was no room for long.
+        :raises NoRoomError: there was no room for long.
         """
         if self._has_turn(added) and self._may_grow(added):
             return
         with nullcontext() if self.hold is None else self.hold.track():
             while not self._has_turn(added):
                 await asyncio.sleep(_ROOM_CHECK_S)
-            async with asyncio.timeout(_MAX_ROOM_WAIT_S):
-                while not self._may_grow(added):
-                    await asyncio.sleep(_ROOM_CHECK_S)
+            await self._wait_until_growing(added)
 
     def append(self, received: bytes) -> None:
         """Add bytes to the body.
@@ -199,6 +197,14 @@
             start = end
         return joined
 
+    async def _wait_until_growing(self, added: int) -> None:
+        try:
+            async with asyncio.timeout(_MAX_ROOM_WAIT_S):
+                while not self._may_grow(added):
+                    await asyncio.sleep(_ROOM_CHECK_S)
+        except TimeoutError as error:
+            raise NoRoomError('no room for the answer at this host') from error
+
     def _has_turn(self, added: int) -> bool:
         share = ANSWER_SHARE.get()
         return share is None or share.admit(self.size + added)
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -95,6 +95,7 @@
         :param hold: counts how long the response waits for room at this host.
         :raises AnswerBrokenError: no complete response came.
         :raises ConnectionLostError: the server ended the connection before.
+        :raises NoRoomError: this host had no room for the response.
         :raises NotConnectedError: the request is not valid HTTP; nothing was
             sent.
         """
--- a/crocusshunt/upstream/_errors.py
+++ b/crocusshunt/upstream/_errors.py
@@ -36,3 +36,10 @@
     """The server ended the connection before a complete response came."""
 
     code = 'connection-lost'
+
+
+@dataclass(unsafe_hash=True)
+class NoRoomError(UpstreamError):
+    """This host could not take a response for long; the server is well."""
+
+    code = 'no-room-for-answer'
