Answer a relayed request whose answer finds no room

What callers saw: 500 from the library, no log line, and the connection closed, since: the error for a host without room was handled for servers and not for answers that come through another host. They get 504 now, as at the deadline. Evidence: test_host_without_room_for_a_relayed_answer_says_so (500 NoRoomError before).

--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -24,6 +24,7 @@
 from crocusshunt.upstream import (
     AnswerBrokenError,
     Connection,
+    NoRoomError,
     NotConnectedError,
     UpstreamAnswer,
 )
@@ -93,8 +94,8 @@
         except AnswerBrokenError as broken:
             record.detail = broken.detail
             return Err(Refusal(Status.bad_gateway, 'relay-broken'))
-        except TimeoutError:
-            record.detail = 'timeout'
+        except (NoRoomError, TimeoutError) as late:
+            record.detail = getattr(late, 'detail', 'timeout')
             return Err(Refusal(Status.timeout, 'timeout'))
         self._give_back(host, connection)
         relayed = _read_result(response, self.names)
--- a/crocusshunt/front/tests/_cuts.py
+++ b/crocusshunt/front/tests/_cuts.py
@@ -11,6 +11,7 @@
 from crocusshunt.front import FrontService
 from crocusshunt.upstream import (
     AnswerBrokenError,
+    AnswerHold,
     Connection,
     NotConnectedError,
     UpstreamAnswer,
@@ -71,6 +72,8 @@
         yield
 
 
-async def _hang(_request: UpstreamRequest) -> UpstreamAnswer:
+async def _hang(
+    _request: UpstreamRequest, _hold: AnswerHold | None = None
+) -> UpstreamAnswer:
     await asyncio.sleep(_USER_TIMEOUT_S)
     raise AnswerBrokenError('timed out')
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -11,6 +11,7 @@
 
 from crocusshunt.front._ingress import Port
 from crocusshunt.front.tests._backend import NAMES, sign
+from crocusshunt.front.tests._cuts import CutKind, cut_from_servers
 from crocusshunt.front.tests._deployment import KEY, Deployment, deploy
 from crocusshunt.ingress import EndCause
 from crocusshunt.standin import describe_route
@@ -204,6 +205,27 @@
         assert status == 200, text
 
 
+async def test_host_without_room_for_a_relayed_answer_says_so(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The error of the commit before was handled for servers alone: 500."""
+    monkeypatch.setattr('crocusshunt.upstream._buffering._MAX_ROOM_WAIT_S', 0.3)
+    async with deploy('s1', domains=('a1', 'a1')) as deployment:
+        backend = deployment.backends[0]
+        backend.override = _answer
+        await deployment.wait_for_sync(2)
+        host = deployment.hosts[0]
+        with cut_from_servers(host, [backend.address], CutKind.refused):
+            await deployment.send('/a/first')
+            reach = host._components.reach  # noqa: SLF001
+            await _wait_until(lambda: reach.is_cut_off)
+            reply = await deployment.send('/a/small')
+            assert reply[:2] == (200, 's1')
+            _get_limit(deployment).get_spare = int
+            reply = await deployment.send('/a/large')
+            assert reply[:2] == (504, 'timeout')
+
+
 async def test_caller_that_takes_nothing_is_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
