Take the load that a server names when the head of its answer comes

What callers saw: a server's load, limit and back-off were recorded when the body of the answer was whole, so those of an answer that waited for room here were taken for fresh: up to 3 s old, or more where it waited for its turn. Ordinary callers got 503 no-room by a load that was gone, an answer without a limit undid one named since, and a back-off began too late. Found by a reviewer by reading. They are recorded before the body is read now.

An error of a kind that classify_failure doesn't know would have meant "certainly not run"; it means a broken answer now.

--- a/crocusshunt/front/_answers.py
+++ b/crocusshunt/front/_answers.py
@@ -6,7 +6,6 @@
 from crocusshunt.front._outcomes import NOT_RUN_STATUSES
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.upstream import (
-    AnswerBrokenError,
     ConnectionLostError,
     NoRoomError,
     NotConnectedError,
@@ -48,14 +47,14 @@
 ) -> Outcome:
     """Return the outcome of an attempt without a complete response."""
     match failed:
+        case WithheldError():
+            return Outcome(Verdict.withheld)
         case NotConnectedError():
             return Outcome(Verdict.unreachable, detail=failed.detail)
         case NoRoomError():
             return Outcome(Verdict.timed_out, detail=failed.detail)
-        case AnswerBrokenError():
-            return Outcome(
-                Verdict.broken,
-                detail=failed.detail,
-                is_connection_lost=isinstance(failed, ConnectionLostError),
-            )
-    return Outcome(Verdict.withheld)
+    return Outcome(
+        Verdict.broken,
+        detail=failed.detail,
+        is_connection_lost=isinstance(failed, ConnectionLostError),
+    )
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 
 from crocusshunt.core import Clock
 from crocusshunt.front._answer_recorder import AnswerRecorder
@@ -203,9 +204,8 @@
         if customer is not None:
             added.append((names.customer, customer.name))
         request = template.build(added)
-        response = await self._send_on(connection, request, entry, hold)
+        response = await self._send_on(connection, request, server, hold)
         self._give_back(entry, connection)
-        self._recorder.record_headers(server, response)
         return response
 
     def _may_still_send(self, server: TrackedServer) -> bool:
@@ -227,18 +227,19 @@
         self,
         connection: Connection,
         request: UpstreamRequest,
-        entry: ServerEntry,
+        server: TrackedServer,
         hold: AnswerHold,
     ) -> UpstreamAnswer:
         sent_at = self._clock.monotonic()
+        note_head = partial(self._recorder.record_headers, server)
         try:
-            return await connection.exchange(request, hold)
+            return await connection.exchange(request, hold, note_head)
         except AnswerBrokenError:
             after_s = self._clock.monotonic() - sent_at
             if self._cluster.connections.note_broken(connection, after_s):
                 log_event(
                     'idle connection broke on reuse',
-                    server=entry.name,
+                    server=server.entry.name,
                     idle_s=round(connection.idle_s, 3),
                 )
             raise
--- a/crocusshunt/front/tests/_cuts.py
+++ b/crocusshunt/front/tests/_cuts.py
@@ -73,7 +73,7 @@
 
 
 async def _hang(
-    _request: UpstreamRequest, _hold: AnswerHold | None = None
+    _request: UpstreamRequest, _hold: AnswerHold, _note_head: object
 ) -> UpstreamAnswer:
     await asyncio.sleep(_USER_TIMEOUT_S)
     raise AnswerBrokenError('timed out')
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -179,13 +179,53 @@
         state = components.heartbeat_loop.planner.state
         load = state.find_load('s1')
         await _wait_until(lambda: load.in_flight <= 1)
-        before_s = state.times.estimate_slot_release('pool', 1, 's1')
+        assert limit.used_bytes > 2 * _LARGE_BYTES
         for number in range(40):
             status, text, _response = await deployment.send(f'/a/{number}')
             assert status == 200, text
             await asyncio.sleep(0.05)
+
+
+async def test_load_that_a_held_answer_names_is_as_old_as_its_head() -> None:
+    """It was taken for the load at the time when its body was whole."""
+
+    async def answer_full(request: web.Request) -> web.Response | None:
+        response = await _answer(request)
+        if response is not None:
+            response.headers[NAMES.load] = '4,44,4'
+        return response
+
+    async with _deploy('s1') as deployment:
+        deployment.backends[0].override = answer_full
+        limit = _get_limit(deployment)
+        components = deployment.service._components  # noqa: SLF001
+        state = components.heartbeat_loop.planner.state
+        load = state.find_load('s1')
+        limit.get_spare = int
+        asking = asyncio.create_task(deployment.send('/a/large'))
+        await _wait_until(lambda: load.reported == 48)
+        await asyncio.sleep(2)
+        limit.get_spare = _get_much
+        assert (await asking)[0] == 200
+        loop = asyncio.get_running_loop()
+        # What was reported two seconds ago, by the decay of reports.
+        assert load.estimate(loop.time()) < 48 / 2
+
+
+async def test_wait_for_room_is_no_time_of_the_server() -> None:
+    async with _deploy('s1') as deployment:
+        limit = _get_limit(deployment)
+        components = deployment.service._components  # noqa: SLF001
+        state = components.heartbeat_loop.planner.state
+        before_s = state.times.estimate_slot_release('pool', 1, 's1')
+        limit.get_spare = int
+        asking = asyncio.create_task(deployment.send('/a/large'))
+        await _wait_until(lambda: limit.used_bytes > 0)
+        await asyncio.sleep(2)
+        limit.get_spare = _get_much
+        assert (await asking)[0] == 200
         after_s = state.times.estimate_slot_release('pool', 1, 's1')
-        assert after_s <= before_s
+        assert after_s < before_s
 
 
 async def test_host_without_room_for_answers_blames_no_server(
@@ -296,6 +336,10 @@
     assert received.count(b'HTTP/1.1 ') == 4
 
 
+def _get_much() -> float:
+    return float('inf')
+
+
 def _list_received(deployment: Deployment) -> list[web.Request]:
     return [one for backend in deployment.backends for one in backend.received]
 
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 connection to a backend server, one exchange at a time."""
 
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import h11
@@ -66,6 +68,7 @@
         self._is_new = True
         self._refused_ids: set[bytes] = set()
         self._hold: AnswerHold | None = None
+        self._note_head: Callable[[UpstreamAnswer], None] | None = None
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.idle_s: float = 0
 
@@ -87,12 +90,15 @@
         self,
         request: UpstreamRequest,
         hold: AnswerHold | None = None,
+        note_head: Callable[[UpstreamAnswer], None] | None = None,
     ) -> UpstreamAnswer:
         """Send a request and return the complete response.
 
         The connection is closed if the exchange fails or is cancelled.
 
         :param hold: counts how long the response waits for room at this host.
+        :param note_head: called with the response, still without its body,
+            before that is read.
         :raises AnswerBrokenError: no complete response came.
         :raises ConnectionLostError: the server ended the connection before.
         :raises NoRoomError: this host had no room for the response.
@@ -103,6 +109,7 @@
         self._protocol.is_idle = False
         self._turns = ReadingTurns(self._buffer_limit.budget)
         self._hold = hold
+        self._note_head = note_head
         is_complete = False
         try:
             response = await self._exchange(request)
@@ -131,24 +138,25 @@
         for part in encoded:
             self._protocol.write(part)
         for _ in range(_MAX_RESPONSES):
-            response = await self._read_response()
+            response = await self._read_response(request)
             if self._is_response_to(response, request):
                 return response
             self._is_persistent = False
             self._skip_mismatched_response(request)
         raise AnswerBrokenError('responses to other requests')
 
-    async def _read_response(self) -> UpstreamAnswer:
+    async def _read_response(self, request: UpstreamRequest) -> UpstreamAnswer:
         head = await self._read_head()
         headers = tuple(
             (bytes(name), bytes(text)) for name, text in head.headers
         )
-        return UpstreamAnswer(
-            head.status_code,
-            bytes(head.reason),
-            headers,
-            await self._read_body(find_length(headers)),
+        begun = UpstreamAnswer(
+            head.status_code, bytes(head.reason), headers, b''
         )
+        if self._note_head and self._is_response_to(begun, request):
+            self._note_head(begun)
+        body = await self._read_body(find_length(headers))
+        return replace(begun, body=body)
 
     async def _read_head(self) -> h11.Response:
         """Return the head of a final response, after informational ones."""
