Bound how many answers wait at a host for room or their turn

What callers saw: a host over its memory. Where many callers ask for long answers and don't read them, each answer that waits takes about 200 KB, 64 KB of them counted, and nothing bounded how many wait but the load that they were taken for at their servers, which ended and which is no bound with many servers. Answers that wait have a quarter of what callers may make a host keep now, by 200 KB each: 137 on the least machine. One more ends at once as at its deadline.

AnswerHold loses a field that nothing read, and says less of what servers have done by then.

--- a/crocusshunt/front/_answer_memory.py
+++ b/crocusshunt/front/_answer_memory.py
@@ -27,6 +27,10 @@
 _CHECK_INTERVAL_S = 1
 # Of all that callers make a host keep; one answer may exceed it.
 _HOST_FRACTION = 0.3
+# An answer that waits for room takes so much: the bytes that are always read,
+# and two pieces that were received.
+_HELD_BYTES = 200_000
+_HELD_FRACTION = 0.25
 # Where others wait for room, connections that send for longer may be ended.
 _MAX_CROWDED_S = 2
 
@@ -57,6 +61,7 @@
         """Bound the answers under way by what the host has left."""
         host_bytes = self.ledger.limits.max_host_bytes
         self.limit.max_total_bytes = int(host_bytes * _HOST_FRACTION)
+        self.limit.max_held = int(host_bytes * _HELD_FRACTION / _HELD_BYTES)
         self.limit.get_spare = self._get_spare
         self.limit.make_room = self._make_room
         self.ledger.count_under_way = self._count_under_way
--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -166,7 +166,7 @@
 
 
 async def test_unread_answers_are_no_load_of_their_server() -> None:
-    """Their server has run them, and others are not refused for them."""
+    """Their server has answered, and others are not refused for them."""
     async with AsyncExitStack() as stack:
         deployment = await stack.enter_async_context(_deploy('s1'))
         limit = _get_limit(deployment)
--- a/crocusshunt/programs/tests/test_clients_that_misbehave.py
+++ b/crocusshunt/programs/tests/test_clients_that_misbehave.py
@@ -66,6 +66,10 @@
 _LONGEST_BODY_BYTES = 67_108_864
 _SMALL_MACHINE = {'memory_mb': 200, 'max_fds': 4100}
 
+# Callers on a connection each, and a machine whose descriptors allow them.
+_MANY_CALLERS = CrowdKind(CROWDS['long-answers-unread'].act, clients=600)
+_MANY_DESCRIPTORS = {'memory_mb': _MEMORY_MB, 'max_fds': 2000}
+
 _FindAddress = Callable[[HostDocument], str]
 # The other ports of a host.
 _PORTS: dict[str, _FindAddress] = {
@@ -230,6 +234,20 @@
         empty_site.check_bounds()
 
 
+async def test_many_long_answers_unread_leave_the_host_within_its_memory(
+    tmp_path: Path,
+) -> None:
+    async with asyncio.timeout(_CASE_TIMEOUT_S):
+        async with _run_site(tmp_path, _MANY_DESCRIPTORS) as running:
+            running.write_configuration()
+            await wait_until_ready([running.host])
+            await running.play(_MANY_CALLERS, running.host.document.front)
+            await _check_answer(running)
+            peak_mb = running.read_peak_mb()
+            assert running.host.is_running
+            assert peak_mb < _MEMORY_MB
+
+
 @pytest.mark.parametrize('size', [_BODY_BYTES - 1, _BODY_BYTES])
 async def test_body_within_the_limit_is_served(site: Site, size: int) -> None:
     async with asyncio.timeout(_CASE_TIMEOUT_S):
--- a/crocusshunt/upstream/_buffering.py
+++ b/crocusshunt/upstream/_buffering.py
@@ -1,8 +1,8 @@
 """Bounds on the memory that responses of backend servers take."""
 
 import asyncio
-from collections.abc import Callable
-from contextlib import nullcontext
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, nullcontext
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -56,6 +56,8 @@
     :param used_bytes: bytes of the bodies under way from servers.
     :param reserved_bytes: bytes that are still to come of long ones.
     :param kept_bytes: bytes of long answers that callers have not taken yet.
+    :param max_held: most answers that wait for room or for their turn.
+    :param held: how many do.
     :param get_spare: returns how many bytes the host has left for the bodies
         under way.
     :param make_room: called while an answer waits for room.
@@ -67,6 +69,8 @@
     used_bytes: int = 0
     reserved_bytes: int = 0
     kept_bytes: int = 0
+    max_held: int = 137
+    held: int = 0
     get_spare: Callable[[], float] = _get_unbounded
     make_room: Callable[[], None] = _make_no_room
     budget: ReadingBudget = field(default_factory=ReadingBudget)
@@ -155,11 +159,11 @@
         """Wait until bytes may be added.
 
         :param added: how many.
-        :raises NoRoomError: there was no room for long.
+        :raises NoRoomError: there was no room for long, or too many wait.
         """
         if self._has_turn(added) and self._may_grow(added):
             return
-        with nullcontext() if self.hold is None else self.hold.track():
+        with self._track_hold():
             while not self._has_turn(added):
                 await asyncio.sleep(_ROOM_CHECK_S)
             await self._wait_until_growing(added)
@@ -197,6 +201,19 @@
             start = end
         return joined
 
+    @contextmanager
+    def _track_hold(self) -> Iterator[None]:
+        """Count the answer as held during the body, if one more may be."""
+        limit = self.limit
+        if limit.held >= limit.max_held:
+            raise NoRoomError('too many answers wait at this host')
+        limit.held += 1
+        try:
+            with nullcontext() if self.hold is None else self.hold.track():
+                yield
+        finally:
+            limit.held -= 1
+
     async def _wait_until_growing(self, added: int) -> None:
         try:
             async with asyncio.timeout(_MAX_ROOM_WAIT_S):
--- a/crocusshunt/upstream/_holds.py
+++ b/crocusshunt/upstream/_holds.py
@@ -15,12 +15,11 @@
 class AnswerHold:
     """How long one answer waited for room at the host, or for its turn.
 
-    Its server has run the request by then, so such a wait tells nothing of
-    the server's speed or load.
+    Its server has begun to answer by then, so such a wait tells nothing of the
+    server's speed. What load it has left is for the server to say.
 
     :param note_change: called with whether the answer waits now.
     :param held_s: seconds of all waits that have ended.
-    :param was_held: whether the answer has waited at all.
 
     >>> from crocusshunt.core import ManualClock
     >>> clock = ManualClock()
@@ -29,20 +28,18 @@
     ...     clock.advance(2)
     True
     False
-    >>> hold.held_s, hold.was_held
-    (2, True)
+    >>> hold.held_s
+    2
     """
 
     clock: Clock
     note_change: Callable[[bool], None] = _note_nothing
     held_s: float = 0
-    was_held: bool = False
 
     @contextmanager
     def track(self) -> Iterator[None]:
         """Count the time of the body as a wait."""
         started_at = self.clock.monotonic()
-        self.was_held = True
         self.note_change(True)
         try:
             yield
