--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -14,6 +14,7 @@
 from crocusshunt.front._attempts import Outcome, RequestTemplate, Verdict
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._crash_watch import CrashWatch
+from crocusshunt.front._health_recorder import HealthRecorder
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._server_reach import ServerReach
@@ -21,7 +22,6 @@
 from crocusshunt.logs import log_event
 from crocusshunt.placement import (
     ServerEntry,
-    ServerFailure,
     TrackedServer,
 )
 from crocusshunt.upstream import (
@@ -34,17 +34,6 @@
 )
 
 _MILLISECONDS = 1000
-# A server that was unreachable may be cold when it returns, before its entry
-# in the store shows that.
-_RETURN_COLD_S = 2.5
-
-
-_FAILURES = {
-    Verdict.failed: ServerFailure.error,
-    Verdict.shed: ServerFailure.shed,
-    Verdict.broken: ServerFailure.broken,
-    Verdict.unreachable: ServerFailure.unreachable,
-}
 
 
 class Exchanger:
@@ -66,6 +55,7 @@
         self._reach = reach
         self._names = names
         self._recorder = AnswerRecorder(cluster, state, names, clock)
+        self._health = HealthRecorder(cluster, state, clock)
         self._clock = clock
 
     async def send(
@@ -94,7 +84,7 @@
             load.in_flight -= 1
         if outcome.verdict is Verdict.withheld:
             return outcome
-        self._update_health(server, outcome)
+        self._health.note(server, outcome)
         if outcome.is_unanswered:
             self._reach.note_failure()
         else:
@@ -243,30 +233,3 @@
                     idle_s=round(connection.idle_s, 3),
                 )
             raise
-
-    def _update_health(self, server: TrackedServer, outcome: Outcome) -> None:
-        cluster = self._cluster
-        name = server.entry.name
-        now = self._clock.monotonic()
-        if outcome.verdict is Verdict.answered:
-            if cluster.health.note_success(name):
-                cluster.servers.mark_cold(name, now + _RETURN_COLD_S)
-        elif outcome.verdict is Verdict.misdirected:
-            # The address now belongs to another server.
-            self._cluster.drop_server(
-                name, 'address now belongs to another server'
-            )
-            return
-        failure = _FAILURES.get(outcome.verdict)
-        if failure is ServerFailure.shed and self._is_backing_off(server.entry):
-            # It has too much load and is not ill.
-            return
-        if failure is None:
-            return
-        peers = [
-            one.entry.name
-            for one in cluster.servers.select(server.entry.pool)
-            if one.entry.name != name
-        ]
-        if cluster.health.note_failure(name, failure, now, peers):
-            cluster.handle_ejection(server, outcome.detail)
