Pass over no server that gave up an answer which the host didn't read

What callers saw: 503 where a server was well. While an answer waits for room at the host, or for its turn, a server may end the connection by its own time limit for writing; the host met that end after the wait and counted a failure, and after some of them passed the server over. A connection lost after such a wait says nothing of the server's health now; that it may have crashed is still looked into.

--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -84,7 +84,7 @@
             load.in_flight -= 1
         if outcome.verdict is Verdict.withheld:
             return outcome
-        self._health.note(server, outcome)
+        self._health.note(server, outcome, hold)
         if outcome.is_unanswered:
             self._reach.note_failure()
         else:
--- a/crocusshunt/front/_health_recorder.py
+++ b/crocusshunt/front/_health_recorder.py
@@ -5,6 +5,7 @@
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.placement import ServerFailure, TrackedServer
+from crocusshunt.upstream import AnswerHold
 
 # A server that was unreachable may be cold when it returns, before its entry
 # in the store shows that.
@@ -28,8 +29,16 @@
         self._state = state
         self._clock = clock
 
-    def note(self, server: TrackedServer, outcome: Outcome) -> None:
-        """Record the outcome of an attempt."""
+    def note(
+        self, server: TrackedServer, outcome: Outcome, hold: AnswerHold
+    ) -> None:
+        """Record the outcome of an attempt.
+
+        :param hold: how long the answer waited for room at this host.
+        """
+        if outcome.is_connection_lost and hold.held_s:
+            # A server may give up an answer that this host doesn't read.
+            return
         cluster = self._cluster
         name = server.entry.name
         now = self._clock.monotonic()
