--- a/crocusshunt/front/tests/test_unread_answers.py
+++ b/crocusshunt/front/tests/test_unread_answers.py
@@ -24,7 +24,7 @@
 _WINDOW_BYTES = 16_384
 _PIECE_BYTES = 65_536
 _CALLER_COUNT = 12
-_PIPELINED = 8
+_PIPELINED_COUNT = 8
 # What one connection may keep: an answer that is sent, and early ones.
 _CONNECTION_BYTES = _LARGE_BYTES + 3_000_000 + 8 * 65_536
 _WAIT_S = 8
@@ -155,7 +155,7 @@
             assert status == 200, text
             peak = max(peak, limit.kept_bytes + limit.used_bytes)
             await asyncio.sleep(0.05)
-        free = _CALLER_COUNT * _PIPELINED * _PIECE_BYTES
+        free = _CALLER_COUNT * _PIPELINED_COUNT * _PIECE_BYTES
         assert peak <= limit.max_total_bytes + limit.max_answer_bytes + free
         assert peak <= 4 * _LARGE_BYTES + 2 * free
         reader = await stack.enter_async_context(_call(deployment))
