Return a change that the stand-in's store got at the end of a wait

Cause: where the wait of read_changes ends in the same round of the loop in which a row is written, the call answered with no rows and with the version after the write. The follower takes that for all changes up to the version, and never asks for the row again. With uvloop a stall of the process between the two timers is enough; with the loop of the tests the write must come from a timer of the same round.

Evidence: the new test failed before.

Why it works: the rows are selected when the wait is over, in the same step that reads the version. The product's follower is right to trust rows and version of one answer, so it is unchanged.

--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -1,6 +1,7 @@
 """Stand-in for a store of rows with change feeds, in memory."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import msgspec
@@ -183,15 +184,12 @@
         self, table: str, after: int, wait_s: float
     ) -> tuple[Row, ...]:
         """Return the changes of a table as soon as there are any."""
-        rows: tuple[Row, ...] = ()
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while not rows:
+                while not self._select_changes(table, after):
                     await self._changed.wait()
-                    rows = self._select_changes(table, after)
-        except TimeoutError:
-            return ()
-        return rows
+        # Also when the wait is over: the answer has the version of now.
+        return self._select_changes(table, after)
 
     def _select_changes(self, table: str, after: int) -> tuple[Row, ...]:
         return tuple(
--- /dev/null
+++ b/crocusshunt/standin/tests/test_feeds.py
@@ -0,0 +1,25 @@
+"""Changes that callers of the stand-in wait for."""
+
+import asyncio
+import time
+
+from result import Ok
+
+from crocusshunt.feeds import Changes, Row
+from crocusshunt.standin import MemoryFeedStore
+
+_WAIT_S = 0.05
+_STALL_AFTER_S = 0.01
+_STALL_S = 0.1
+
+
+async def test_change_at_the_end_of_a_wait_is_in_the_answer() -> None:
+    """The wait is over and the change is made before the call goes on."""
+    store = MemoryFeedStore()
+    loop = asyncio.get_running_loop()
+    call = asyncio.create_task(store.read_changes('op', 0, _WAIT_S))
+    await asyncio.sleep(0)
+    # Both timers are due in one round of the loop, the wait's first.
+    loop.call_later(_STALL_AFTER_S, time.sleep, _STALL_S)
+    loop.call_later(_WAIT_S + _STALL_AFTER_S, store.put, 'op', 'key', b'{}')
+    assert await call == Ok(Changes((Row('key', b'{}', 1),), 1))
