--- a/crocusshunt/upstream/_holds.py
+++ b/crocusshunt/upstream/_holds.py
@@ -1,4 +1,4 @@
-"""Time for which a host doesn't take an answer that its server has ready."""
+"""Time for which a host doesn't take an answer that its server sends."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
