Answer 410 in the stand-in's store where the history is lost in a wait

A row that is written and forgotten during the wait, or lost by a return from a copy, was answered with no rows and the newest version, which followers take for no change.

Cause: era and history were checked before the wait only.

Why it works: they are checked again after the wait, in the step that reads rows and version.

--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -159,13 +159,13 @@
         failure = await self.faults.apply(wait_s + answer_s)
         if failure is not None:
             return Err(failure)
-        if find_era(after) != self.era or after > self.full_version:
+        if not self._has_history(after):
             return Err(HistoryLostError('unknown version'))
-        if find_number(after) < self._dropped_until:
-            return Err(HistoryLostError('forgotten'))
-        rows = self._select_changes(table, after)
+        rows = _select_changes(self._history, table, after)
         if not rows and wait_s > 0:
             rows = await self._wait_for_changes(table, after, wait_s)
+        if not self._has_history(after):
+            return Err(HistoryLostError('lost during the wait'))
         return Ok(Changes(rows, self.full_version))
 
     async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
@@ -186,17 +186,16 @@
         """Return the changes of a table as soon as there are any."""
         with suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while not self._select_changes(table, after):
+                while not _select_changes(self._history, table, after):
                     await self._changed.wait()
         # Also when the wait is over: the answer has the version of now.
-        return self._select_changes(table, after)
+        return _select_changes(self._history, table, after)
 
-    def _select_changes(self, table: str, after: int) -> tuple[Row, ...]:
-        return tuple(
-            row
-            for row_table, row in self._history
-            if row_table == table and row.version > after
-        )
+    def _has_history(self, after: int) -> bool:
+        """Tell whether all changes after a version are known."""
+        if find_era(after) != self.era or after > self.full_version:
+            return False
+        return find_number(after) >= self._dropped_until
 
     def _record_change(self, table: str, row: Row) -> None:
         self._history.append((table, row))
@@ -204,6 +203,16 @@
         self._changed = asyncio.Event()
 
 
+def _select_changes(
+    history: list[tuple[str, Row]], table: str, after: int
+) -> tuple[Row, ...]:
+    return tuple(
+        row
+        for row_table, row in history
+        if row_table == table and row.version > after
+    )
+
+
 def _renew(row: Row, era: int) -> Row:
     """Return a row of a copy with its version in a new era."""
     number = find_number(row.version)
--- a/crocusshunt/standin/tests/test_feeds.py
+++ b/crocusshunt/standin/tests/test_feeds.py
@@ -3,9 +3,9 @@
 import asyncio
 import time
 
-from result import Ok
+from result import Err, Ok
 
-from crocusshunt.feeds import Changes, Row
+from crocusshunt.feeds import Changes, HistoryLostError, Row
 from crocusshunt.standin import MemoryFeedStore
 
 _WAIT_S = 0.05
@@ -23,3 +23,30 @@
     loop.call_later(_STALL_AFTER_S, time.sleep, _STALL_S)
     loop.call_later(_WAIT_S + _STALL_AFTER_S, store.put, 'op', 'key', b'{}')
     assert await call == Ok(Changes((Row('key', b'{}', 1),), 1))
+
+
+async def test_change_that_is_forgotten_during_a_wait_is_not_passed_over() -> (
+    None
+):
+    """The history with the change is dropped before the call goes on."""
+    store = MemoryFeedStore()
+    call = asyncio.create_task(store.read_changes('op', 0, _WAIT_S))
+    await asyncio.sleep(0)
+    store.put('op', 'key', b'{}')
+    store.forget_history()
+    answer = await call
+    assert isinstance(answer, Err)
+    assert isinstance(answer.err_value, HistoryLostError)
+
+
+async def test_wait_for_changes_ends_with_the_era_that_it_began_in() -> None:
+    """The store comes back without a row that the caller has."""
+    store = MemoryFeedStore()
+    copy = store.copy()
+    store.put('op', 'lost', b'{}')
+    call = asyncio.create_task(store.read_changes('op', 1, _WAIT_S))
+    await asyncio.sleep(0)
+    store.return_from(copy)
+    answer = await call
+    assert isinstance(answer, Err)
+    assert isinstance(answer.err_value, HistoryLostError)
