Give the stand-in's store back the history since the copy it came from

After its history was dropped and it came back from an older copy, the stand-in answered 410 to each call until its version passed that of the drop, and followers read whole tables again without a pause.

Cause: the version up to which history is dropped was kept at the return.

Evidence: the new test failed before (HistoryLostError), and passes.

Why it works: what the store has after the return begins with the copy.

--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -90,6 +90,7 @@
         """Lose what came after a copy; versions are given out again."""
         self.era += 1
         self.version = copy.version
+        self._dropped_until = min(self._dropped_until, copy.version)
         self._rows = {
             place: _renew(row, self.era) for place, row in copy.rows.items()
         }
--- a/crocusshunt/standin/tests/test_feeds.py
+++ b/crocusshunt/standin/tests/test_feeds.py
@@ -50,3 +50,17 @@
     answer = await call
     assert isinstance(answer, Err)
     assert isinstance(answer.err_value, HistoryLostError)
+
+
+async def test_store_that_came_back_has_the_history_since_its_copy() -> None:
+    """Its callers read whole tables again and again, without a pause."""
+    store = MemoryFeedStore()
+    store.put('op', 'key', b'{}')
+    copy = store.copy()
+    store.put('op', 'lost', b'{}')
+    store.forget_history()
+    store.return_from(copy)
+    table = (await store.read_table('op')).unwrap()
+    store.put('op', 'new', b'{}')
+    answer = await store.read_changes('op', table.version, 0)
+    assert [row.key for row in answer.unwrap().rows] == ['new']
