Test a crashing request whose crashes no host could write down

The store refuses calls from before the first crash until both hosts have ended, so that they write nothing at their stop, as killed processes don't. restart_hosts of the tests is in two parts for it and does what it did.

Cause: crashes last in the memory of hosts and in the store, and hosts that start find neither. Each counts three crashes anew before it hears of the other's.

No product code is changed.

--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -116,7 +116,15 @@
 
     async def restart_hosts(self) -> None:
         """Stop all hosts, then start them at other ports."""
+        await self.stop_hosts()
+        await self.start_hosts()
+
+    async def stop_hosts(self) -> None:
+        """Stop all hosts; while the store is down, they write nothing."""
         await asyncio.gather(*(one.stop() for one in self.hosts))
+
+    async def start_hosts(self) -> None:
+        """Start all hosts, which were stopped, at other ports."""
         domains = [one.settings.failure_domain for one in self.hosts]
         self.hosts = _create_hosts(self.store, domains)
         for host in self.hosts:
--- a/crocusshunt/front/tests/test_crashing_requests.py
+++ b/crocusshunt/front/tests/test_crashing_requests.py
@@ -125,6 +125,29 @@
         assert (await deployment.send('/a/good'))[0] == 200
 
 
+async def test_request_is_not_sent_on_where_no_crash_was_written() -> None:
+    """The store was away from before the first crash until all hosts ended.
+
+    So they could write nothing at their stop, as processes that are killed.
+    """
+    async with deploy(*_SERVERS, domains=('a1', 'b1')) as deployment:
+        await deployment.wait_for_sync(2)
+        for backend in deployment.backends:
+            _crash_when_asked(backend)
+        deployment.store.faults.is_down = True
+        await _send_until_third_crash(deployment, cycle((0, 1)))
+        await asyncio.sleep(1)
+        await deployment.stop_hosts()
+        deployment.store.faults.is_down = False
+        await deployment.start_hosts()
+        await deployment.wait_until_ready()
+        await asyncio.sleep(_SETTLING_S)
+        before = len(_list_bad(deployment))
+        for number in range(12):
+            await deployment.send_to(number % 2, _BAD_PATH)
+        assert len(_list_bad(deployment)) - before <= _MAX_LATER_SENDINGS
+
+
 async def test_server_that_goes_on_after_a_reset_has_not_crashed() -> None:
     async with deploy('s1', 's2') as deployment:
         for backend in deployment.backends:
