Keep the ports of crashed servers of tests from other processes

Cause: a backend server of a test that crashes or stops gave its port back to the machine, so another process could listen there. The good request of the test has a crashed server as its first choice, and the host that started afresh does not know the crash; it got the answer of whoever was there.

Why it works: a socket that never listens keeps the port. Connections are refused there as before, so the tests ask for the same.

--- a/crocusshunt/front/tests/_backend.py
+++ b/crocusshunt/front/tests/_backend.py
@@ -1,5 +1,6 @@
 """Backend servers of tests, on the loopback address."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,6 +19,9 @@
 class Backend:
     """A backend server that records the requests it receives.
 
+    Its port is kept from other processes until ``free_port``: while it does
+    not listen, new connections are refused.
+
     :param override: called first; its response, if it returns one, replaces
         the usual one.
     :param is_down: whether it crashed and does not listen again yet.
@@ -30,14 +34,18 @@
     override: Override | None = None
     runner: web.ServerRunner | None = None
     is_down: bool = False
+    _port_keeper: socket.socket | None = None
 
     async def start(self) -> None:
         """Listen on a free port."""
         self.runner = web.ServerRunner(web.Server(self._handle))
         await self.runner.setup()
-        await web.TCPSite(self.runner, LOOPBACK, 0).start()
-        host, port = self.runner.addresses[0]
+        self._port_keeper = socket.socket()
+        self._port_keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self._port_keeper.bind((LOOPBACK, 0))
+        host, port = self._port_keeper.getsockname()
         self.address = f'{host}:{port}'
+        await self._listen()
 
     async def crash(self) -> None:
         """Reset all connections, and refuse new ones."""
@@ -54,14 +62,24 @@
         """Accept connections after a crash, at the same address."""
         assert self.runner is not None
         self.is_down = False
-        host, port = self.address.rsplit(':', 1)
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await self._listen()
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self.runner is not None:
             await self.runner.cleanup()
 
+    def free_port(self) -> None:
+        """Leave the port to other processes."""
+        if self._port_keeper is not None:
+            self._port_keeper.close()
+
+    async def _listen(self) -> None:
+        assert self.runner is not None
+        host, port = self.address.rsplit(':', 1)
+        site = web.TCPSite(self.runner, host, int(port), reuse_port=True)
+        await site.start()
+
     async def _handle(self, request: Any) -> web.StreamResponse:
         if self.is_down:
             # Its connection was still being accepted when the server crashed.
--- a/crocusshunt/front/tests/_deployment.py
+++ b/crocusshunt/front/tests/_deployment.py
@@ -232,6 +232,7 @@
             await asyncio.gather(*(one.stop() for one in deployment.hosts))
             for backend in backends:
                 await backend.stop()
+                backend.free_port()
 
 
 def _count_earlier_requests(host: FrontService) -> None:
--- a/crocusshunt/front/tests/test_foreign_entries.py
+++ b/crocusshunt/front/tests/test_foreign_entries.py
@@ -58,6 +58,7 @@
         known = [one.entry.name for one in servers.select('pool')]
         answered = {(await deployment.send())[0] for _turn in range(8)}
         await late.stop()
+        late.free_port()
     assert known == ['late', 's1']
     assert answered == {200}
 
