--- a/crocusshunt/front/tests/test_granted_share.py
+++ b/crocusshunt/front/tests/test_granted_share.py
@@ -18,7 +18,7 @@
 _ONSET_S = 15
 _STEADY_S = 20
 _END_S = 35
-_BEFORE = 0.5
+_BEFORE_FACTOR = 0.5
 _MAX_WAIT_S = 0.06
 _WINDOW_S = 5
 # Demand as a multiple of the rate.
@@ -70,7 +70,7 @@
             self.due.append(0)
             demand = RULE.rate * factor
             if now < _ONSET_S:
-                demand = RULE.rate * _BEFORE
+                demand = RULE.rate * _BEFORE_FACTOR
             for caller in self.simulation.callers:
                 if now >= caller.heartbeat_at:
                     caller.heartbeat_at += 1
--- a/crocusshunt/front/tests/test_odd_datagrams.py
+++ b/crocusshunt/front/tests/test_odd_datagrams.py
@@ -25,8 +25,8 @@
 
 _ROUND_S = 0.5
 # After these the first host uses leases of others.
-_ROUNDS = 4
-_STAMP = 2
+_ROUND_COUNT = 4
+_STAMP_S = 2
 _SOUND = (
     Heartbeat(
         name='a2',
@@ -41,7 +41,7 @@
         limits={'s1': (5, 0.1)},
         lost_pools=('p',),
         draining={'s2': (17, 0.2)},
-        stamp=_STAMP,
+        stamp=_STAMP_S,
         kept=('court',),
         divisions={'p': (0.5, {'b': 1})},
         is_unsure=True,
@@ -62,11 +62,11 @@
         lost_pools=('p',),
         draining={'s2': (17, 0.2)},
     ),
-    TokenRequest('a2', 1, 'court', patience_s=0.1, lease=_STAMP),
-    TokenReply('a2', 1, 'a1', is_granted=True, wait_s=0.1, stamp=_STAMP),
-    LeaseNotice('a2', _STAMP, ('court',)),
-    PartRequest('a2', _STAMP, ('court',), ('court',), (_STAMP, 1)),
-    PartLeases('a2', _STAMP, 1000, {'court': 0.5}),
+    TokenRequest('a2', 1, 'court', patience_s=0.1, lease=_STAMP_S),
+    TokenReply('a2', 1, 'a1', is_granted=True, wait_s=0.1, stamp=_STAMP_S),
+    LeaseNotice('a2', _STAMP_S, ('court',)),
+    PartRequest('a2', _STAMP_S, ('court',), ('court',), (_STAMP_S, 1)),
+    PartLeases('a2', _STAMP_S, 1000, {'court': 0.5}),
     LeaseRecall('a2', 5),
     LeasesDropped('a2', 5),
 )
@@ -124,7 +124,7 @@
     region = Region(names=_NAMES, clock=ManualClock())
     for name in _NAMES:
         region.start(name)
-    for _ in range(_ROUNDS):
+    for _ in range(_ROUND_COUNT):
         _run_round(region)
         _check_rates(region, odd_count=0)
     return region
