--- a/crocusshunt/front/tests/test_token_stalls.py
+++ b/crocusshunt/front/tests/test_token_stalls.py
@@ -1,4 +1,4 @@
-"""Tokens for a host whose event loop stands while a reply comes."""
+"""Tokens for a host whose event loop is blocked while a reply comes."""
 
 import asyncio
 import socket
@@ -45,11 +45,11 @@
 
 @dataclass(slots=True)
 class _StalledHost:
-    """A host that stands as soon as it has asked the keeper.
+    """A host that is blocked as soon as it has asked the keeper.
 
     The keeper replies meanwhile: the reply waits in the host's socket.
 
-    :param stalls: requests after which the host still stands.
+    :param stalls: requests after which the host is still blocked.
     """
 
     network: _Network
@@ -70,11 +70,11 @@
                 sender.sendto(encode(message), address)
             elif isinstance(message, TokenRequest) and self.stalls:
                 self.stalls -= 1
-                loop.call_soon(stand, message, host)
+                loop.call_soon(block, message, host)
             else:
                 self.network.deliver(message, host)
 
-        def stand(message: Message, host: str) -> None:
+        def block(message: Message, host: str) -> None:
             # The keeper replies at once, to a host that reads nothing now.
             self.network.deliver(message, host)
             time.sleep(_STALL_S)
--- a/crocusshunt/upstream/tests/test_opening_stalls.py
+++ b/crocusshunt/upstream/tests/test_opening_stalls.py
@@ -1,4 +1,4 @@
-"""Connections that open while the event loop stands."""
+"""Connections that open while the event loop is blocked."""
 
 import asyncio
 import socket
