Tell why a host isn't ready, and that and why a process ended

A process logs the signal that stops it, its exit status and the error that ended it. Hosts count the starts of their neighbours, apart for those that didn't announce the end before. No condition was changed.

crocus_task_failures is by task now; the test that compared the sum compares the count of its task.

--- a/crocusshunt/feeds/_availability.py
+++ b/crocusshunt/feeds/_availability.py
@@ -8,7 +8,10 @@
 
 
 class StoreAvailability:
-    """Answers and failures of the calls for one table, and their log."""
+    """Answers and failures of the calls for one table, and their log.
+
+    ``cause`` is the error of the last call, empty if it was answered.
+    """
 
     def __init__(self, table: str, clock: Clock) -> None:
         """Count from now as if the store had just answered.
@@ -20,6 +23,7 @@
         self._answered_at = clock.monotonic()
         self._failing_since: float | None = None
         self._has_answered = False
+        self.cause = ''
 
     @property
     def age_s(self) -> float:
@@ -48,12 +52,14 @@
                 outage_s=round(failing_s, 3),
             )
         self._failing_since = None
+        self.cause = ''
         self._answered_at = now
         self._has_answered = True
         return failing_s
 
     def note_failure(self, error: FeedError) -> None:
         """Record a failed call; the first one of an outage is logged."""
+        self.cause = str(error)
         if self._failing_since is not None:
             return
         self._failing_since = self._answered_at
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -67,8 +67,8 @@
 
     Changed rows are passed to the sink in order, except that removals are
     deferred after an outage. The copy never returns to an older version. A row
-    that the sink cannot apply is logged and counted in ``rejected_rows``; the
-    others are applied.
+    that the sink cannot apply is logged and counted in ``rejected_rows``, with
+    the last error in ``rejection``; the others are applied.
 
     A call that waits for changes may have been lost, which shows only when
     its answer is overdue. Whoever needs to know sooner limits the wait, or has
@@ -90,6 +90,7 @@
         self.image = TableImage()
         self.call = AbandonableCall(clock)
         self.rejected_rows = 0
+        self.rejection = ''
         self._store = store
         self._clock = clock
         self._sink = sink
@@ -228,6 +229,7 @@
             self._sink(row)
         except Exception as error:
             self.rejected_rows += 1
+            self.rejection = f'row {row.key}: {error!r}'
             log_event(
                 'row not applied',
                 logging.ERROR,
--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -15,6 +15,7 @@
 from crocusshunt.front._ingress import Ingress, create_ingress
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._readiness_watch import ReadinessWatch
 from crocusshunt.front._region_loads import RegionLoads
 from crocusshunt.front._request_assembly import create_handler
 from crocusshunt.front._server_reach import ServerReach
@@ -37,6 +38,7 @@
     followers: Followers
     records: CrashRecords
     readiness: Readiness
+    readiness_watch: ReadinessWatch
     reach: ServerReach
     heartbeat_loop: HeartbeatLoop
     handler: RequestHandler
@@ -84,6 +86,7 @@
         followers,
         records,
         readiness,
+        ReadinessWatch(readiness, clock),
         parts.reach,
         heartbeat_loop,
         handler,
--- a/crocusshunt/front/_cluster.py
+++ b/crocusshunt/front/_cluster.py
@@ -34,7 +34,8 @@
 class ClusterState:
     """Applies changes of the store tables and holds the resulting state.
 
-    Its ``index`` is the current configuration, None before the first one.
+    Its ``index`` is the current configuration, None before the first one, and
+    ``configuration_problem`` why the newest one was not taken, empty if it was.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.fleet = components.fleet
         self.connections = components.connections
         self.index: CatalogIndex | None = None
+        self.configuration_problem = ''
         self._source = source
         self._clock = clock
 
@@ -153,6 +155,7 @@
             return
         decoded = self._source.decode_catalog(row.content)
         if isinstance(decoded, Err):
+            self.configuration_problem = str(decoded.err_value)
             log_event(
                 'configuration ignored',
                 logging.ERROR,
@@ -173,6 +176,7 @@
             )
             return
         self.index = CatalogIndex(catalog)
+        self.configuration_problem = ''
         log_event(
             'configuration in force',
             configuration=catalog.version,
--- a/crocusshunt/front/_crash_records.py
+++ b/crocusshunt/front/_crash_records.py
@@ -42,6 +42,8 @@
     request are kept by the hosts that saw one of them, and by the host that
     rendezvous hashing names.
 
+    ``cause`` is the error of the last read, empty if there was none.
+
     :param table: name of the table.
     """
 
@@ -51,6 +53,7 @@
     followers: Followers
     clock: Clock
     keeping: RecordKeeping = field(default_factory=RecordKeeping)
+    cause: str = ''
     _failed_reads: int = 0
     _is_read: bool = False
     _era: int = 0
@@ -78,7 +81,8 @@
         answer = await self.store.read_table(self.table)
         if isinstance(answer, Err):
             self._note_failed_read()
-            log_event('crash records not read', cause=str(answer.err_value))
+            self.cause = str(answer.err_value)
+            log_event('crash records not read', cause=self.cause)
             return False
         self._era = find_era(answer.ok_value.version)
         self._take_over(answer.ok_value.rows)
--- a/crocusshunt/front/_directory.py
+++ b/crocusshunt/front/_directory.py
@@ -7,6 +7,7 @@
 from crocusshunt.core import Clock
 from crocusshunt.fleet import FleetView, OwnState, find_front_addresses
 from crocusshunt.front._readiness import Readiness
+from crocusshunt.front._readiness_watch import LastingObstacle, ReadinessWatch
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.web import json_response
 
@@ -60,12 +61,27 @@
 class ReadyCheck:
     """Answers readiness checks of this host."""
 
-    def __init__(self, readiness: Readiness) -> None:
+    def __init__(self, watch: ReadinessWatch) -> None:
         """Report the readiness of one host."""
-        self._readiness = readiness
+        self._watch = watch
 
     async def handle(self, _request: web.BaseRequest) -> web.StreamResponse:
-        """Return status 200 if the host accepts requests, else 503."""
-        if self._readiness.is_ready:
+        """Return status 200 if the host accepts requests, else 503.
+
+        The body of a 503 lists what keeps it from doing so, and for how long.
+        """
+        lasting = self._watch.list_obstacles()
+        if not lasting:
             return web.Response(status=_STATUS_OK)
-        return web.Response(status=_STATUS_UNAVAILABLE)
+        obstacles = [_describe_obstacle(one) for one in lasting]
+        return json_response({'obstacles': obstacles}, _STATUS_UNAVAILABLE)
+
+
+def _describe_obstacle(lasting: LastingObstacle) -> dict[str, Any]:
+    obstacle = lasting.obstacle
+    return {
+        'condition': obstacle.condition.value,
+        'subject': obstacle.subject,
+        'cause': obstacle.cause,
+        'age_s': lasting.age_s,
+    }
--- a/crocusshunt/front/_heard_hosts.py
+++ b/crocusshunt/front/_heard_hosts.py
@@ -1,19 +1,45 @@
 """Hosts whose heartbeats arrive."""
 
 import logging
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 
-from crocusshunt.fleet import FleetView
+from crocusshunt.fleet import FleetView, Heartbeat, StatusMessage
 from crocusshunt.logs import log_event
 
+_MILLISECONDS = 1000
+
 
 @dataclass(slots=True)
 class HeardHosts:
-    """Logs hosts whose heartbeats stopped or arrive again."""
+    """Logs hosts whose heartbeats stopped or arrive again.
+
+    ``restarts`` counts the starts of each host after an earlier process of it,
+    apart for those whose process was ready until then: it did not announce its
+    end.
+    """
 
     fleet: FleetView
+    restarts: Counter[tuple[str, bool]] = field(default_factory=Counter)
     _heard: frozenset[str] = frozenset()
 
+    def note_heartbeat(self, message: StatusMessage) -> None:
+        """Note the first heartbeat of another process of a known host."""
+        peer = self.fleet.peers.get(message.name)
+        known = None if peer is None else peer.heartbeat
+        if known is None or not isinstance(message, Heartbeat):
+            return
+        if known.started_at == message.started_at:
+            return
+        self.restarts[message.name, known.is_ready] += 1
+        log_event(
+            'host started again',
+            logging.WARNING if known.is_ready else logging.INFO,
+            host=message.name,
+            was_ready=known.is_ready,
+            ran_s=(message.started_at - known.started_at) / _MILLISECONDS,
+        )
+
     def log_changes(self, now: float) -> None:
         """Log the changes since the last call.
 
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -59,18 +59,18 @@
     settings: FleetSettings
     clock: Clock
     started_at: int
+    heard: HeardHosts = field(init=False)
     _sequence: int = 0
     _announced_ready: bool = False
     _announced_cut_off: bool = False
     _announced_versions: tuple[int, ...] = ()
     _has_new_hosts: bool = False
-    _heard: HeardHosts = field(init=False)
     _former: FormerLeases = field(init=False)
     _leases: LeaseMessages = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on other ones."""
-        self._heard = HeardHosts(self.cluster.fleet)
+        self.heard = HeardHosts(self.cluster.fleet)
         self._former = FormerLeases(
             self.tokens.limits, self.followers, self.started_at
         )
@@ -106,7 +106,7 @@
         self._divide_limits()
         self.send_heartbeats()
         self._leases.run_once()
-        self._heard.log_changes(now)
+        self.heard.log_changes(now)
         self.crashes.expire(now)
         self.cluster.connections.expire()
         self.planner.forget_stale_state(now)
@@ -208,6 +208,7 @@
             # Its record has not arrived; the call that waits for it may have
             # been lost.
             self.followers.hosts.refresh()
+        self.heard.note_heartbeat(message)
         peer = self.cluster.fleet.handle_message(message, now)
         if is_first or needs_reply(message):
             self._reply_to_new_host(message)
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client.registry import Collector
 
 from crocusshunt.front._assembly import HostComponents
+from crocusshunt.front._life_metrics import LifeCollector
 from crocusshunt.metrics import render_metrics
 
 _PATH = '/metrics'
@@ -24,12 +25,18 @@
         """Read the components of a host at each scrape."""
         self._components = components
         self._collector = HostCollector(components)
+        loop = components.heartbeat_loop
+        self._life = LifeCollector(
+            components.readiness_watch, loop.heard, loop.started_at
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a scrape."""
         if request.path != _PATH:
             return web.Response(status=_STATUS_NOT_FOUND)
-        text = render_metrics(self._components.metrics, self._collector)
+        text = render_metrics(
+            self._components.metrics, self._collector, self._life
+        )
         return web.Response(body=text, content_type='text/plain')
 
 
@@ -76,11 +83,15 @@
         return family
 
     def _count_task_failures(self) -> Metric:
-        return CounterMetricFamily(
+        family = CounterMetricFamily(
             'crocus_task_failures',
             'Background tasks that an error ended.',
-            self._components.heartbeat_loop.tasks.failures,
+            labels=('task',),
         )
+        failures = self._components.heartbeat_loop.tasks.failures
+        for task, count in sorted(failures.items()):
+            family.add_metric((task,), count)
+        return family
 
     def _count_rejected_rows(self) -> Metric:
         family = CounterMetricFamily(
--- a/crocusshunt/front/_service.py
+++ b/crocusshunt/front/_service.py
@@ -114,6 +114,7 @@
         tasks.keep('crash records', components.records.run)
         tasks.keep('reload settings', self._reload.run)
         tasks.keep('heartbeats', components.heartbeat_loop.run)
+        tasks.keep('watch readiness', components.readiness_watch.run)
         log_event('host started', host=settings.name, region=settings.region)
 
     async def stop(self, exception: Exception | None = None) -> Any:
@@ -152,7 +153,7 @@
             self._clock,
             settings.limits.max_lookup_ttl_s,
         )
-        ready = ReadyCheck(components.readiness)
+        ready = ReadyCheck(components.readiness_watch)
         internal = f'{settings.ip}:{settings.internal_port}'
         front = PipelinedServer(
             components.handler,
--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -31,6 +31,7 @@
     RowStoreClient,
     read_front_settings,
 )
+from crocusshunt.services import run_to_end
 from crocusshunt.web import run_services
 
 _EXIT_INVALID_SETTINGS = 2
@@ -54,7 +55,8 @@
         partial(read_front_settings, path),
         SystemClock(),
     )
-    run_services(service, reload=service.reload)
+    run = partial(run_services, service, reload=service.reload)
+    sys.exit(run_to_end(run))
 
 
 if __name__ == '__main__':
--- a/crocusshunt/services/_event_loop.py
+++ b/crocusshunt/services/_event_loop.py
@@ -58,6 +58,8 @@
     def stop(number: signal.Signals) -> None:
         if stopping.is_set():
             log_event('signal ignored, stopping already', signal=number.name)
+            return
+        log_event('process stopping', signal=number.name)
         stopping.set()
 
     for number in _STOP_SIGNALS:
--- a/crocusshunt/services/_tasks.py
+++ b/crocusshunt/services/_tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -21,13 +22,16 @@
     """Tasks that run until they end or the group is stopped.
 
     An exception that ends a task is logged; the other tasks go on.
+    ``failures`` counts such ends by the name of the task, which is empty for
+    tasks that are not kept, and ``errors`` holds the last error of each.
     """
 
     def __init__(self) -> None:
         """Create an empty group."""
         self._tasks: set[asyncio.Task[Any]] = set()
         self._failed_at: dict[str, float] = {}
-        self.failures = 0
+        self.failures: Counter[str] = Counter()
+        self.errors: dict[str, str] = {}
 
     @property
     def unsteady(self) -> tuple[str, ...]:
@@ -91,7 +95,8 @@
         return _MIN_PAUSE_S
 
     def _note_failure(self, error: str, name: str = '') -> None:
-        self.failures += 1
+        self.failures[name] += 1
+        self.errors[name] = error
         log_event(
             'background task failed', logging.ERROR, task=name, error=error
         )
--- a/crocusshunt/services/tests/test_tasks.py
+++ b/crocusshunt/services/tests/test_tasks.py
@@ -28,7 +28,7 @@
     async with asyncio.timeout(5):
         await is_working.wait()
     assert tasks.unsteady == ('work',)
-    assert tasks.failures == 2
+    assert tasks.failures == {'work': 2}
     await _wait_until_steady(tasks)
     assert len(begun) == 3
     await tasks.stop()
@@ -47,7 +47,7 @@
     while asyncio.get_running_loop().time() < until:
         assert tasks.unsteady == ('work',)
         await asyncio.sleep(0.1)
-    assert 4 <= tasks.failures < 12
+    assert 4 <= tasks.failures['work'] < 12
     await tasks.stop()
 
 
