Log the end of a process at a level that doesn't abort it

absl aborts the process at its fatal level, so a process that ended by an error had status -6 instead of its own: 20 of 20 starts with a taken port. The line is an error now: status 1 in five of five.

--- a/crocusshunt/services/_endings.py
+++ b/crocusshunt/services/_endings.py
@@ -41,7 +41,7 @@
     )
     log_event(
         'process ended',
-        logging.CRITICAL,
+        logging.ERROR,
         status=status,
         cause=repr(error),
         trace=''.join(traceback.format_exception(error)),
