--- a/crocusshunt/soak/__init__.py
+++ b/crocusshunt/soak/__init__.py
@@ -8,6 +8,7 @@
 from crocusshunt.soak._check_registry import CheckLimits
 from crocusshunt.soak._checks import Violation, find_violations
 from crocusshunt.soak._plan import PlannedFault, SoakSettings, plan_faults
+from crocusshunt.soak._processes import HostProcess
 from crocusshunt.soak._records import (
     Call,
     CallOutcome,
@@ -35,6 +36,7 @@
     'CheckLimits',
     'FaultInterval',
     'HostCut',
+    'HostProcess',
     'PlannedFault',
     'Records',
     'Run',
