Wait for ports and settings that a start finds taken or half written

What callers saw: a host that isn't there. Both left no line in the log.

Cause: a start took for granted that what it needs is there at the first try.

Settings are read again for 5 s, then status 2 as before.

The servers of a host have a module of their own, since the service had too many parts; three tests find them there.

--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -14,6 +14,7 @@
 from crocusshunt.front._heartbeats import HeartbeatLoop
 from crocusshunt.front._ingress import Ingress, create_ingress
 from crocusshunt.front._localities import LocalityPlanner
+from crocusshunt.front._ports import HostPorts
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._readiness_watch import ReadinessWatch
 from crocusshunt.front._region_loads import RegionLoads
@@ -39,6 +40,7 @@
     records: CrashRecords
     readiness: Readiness
     readiness_watch: ReadinessWatch
+    ports: HostPorts
     reach: ServerReach
     heartbeat_loop: HeartbeatLoop
     handler: RequestHandler
@@ -64,7 +66,10 @@
     )
     information = StartInformation(followers, records)
     handler = create_handler(parts, source.headers, information, clock)
-    readiness = Readiness(cluster, handler.in_flight, information, parts.tasks)
+    ports = HostPorts(clock)
+    readiness = Readiness(
+        cluster, handler.in_flight, information, parts.tasks, ports
+    )
     heartbeat_loop = HeartbeatLoop(
         cluster=cluster,
         followers=followers,
@@ -87,6 +92,7 @@
         records,
         readiness,
         ReadinessWatch(readiness, clock),
+        ports,
         parts.reach,
         heartbeat_loop,
         handler,
--- a/crocusshunt/front/_obstacles.py
+++ b/crocusshunt/front/_obstacles.py
@@ -8,6 +8,7 @@
     """A condition of readiness that does not hold."""
 
     stopping = 'stopping'
+    port = 'port-not-open'
     configuration = 'configuration-missing'
     table = 'table-not-read'
     crash_records = 'crash-records-not-read'
@@ -16,9 +17,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Obstacle:
-    """A condition that does not hold, for one table or task.
+    """A condition that does not hold, for one port, table or task.
 
-    :param subject: the table or task, empty if there is only one.
+    :param subject: the port, table or task, empty if there is only one.
     :param cause: the last error that it follows from, empty without one.
 
     >>> Obstacle(Condition.table, 'hosts', 'status 503').key
--- a/crocusshunt/front/_readiness.py
+++ b/crocusshunt/front/_readiness.py
@@ -6,6 +6,7 @@
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._in_flight import InFlight
 from crocusshunt.front._obstacles import Condition, Obstacle
+from crocusshunt.front._ports import HostPorts
 from crocusshunt.front._start_information import StartInformation
 from crocusshunt.services import TaskGroup
 
@@ -21,6 +22,7 @@
     in_flight: InFlight
     information: StartInformation
     tasks: TaskGroup
+    ports: HostPorts
 
     @property
     def is_ready(self) -> bool:
@@ -34,6 +36,8 @@
     def _find_obstacles(self) -> Iterator[Obstacle]:
         if self.in_flight.is_stopping:
             yield Obstacle(Condition.stopping)
+        for address, cause in self.ports.failures.items():
+            yield Obstacle(Condition.port, address, cause)
         if self.cluster.index is None:
             yield Obstacle(
                 Condition.configuration, cause=self._explain_configuration()
--- a/crocusshunt/front/tests/test_ingress.py
+++ b/crocusshunt/front/tests/test_ingress.py
@@ -224,7 +224,8 @@
         tasks = [asyncio.create_task(flood(one)) for one in crowd]
         await asyncio.sleep(0.5)
         cpu_before = time.thread_time()
-        connections = deployment.service._request_runners[0]  # noqa: SLF001
+        servers = deployment.service._servers  # noqa: SLF001
+        connections = servers.request_runners[0]
         steps_before = _count_steps(connections)
         await asyncio.sleep(1)
         steps = _count_steps(connections) - steps_before
--- a/crocusshunt/front/tests/test_pipelining.py
+++ b/crocusshunt/front/tests/test_pipelining.py
@@ -311,7 +311,7 @@
 async def _stop_and_count_unsent(deployment: Deployment) -> int:
     """Stop the first host; return the bytes that would go with its process."""
     service = deployment.service
-    server = service._runners[0].server  # noqa: SLF001
+    server = service._servers.request_runners[0].server  # noqa: SLF001
     assert server is not None
     transports = [one.transport for one in server.connections]
     await service.stop()
--- a/crocusshunt/front/tests/test_relay.py
+++ b/crocusshunt/front/tests/test_relay.py
@@ -102,7 +102,7 @@
         other = deployment.hosts[1]
 
         async def end_other(_request: web.Request) -> None:
-            for runner in other._runners:  # noqa: SLF001
+            for runner in other._servers.runners.values():  # noqa: SLF001
                 assert runner.server is not None
                 for connection in runner.server.connections:
                     connection.force_close()
--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -14,27 +14,43 @@
 # Before all other modules, whose import takes a while.
 from crocusshunt.programs import _hangups  # noqa: F401
 
+import logging
 import os
 import sys
+import time
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import ClassVar
 
 from docopt import docopt
 from result import Err
 
 from crocusshunt.core import SystemClock
-from crocusshunt.front import FrontService
-from crocusshunt.logs import LineSink, start_logging
+from crocusshunt.front import FrontService, FrontSettings
+from crocusshunt.logs import LineSink, log_event, start_logging
 from crocusshunt.platform import (
     SETTINGS_VARIABLE,
     SOURCE_FORMAT,
     RowStoreClient,
     read_front_settings,
 )
-from crocusshunt.services import run_to_end
+from crocusshunt.services import FatalError, run_to_end
 from crocusshunt.web import run_services
 
-_EXIT_INVALID_SETTINGS = 2
+_PAUSE_S = 0.2
+# The file may just be written when the process starts.
+_SETTINGS_WAIT_S = 5
+
+
+@dataclass(unsafe_hash=True)
+class SettingsUnreadableError(FatalError):
+    """The settings file could not be read for some time."""
+
+    code: ClassVar[str] = 'settings-unreadable'
+    exit_status: ClassVar[int] = 2
+
+    detail: str
 
 
 def main() -> None:
@@ -42,21 +58,37 @@
     docopt(__doc__ or '')
     start_logging(stream=LineSink(sys.stdout.fileno()))
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
-    settings = read_front_settings(path)
-    if isinstance(settings, Err):
-        print(settings.err_value.describe(), file=sys.stderr)
-        sys.exit(_EXIT_INVALID_SETTINGS)
-    front_settings = settings.ok_value
-    store = RowStoreClient(front_settings.store_address)
+    sys.exit(run_to_end(partial(_run, path)))
+
+
+def _run(path: Path) -> None:
+    settings = _wait_for_settings(path)
     service = FrontService(
-        front_settings,
+        settings,
         SOURCE_FORMAT,
-        store,
+        RowStoreClient(settings.store_address),
         partial(read_front_settings, path),
         SystemClock(),
     )
-    run = partial(run_services, service, reload=service.reload)
-    sys.exit(run_to_end(run))
+    run_services(service, reload=service.reload)
+
+
+def _wait_for_settings(path: Path) -> FrontSettings:
+    """Return the settings once they can be read.
+
+    :raises SettingsUnreadableError: if they can't be for some seconds.
+    """
+    until = time.monotonic() + _SETTINGS_WAIT_S
+    found = read_front_settings(path)
+    while isinstance(found, Err):
+        problem = found.err_value.describe()
+        if time.monotonic() >= until:
+            print(problem, file=sys.stderr)
+            raise SettingsUnreadableError(problem)
+        log_event('settings not readable', logging.WARNING, cause=problem)
+        time.sleep(_PAUSE_S)
+        found = read_front_settings(path)
+    return found.ok_value
 
 
 if __name__ == '__main__':
