Pause before a table is read again whose history is lost each time

What was seen: a store that answers 410 to each call for changes was called without a pause, and the process did nothing else (18,997 reads in 2 s in the test).

Cause: an answer that ends with the whole table counts as a success, after which there is no pause.

From the second loss in a row on, the follower pauses for 0.4 s; after the first one the table and the feed are read at once, as before. The test has 3 to 12 reads in 2 s now.

--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -29,6 +29,9 @@
 _JITTER = 0.3
 # The owners of rows that a store lost write them again within about this time.
 _RETURN_SETTLE_S = 2
+# Pause of a follower whose store lost the history again right after it read the
+# table.
+_LOST_AGAIN_PAUSE_S = 0.4
 
 RowSink = Callable[[Row], None]
 
@@ -98,6 +101,7 @@
         self._is_refreshing = False
         self.availability = StoreAvailability(settings.table, clock)
         self._has_changes = False
+        self._losses_in_a_row = 0
         self._removals = DeferredRemovals(clock)
 
     @property
@@ -177,8 +181,10 @@
             settings.slow_answer_s if self.is_failing else settings.answer_s,
         )
         if not isinstance(answer, Err):
+            self._losses_in_a_row = 0
             return answer.inspect(merge)
         if isinstance(answer.err_value, HistoryLostError):
+            self._losses_in_a_row += 1
             log_event('feed history lost, reading the table', table=table)
             answer = await self._store.read_table(table)
             check_age = partial(_check_age, image)
@@ -196,6 +202,8 @@
         It ends early when deferred removals are due.
         """
         spacing_s = self.settings.spacing_s if self._has_changes else 0
+        if self._losses_in_a_row > 1:
+            spacing_s = max(spacing_s, _LOST_AGAIN_PAUSE_S)
         return self._removals.limit_wait(spacing_s)
 
     def _accept(
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -3,11 +3,15 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from result import Err, Result
+
 from crocusshunt.core import ManualClock, SystemClock
 from crocusshunt.feeds import (
     Changes,
+    FeedError,
     Follower,
     FollowerSettings,
+    HistoryLostError,
     Row,
     TableImage,
 )
@@ -209,3 +213,35 @@
     await asyncio.sleep(0.3)
     assert follower.is_failing
     task.cancel()
+
+
+class _ForgettingStore(MemoryFeedStore):
+    """Forgets its history before each call that needs it."""
+
+    reads = 0
+
+    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+        self.reads += 1
+        return await MemoryFeedStore.read_table(self, table)
+
+    async def read_changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        answer_s: float = 0,
+    ) -> Result[Changes, FeedError]:
+        return Err(HistoryLostError('status 410'))
+
+
+async def test_history_lost_again_and_again_is_not_asked_for_in_a_spin() -> (
+    None
+):
+    """The store was called without a pause, and the process was busy."""
+    store = _ForgettingStore()
+    settings = FollowerSettings(_TABLE, wait_s=1)
+    follower = Follower(store, settings, SystemClock(), lambda _row: None)
+    following = asyncio.create_task(follower.run())
+    await asyncio.sleep(2)
+    following.cancel()
+    assert 3 <= store.reads <= 12
