Read the other rows of a page that has an unreadable one

What was seen: one row of another form in an answer of the store (a key that is no text, a missing key, a version out of range) made the whole answer unreadable.

Cause: an answer is decoded as one value.

If that fails, the answer is decoded again row by row, and what can't be read is passed over and counted in the log.

--- a/crocusshunt/platform/_row_format.py
+++ b/crocusshunt/platform/_row_format.py
@@ -1,9 +1,11 @@
 """Rows, answers and transactions as the platform's store sends them."""
 
+import json
+import logging
 from base64 import b64decode, b64encode
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -18,6 +20,9 @@
     RowWrite,
     join_version,
 )
+from crocusshunt.logs import log_event
+
+_MAX_DIGITS = 20
 
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
@@ -45,6 +50,12 @@
     has_more: bool = False
 
 
+class _RawAnswer(msgspec.Struct, frozen=True):
+    rows: tuple[Any, ...] = ()
+    ver: _Number = 0
+    has_more: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Content of a successful answer, and the era of the store."""
@@ -65,6 +76,11 @@
         """Return the newest version of the store, with its era."""
         return join_version(self.era, self.answer.ver)
 
+    @property
+    def last_key(self) -> str:
+        """Return the key of the last row, empty without rows."""
+        return self.answer.rows[-1].key if self.answer.rows else ''
+
     def decode_rows(self) -> tuple[Row, ...]:
         """Return the rows of this page that are in the empty part."""
         return tuple(
@@ -119,11 +135,49 @@
     """Decode a successful answer; an error tells what is wrong with it."""
     try:
         answer = msgspec.json.decode(reply.content, type=_WireAnswer)
+    except DECODE_ERRORS:
+        return _decode_readable_rows(reply)
+    return Ok(Page(answer, reply.era))
+
+
+def _decode_readable_rows(reply: Reply) -> Result[Page, FeedError]:
+    """Decode an answer without the rows that can't be read."""
+    text = reply.content.decode(errors='surrogateescape')
+    try:
+        found = msgspec.convert(
+            json.loads(text, parse_int=_parse_integer), type=_RawAnswer
+        )
     except DECODE_ERRORS as error:
         return Err(FeedMalformedError(str(error)))
+    rows = tuple(
+        row.ok_value
+        for row in map(_convert_row, found.rows)
+        if isinstance(row, Ok)
+    )
+    log_event(
+        'unreadable rows passed over',
+        logging.WARNING,
+        rows=len(found.rows) - len(rows),
+    )
+    answer = _WireAnswer(rows, found.ver, found.has_more)
     return Ok(Page(answer, reply.era))
 
 
+def _convert_row(row: Any) -> Result[_WireRow, FeedError]:
+    try:
+        converted = msgspec.convert(row, type=_WireRow)
+        # A key that is no text can't be asked for, nor written to a log.
+        converted.key.encode()
+    except DECODE_ERRORS as error:
+        return Err(FeedMalformedError(str(error)))
+    return Ok(converted)
+
+
+def _parse_integer(digits: str) -> int | None:
+    """Return an integer, None if it has more digits than any version."""
+    return int(digits) if len(digits) <= _MAX_DIGITS else None
+
+
 def _decode_row(row: _WireRow, era: int) -> Row:
     """Decode a row; a value that is not base64 becomes empty content."""
     try:
