Ask for the next page from the last row of the one before

What was seen (test): with a key of 200 bytes, the longest possible, at the end of a page, the next one was asked for from a key of 201 bytes, and a store that keeps to its limit refuses that: the table was never read, so a host that starts was never ready. Pages that don't go on were read for ever.

Each page begins with the last row of the one before now, which is a key that there is; a page that doesn't get past it is an error.

--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -10,6 +10,7 @@
 from crocusshunt.feeds import (
     Changes,
     FeedError,
+    FeedMalformedError,
     FeedRefusedError,
     FeedUnreachableError,
     HistoryLostError,
@@ -30,8 +31,6 @@
 _STATUS_GONE = 410
 _MILLISECONDS = 1000
 _PAGE_ROWS = 500
-# Appended to a key, it gives the next possible one in the order of keys.
-_KEY_SUCCESSOR_SUFFIX = '\0'
 _CALL_TIMEOUT_S = 1.5
 # Only a few calls run at the same time, for reads, writes and feeds together.
 _MAX_CONNECTIONS = 8
@@ -68,8 +67,11 @@
         The table is read in pages, of which later ones may be newer than the
         first. The version returned is that of the first page, so that a feed
         resumed from it returns all changes made since.
+
+        Each page begins with the last row of the one before, since the key
+        after the longest possible one can't be asked for.
         """
-        rows: list[Row] = []
+        rows: dict[str, Row] = {}
         version = -1
         start = ''
         while True:
@@ -83,10 +85,12 @@
             version = page.version if version < 0 else version
             if page.era != find_era(version):
                 return Err(FeedRefusedError('store returned meanwhile'))
-            rows.extend(page.decode_rows())
-            if not page.answer.has_more or not page.answer.rows:
-                return Ok(Changes(tuple(rows), version))
-            start = page.answer.rows[-1].key + _KEY_SUCCESSOR_SUFFIX
+            rows.update((row.key, row) for row in page.decode_rows())
+            if not page.answer.has_more:
+                return Ok(Changes(tuple(rows.values()), version))
+            if page.last_key <= start:
+                return Err(FeedMalformedError('pages do not go on'))
+            start = page.last_key
 
     async def read_changes(
         self,
--- a/crocusshunt/platform/tests/test_odd_pages.py
+++ b/crocusshunt/platform/tests/test_odd_pages.py
@@ -1,10 +1,17 @@
 """Pages of the store with rows that another writer left."""
 
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
 import pytest
+from aiohttp import web
 
 from crocusshunt.feeds import Changes, Row
+from crocusshunt.platform import RowStoreClient
 from crocusshunt.platform._row_format import Reply, decode_page
 
+_MAX_KEY_BYTES = 200
 _GOOD_ROW = '{"key":"good","value":"eA==","ver":3}'
 _ODD_ROWS = (
     r'{"key":"\ud800","value":"eA==","ver":2}',
@@ -25,6 +32,25 @@
     return f'{{"rows":[{",".join(rows)}],"ver":5,"has_more":false}}'.encode()
 
 
+@asynccontextmanager
+async def _serve(
+    answer: Callable[[web.Request], web.StreamResponse],
+) -> AsyncIterator[RowStoreClient]:
+    async def handle(request: web.Request) -> web.StreamResponse:
+        return answer(request)
+
+    application = web.Application()
+    application.router.add_get('/rows-get', handle)
+    runner = web.AppRunner(application, shutdown_timeout=0)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0]
+    client = RowStoreClient(f'{host}:{port}')
+    yield client
+    await client.close()
+    await runner.cleanup()
+
+
 @pytest.mark.parametrize('odd', _ODD_ROWS)
 def test_odd_row_leaves_the_others_of_its_page_readable(odd: str) -> None:
     """One row kept a host that started from reading the table, for ever."""
@@ -41,3 +67,30 @@
 @pytest.mark.parametrize('content', [b'', b'[]', b'{"rows":7}', b'{"rows":['])
 def test_answer_that_is_no_page_is_an_error(content: bytes) -> None:
     assert decode_page(Reply(content, 0)).is_err()
+
+
+async def test_longest_key_at_the_end_of_a_page_lets_the_next_be_read() -> None:
+    """The next page was asked from a key that no row may have."""
+    keys = [f'{number:04}'.ljust(_MAX_KEY_BYTES, 'x') for number in range(1200)]
+
+    def answer(request: web.Request) -> web.Response:
+        start = request.query.get('from', '')
+        if len(start.encode()) > _MAX_KEY_BYTES:
+            return web.Response(status=400)
+        left = [key for key in keys if key >= start]
+        rows = [{'key': key, 'value': '', 'ver': 1} for key in left[:500]]
+        page = {'rows': rows, 'ver': 1, 'has_more': len(left) > 500}
+        return web.json_response(page)
+
+    async with _serve(answer) as client:
+        changes = (await client.read_table('servers')).unwrap()
+    assert [row.key for row in changes.rows] == keys
+
+
+async def test_pages_that_do_not_go_on_are_an_error() -> None:
+    def answer(_request: web.Request) -> web.Response:
+        rows = [{'key': 'a', 'value': '', 'ver': 1}]
+        return web.json_response({'rows': rows, 'ver': 1, 'has_more': True})
+
+    async with asyncio.timeout(5), _serve(answer) as client:
+        assert (await client.read_table('servers')).is_err()
