Wait longer for a page that did not come in time

What was seen (test): a store, or a thin link, that takes 2 s for a page never got a table through, since each read is given up after 1.5 s: the host that starts was never ready. A page of 1 MB takes 1.6 s at 5 Mbit/s, which some machines have.

The time grows by half with each page that didn't come, up to 5 s, and is 1.5 s again after one that did.

--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -32,6 +32,10 @@
 _MILLISECONDS = 1000
 _PAGE_ROWS = 500
 _CALL_TIMEOUT_S = 1.5
+# A page of a table, which may be large, is waited for longer after each one
+# that did not come in time.
+_MAX_READ_TIMEOUT_S = 5
+_TIMEOUT_GROWTH = 1.5
 # Only a few calls run at the same time, for reads, writes and feeds together.
 _MAX_CONNECTIONS = 8
 _KEEPALIVE_S = 20
@@ -48,6 +52,7 @@
         self._url = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
         self._eras = EraReader()
+        self._read_timeout_s: float = _CALL_TIMEOUT_S
 
     def redirect(self, address: str) -> None:
         """Use the store at another address from now on.
@@ -78,7 +83,8 @@
             query = {'table': table, 'part': '', 'limit': str(_PAGE_ROWS)}
             if start:
                 query['from'] = start
-            answer = await self._get('/rows-get', query, _CALL_TIMEOUT_S)
+            answer = await self._get('/rows-get', query, self._read_timeout_s)
+            self._adapt_timeout(answer)
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
@@ -174,6 +180,14 @@
         checked = _check_status(status, content)
         return checked.map(partial(Reply, era=era.ok_value))
 
+    def _adapt_timeout(self, answer: Result[Page, FeedError]) -> None:
+        """Wait longer for the next page if this one did not come in time."""
+        if not isinstance(answer, Err):
+            self._read_timeout_s = _CALL_TIMEOUT_S
+        elif isinstance(answer.err_value, FeedUnreachableError):
+            longer_s = self._read_timeout_s * _TIMEOUT_GROWTH
+            self._read_timeout_s = min(_MAX_READ_TIMEOUT_S, longer_s)
+
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
--- a/crocusshunt/platform/tests/test_odd_pages.py
+++ b/crocusshunt/platform/tests/test_odd_pages.py
@@ -1,6 +1,7 @@
 """Pages of the store with rows that another writer left."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -35,8 +36,10 @@
 @asynccontextmanager
 async def _serve(
     answer: Callable[[web.Request], web.StreamResponse],
+    delay_s: float = 0,
 ) -> AsyncIterator[RowStoreClient]:
     async def handle(request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(delay_s)
         return answer(request)
 
     application = web.Application()
@@ -94,3 +97,16 @@
 
     async with asyncio.timeout(5), _serve(answer) as client:
         assert (await client.read_table('servers')).is_err()
+
+
+async def test_table_that_takes_long_to_read_is_read_in_the_end() -> None:
+    """A host behind a thin link gave up each read, so it was never ready."""
+
+    def answer(_request: web.Request) -> web.Response:
+        return web.Response(body=_encode_page(_GOOD_ROW))
+
+    began_at = time.monotonic()
+    async with asyncio.timeout(20), _serve(answer, delay_s=2) as client:
+        while (await client.read_table('servers')).is_err():
+            await asyncio.sleep(0.1)
+    assert time.monotonic() - began_at < 10
