Let a host that starts without the store ask the peers that list it

Cause: tables are fetched from peers, and peers are known from the table of hosts, which a host that starts has from the store alone. Heartbeats of its peers, who still list it, were dropped as those of unknown hosts.

While the store gives no table of hosts, such a heartbeat's sender is asked for it; a table that doesn't list the sender isn't taken. The other tables come from the hosts in it as they do to any host whose store fails, and crashes with their heartbeats. A host that the table doesn't list waits for the store, since the others, who don't count it, leave it no part of a rate. It still retries nothing, and settles no leases, by a peer's table.

Tests: a refusing and a silent store, both not ready after 10 s before; the rate over three hosts, one of which starts; a host that isn't listed.

--- a/crocusshunt/feeds/_availability.py
+++ b/crocusshunt/feeds/_availability.py
@@ -40,6 +40,11 @@
         """Tell whether the store has answered, the last call included."""
         return self._has_answered and not self.is_failing
 
+    @property
+    def has_answered(self) -> bool:
+        """Tell whether the store has ever answered."""
+        return self._has_answered
+
     def note_answer(self) -> float:
         """Record an answer; return how long calls failed before, in seconds."""
         now = self._clock.monotonic()
--- a/crocusshunt/fleet/_datagrams.py
+++ b/crocusshunt/fleet/_datagrams.py
@@ -7,7 +7,8 @@
 
 from crocusshunt.logs import log_event
 
-Receive = Callable[[bytes], None]
+# Gets the content of a datagram and the address of its sender, ``ip:port``.
+Receive = Callable[[bytes, str], None]
 
 
 class DatagramEndpoint(asyncio.DatagramProtocol):
@@ -16,7 +17,7 @@
     def __init__(self, receive: Receive) -> None:
         """Prepare an endpoint; it is opened by the event loop.
 
-        :param receive: called with the content of each received datagram.
+        :param receive: called with each received datagram and its sender.
         """
         self._receive = receive
         self._transport: asyncio.DatagramTransport | None = None
@@ -25,9 +26,12 @@
         """Keep the transport, which is needed to send."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
-    def datagram_received(self, content: bytes, _peer: object) -> None:
+    def datagram_received(
+        self, content: bytes, sender: tuple[str, int]
+    ) -> None:
         """Pass a received datagram on."""
-        self._receive(content)
+        ip, port = sender
+        self._receive(content, f'{ip}:{port}')
 
     def error_received(self, error: Exception) -> None:
         """Log an error of an earlier datagram; it is not sent again.
@@ -54,7 +58,7 @@
 ) -> DatagramEndpoint:
     """Open a UDP port.
 
-    :param receive: called with the content of each received datagram.
+    :param receive: called with each received datagram and its sender.
     """
     loop = asyncio.get_running_loop()
     _transport, endpoint = await loop.create_datagram_endpoint(
--- a/crocusshunt/front/_assembly.py
+++ b/crocusshunt/front/_assembly.py
@@ -64,7 +64,7 @@
     records = CrashRecords(
         source.tables.crashes, store, parts.crashes, followers, clock
     )
-    information = StartInformation(followers, records)
+    information = StartInformation(settings.name, followers, records)
     handler = create_handler(parts, source.headers, information, clock)
     ports = HostPorts(clock)
     readiness = Readiness(
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -1,11 +1,9 @@
 """Local copies of the store tables, also fetched from and sent to peers."""
 
-import asyncio
-
 import msgspec
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import web
 
-from crocusshunt.core import DECODE_ERRORS, Clock, parse_count
+from crocusshunt.core import Clock, parse_count
 from crocusshunt.feeds import (
     Changes,
     FeedStore,
@@ -14,6 +12,7 @@
 )
 from crocusshunt.fleet import HostRecord
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._peer_images import PeerImages
 from crocusshunt.front._settings import TableNames
 from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
@@ -39,9 +38,6 @@
 _MAX_LAG_S = 1.5
 # A host whose own feed fails waits less, since the store answers its peers.
 _MAX_LAG_WITHOUT_STORE_S = 0.4
-_FETCH_TIMEOUT_S = 1
-_FETCH_ERRORS = (ClientError, TimeoutError, OSError, *DECODE_ERRORS)
-_STATUS_OK = 200
 _STATUS_NOT_FOUND = 404
 
 
@@ -59,7 +55,7 @@
         self._clock = clock
         self._behind_since: dict[int, float] = {}
         self._known_versions: dict[int, int] = {}
-        self._session: ClientSession | None = None
+        self._images = PeerImages()
         self.configuration = Follower(
             store,
             FollowerSettings(
@@ -118,14 +114,13 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Follow all tables in the background."""
-        self._session = ClientSession()
+        self._images.open()
         for follower in self.all:
             tasks.keep(f'follow {follower.settings.table}', follower.run)
 
     async def close(self) -> None:
         """Close the connections to peers."""
-        if self._session is not None:
-            await self._session.close()
+        await self._images.close()
 
     def watch(self, *, is_watcher: bool) -> None:
         """Notice lost calls early, for the whole region if required.
@@ -164,6 +159,14 @@
                 self._behind_since[position] = now
                 await self._fetch_image(peer, position)
 
+    async def fetch_hosts(self, host: str, address: str) -> Changes | None:
+        """Return the table of hosts of another host, None after an error.
+
+        :param address: its port for other hosts, ``ip:port``.
+        """
+        position = self.all.index(self.hosts)
+        return await self._images.fetch(host, address, position)
+
     async def serve_image(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the whole table that a peer requests by its position."""
         position = parse_count(request.path.removeprefix('/image/'))
@@ -182,17 +185,9 @@
 
     async def _fetch_image(self, peer: HostRecord, position: int) -> None:
         follower = self.all[position]
-        url = f'http://{peer.ip}:{peer.internal_port}/image/{position}'
-        try:
-            content = await self._get(url)
-            changes = msgspec.msgpack.decode(content, type=Changes)
-        except _FETCH_ERRORS as error:
-            log_event(
-                'peer image not fetched',
-                peer=peer.name,
-                table=follower.settings.table,
-                cause=repr(error),
-            )
+        address = f'{peer.ip}:{peer.internal_port}'
+        changes = await self._images.fetch(peer.name, address, position)
+        if changes is None:
             return
         is_newer = follower.apply_peer_image(changes)
         log_event(
@@ -203,13 +198,3 @@
             is_newer=is_newer,
             store_age_s=round(follower.age_s, 3),
         )
-
-    async def _get(self, url: str) -> bytes:
-        assert self._session is not None  # noqa: S101
-        async with (
-            asyncio.timeout(_FETCH_TIMEOUT_S),
-            self._session.get(url) as response,
-        ):
-            if response.status != _STATUS_OK:
-                raise ClientError(f'status {response.status}')
-            return await response.read()
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -21,6 +21,7 @@
 )
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._crash_watch import CrashWatch
+from crocusshunt.front._first_hosts import FirstHosts
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._former_leases import FormerLeases, needs_reply
 from crocusshunt.front._heard_hosts import HeardHosts
@@ -67,10 +68,12 @@
     _has_new_hosts: bool = False
     _former: FormerLeases = field(init=False)
     _leases: LeaseMessages = field(init=False)
+    _first_hosts: FirstHosts = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on other ones."""
         self.heard = HeardHosts(self.cluster.fleet)
+        self._first_hosts = FirstHosts(self.followers)
         self._former = FormerLeases(
             self.tokens.limits, self.followers, self.started_at
         )
@@ -134,8 +137,11 @@
                 self._create_summary(now), fleet.other_region_hosts
             )
 
-    def receive(self, content: bytes) -> None:
-        """Process a datagram from another host."""
+    def receive(self, content: bytes, sender: str = '') -> None:
+        """Process a datagram from another host.
+
+        :param sender: where it came from, ``ip:port``.
+        """
         message = decode_message(content)
         if message is None:
             log_event('datagram ignored', logging.WARNING, size=len(content))
@@ -144,7 +150,7 @@
         elif isinstance(message, TokenReply):
             self.tokens.handle_reply(message)
         elif isinstance(message, StatusMessage):
-            self._receive_heartbeat(message)
+            self._receive_heartbeat(message, sender)
         else:
             self._leases.handle(message)
 
@@ -201,13 +207,16 @@
         )
         self.outbox.send_to(reply, message.name)
 
-    def _receive_heartbeat(self, message: StatusMessage) -> None:
+    def _receive_heartbeat(self, message: StatusMessage, sender: str) -> None:
         now = self.clock.monotonic()
         is_first = self.cluster.fleet.is_first_heartbeat(message)
         if message.name not in self.cluster.fleet.names:
             # Its record has not arrived; the call that waits for it may have
             # been lost.
             self.followers.hosts.refresh()
+            if sender and self._first_hosts.is_needed:
+                fetch = self._first_hosts.fetch(message.name, sender)
+                self.tasks.start(fetch)
         self.heard.note_heartbeat(message)
         peer = self.cluster.fleet.handle_message(message, now)
         if is_first or needs_reply(message):
--- a/crocusshunt/front/_obstacles.py
+++ b/crocusshunt/front/_obstacles.py
@@ -11,6 +11,7 @@
     port = 'port-not-open'
     configuration = 'configuration-missing'
     table = 'table-not-read'
+    listing = 'host-not-listed'
     crash_records = 'crash-records-not-read'
     task = 'task-failing'
 
--- a/crocusshunt/front/_start_information.py
+++ b/crocusshunt/front/_start_information.py
@@ -17,12 +17,13 @@
     requests on that crash servers.
     """
 
+    own_name: str
     followers: Followers
     records: CrashRecords
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether it does; once it does, it always will."""
+        """Tell whether it does."""
         return next(self.find_missing(), None) is None
 
     def find_missing(self) -> Iterator[Obstacle]:
@@ -32,5 +33,19 @@
                 table = follower.settings.table
                 cause = follower.availability.cause
                 yield Obstacle(Condition.table, table, cause)
+        if not self._is_listed:
+            yield Obstacle(Condition.listing)
         if not self.records.is_known:
             yield Obstacle(Condition.crash_records, cause=self.records.cause)
+
+    @property
+    def _is_listed(self) -> bool:
+        """Tell whether other hosts count this one, as far as it knows.
+
+        Those whose table of hosts it has from the store will: it writes its
+        record there. A peer's table, without the store, must list it.
+        """
+        hosts = self.followers.hosts
+        if not hosts.image.is_known or hosts.availability.has_answered:
+            return True
+        return self.own_name in hosts.image.rows
