Read a keeper's reply that came while the event loop was blocked

What callers saw: 429 within the rate. A host whose loop was blocked for 45 ms after it had asked the keeper dropped the reply, which was in its socket, as late; after two such stalls the keeper counted as silent.

Cause: a timer that is due is handled before what the sockets have.

If the timer fires over 5 ms late, the loop reads for up to 20 ms more before the wait is given up.

--- a/crocusshunt/front/_tokens.py
+++ b/crocusshunt/front/_tokens.py
@@ -14,6 +14,7 @@
 from crocusshunt.front._lending import Lending, Send
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.logs import log_event
+from crocusshunt.services import wait_in_time
 from crocusshunt.sharing import CustomerShare, Grant
 
 # Well above a round trip within a region.
@@ -181,8 +182,7 @@
         self._pending_replies[request.number] = waiter
         self.send(request, keeper)
         try:
-            async with asyncio.timeout(_REPLY_TIMEOUT_S):
-                return await waiter
+            return await wait_in_time(waiter, _REPLY_TIMEOUT_S)
         except TimeoutError:
             return None
         finally:
