Use a connection that opened while the event loop was blocked

What callers saw: a server passed over as unreachable, and 503, when the loop was blocked for longer than a connection may take to open, although the server had accepted it.

--- a/crocusshunt/upstream/_opening.py
+++ b/crocusshunt/upstream/_opening.py
@@ -5,6 +5,7 @@
 from result import Err
 
 from crocusshunt.core import parse_socket_address
+from crocusshunt.services import wait_in_time
 from crocusshunt.upstream._buffering import BufferLimit
 from crocusshunt.upstream._connection import Connection
 from crocusshunt.upstream._errors import NotConnectedError
@@ -31,12 +32,10 @@
     target = parsed.ok_value
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            _transport, protocol = await loop.create_connection(
-                StreamProtocol,
-                target.host,
-                target.port,
-            )
+        _transport, protocol = await wait_in_time(
+            loop.create_connection(StreamProtocol, target.host, target.port),
+            timeout_s,
+        )
     except (OSError, TimeoutError) as error:
         raise NotConnectedError(type(error).__name__) from error
     return Connection(protocol, echo_policy, buffer_limit)
