Use no server whose entry lacks its version or sequence, or has odd ones

What callers saw: attempts at addresses where no server of theirs is. The platform says that a row with fields missing or of another type names no server.

Cause: the two fields that this system doesn't use weren't decoded.

They are now, and must be a text and a whole number that fits. Eight of the eight new cases failed before. The stand-in writes both. Two older cases replaced a whole part of the entry, and would fail for the missing version now; they change one field instead.

--- a/crocusshunt/front/tests/test_foreign_entries.py
+++ b/crocusshunt/front/tests/test_foreign_entries.py
@@ -16,8 +16,8 @@
 
 _ENTRY: dict[str, Any] = {
     'address': '127.0.0.1:9',
-    'info': {'service': 'pool', 'zone': 'a1', 'slots': 4},
-    'status': {'state': 'ready'},
+    'info': {'service': 'pool', 'version': 'v1', 'zone': 'a1', 'slots': 4},
+    'status': {'state': 'ready', 'sequence': 1},
 }
 _BRACKETS = b'[' * 2000
 _DEEP = b'{"entry":"x","":%b' % _BRACKETS
--- a/crocusshunt/platform/_servers.py
+++ b/crocusshunt/platform/_servers.py
@@ -14,21 +14,26 @@
 _MAX_SLOT_COUNT = 65_536
 _MAX_COLD_S = 86_400
 # Larger integers are not the same in all languages that may read them.
-_MAX_TIME_MS = 9_007_199_254_740_992
+_MAX_EXACT_INTEGER = 9_007_199_254_740_992
 
 _SlotCount = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOT_COUNT)]
 _ColdTime = Annotated[float, msgspec.Meta(le=_MAX_COLD_S)]
-_UnixTime = Annotated[int, msgspec.Meta(ge=0, le=_MAX_TIME_MS)]
+_UnixTime = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT_INTEGER)]
+_Sequence = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EXACT_INTEGER)]
 
 
 class _ServerInfo(msgspec.Struct, frozen=True):
     service: str
+    # Of its software; not used, but an entry without it names no server.
+    version: str
     zone: str
     slots: _SlotCount
 
 
 class _ServerStatus(msgspec.Struct, frozen=True):
     state: str
+    # Number of the entry since the start; not used either.
+    sequence: _Sequence
     # Rest of the time for which the server is slow after its start, in seconds,
     # counted from the time at which the entry was written.
     cold_left_s: _ColdTime = 0
--- a/crocusshunt/platform/tests/test_decoding.py
+++ b/crocusshunt/platform/tests/test_decoding.py
@@ -2,6 +2,7 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -51,7 +52,7 @@
         {'resource_kind': 'unheard-of', 'metadata': {}, 'spec': {}},
     ],
 }
-_ENTRY = {
+_ENTRY: dict[str, Any] = {
     'address': '10.0.0.1:80',
     'born': 17,
     'info': {'service': 's1', 'version': 'v1', 'zone': 'z', 'slots': 5},
@@ -132,9 +133,17 @@
     [
         {'address': 'nowhere'},
         {'address': 5},
-        {'info': {'service': 's1', 'zone': 'z', 'slots': 0}},
-        {'info': {'zone': 'z', 'slots': 5}},
-        {'status': {'state': 'dreaming'}},
+        {'info': {**_ENTRY['info'], 'slots': 0}},
+        {'info': {'version': 'v1', 'zone': 'z', 'slots': 5}},
+        {'info': {'service': 's1', 'zone': 'z', 'slots': 5}},
+        {'info': {**_ENTRY['info'], 'version': 7}},
+        {'info': {**_ENTRY['info'], 'version': 10**400}},
+        {'status': {**_ENTRY['status'], 'state': 'dreaming'}},
+        {'status': {'state': 'ready', 'cold_left_s': 1.5}},
+        {'status': {**_ENTRY['status'], 'sequence': '4'}},
+        {'status': {**_ENTRY['status'], 'sequence': 4.5}},
+        {'status': {**_ENTRY['status'], 'sequence': 10**400}},
+        {'status': {**_ENTRY['status'], 'sequence': -(2**63) - 1}},
         {'status': None},
     ],
 )
--- a/crocusshunt/platform/tests/test_odd_documents.py
+++ b/crocusshunt/platform/tests/test_odd_documents.py
@@ -13,8 +13,8 @@
 _ENTRY: dict[str, Any] = {
     'address': '10.0.0.1:80',
     'born': 17,
-    'info': {'service': 's1', 'zone': 'z', 'slots': 5},
-    'status': {'state': 'ready', 'cold_left_s': 1.5},
+    'info': {'service': 's1', 'version': 'v1', 'zone': 'z', 'slots': 5},
+    'status': {'state': 'ready', 'sequence': 4, 'cold_left_s': 1.5},
 }
 _NUMBERS = st.one_of(
     st.integers(),
@@ -43,8 +43,10 @@
     ('info', 'service'),
     ('info', 'zone'),
     ('info', 'slots'),
+    ('info', 'version'),
     ('status',),
     ('status', 'state'),
+    ('status', 'sequence'),
     ('status', 'cold_left_s'),
     ('other',),
 )
--- a/crocusshunt/standin/_documents.py
+++ b/crocusshunt/standin/_documents.py
@@ -96,8 +96,13 @@
     entry = {
         'address': address,
         'born': born,
-        'info': {'service': pool, 'zone': failure_domain, 'slots': 4},
-        'status': {'state': state, 'cold_left_s': 0},
+        'info': {
+            'service': pool,
+            'version': 'v1',
+            'zone': failure_domain,
+            'slots': 4,
+        },
+        'status': {'state': state, 'sequence': 1, 'cold_left_s': 0},
     }
     return msgspec.json.encode(entry)
 
