--- a/crocusshunt/soak/__init__.py
+++ b/crocusshunt/soak/__init__.py
@@ -1,8 +1,10 @@
 """Soak tests: random faults against real processes, guarantees checked."""
 
 from crocusshunt.soak import (  # noqa: F401
+    _end_checks,
     _faults,
     _server_faults,
+    _start_faults,
     _store_faults,
 )
 from crocusshunt.soak._check_registry import CheckLimits
--- a/crocusshunt/soak/_faults.py
+++ b/crocusshunt/soak/_faults.py
@@ -25,13 +25,14 @@
 )
 
 
-def _pick_host(system: SoakSystem, planned: PlannedFault) -> HostProcess:
+def pick_host(system: SoakSystem, planned: PlannedFault) -> HostProcess:
+    """Return the host that a fault hits."""
     return system.hosts[int(planned.place * len(system.hosts))]
 
 
 @register_fault('kill-host')
 async def _kill_host(system: SoakSystem, planned: PlannedFault) -> None:
-    await _kill(system, _pick_host(system, planned))
+    await _kill(system, pick_host(system, planned))
 
 
 async def _kill(system: SoakSystem, host: HostProcess) -> None:
@@ -53,7 +54,7 @@
 
 @register_fault('stop-host')
 async def _stop_host(system: SoakSystem, planned: PlannedFault) -> None:
-    host = _pick_host(system, planned)
+    host = pick_host(system, planned)
     if not host.is_running:
         return
     system.record_fault(
@@ -79,7 +80,7 @@
 
 @register_fault('pause-host')
 async def _pause_host(system: SoakSystem, planned: PlannedFault) -> None:
-    host = _pick_host(system, planned)
+    host = pick_host(system, planned)
     system.record_fault('pause-host', host.name, planned.for_s)
     host.send_signal(signal.SIGSTOP)
     await asyncio.sleep(planned.for_s)
@@ -89,7 +90,7 @@
 @register_fault('slow-host')
 async def _slow_host_down(system: SoakSystem, planned: PlannedFault) -> None:
     """Let a host run for a third of each tenth of a second only."""
-    host = _pick_host(system, planned)
+    host = pick_host(system, planned)
     system.record_fault('slow-host', host.name, planned.for_s)
     loop = asyncio.get_running_loop()
     until = loop.time() + planned.for_s
@@ -102,7 +103,7 @@
 
 @register_fault('reload-host')
 async def _reload_host(system: SoakSystem, planned: PlannedFault) -> None:
-    host = _pick_host(system, planned)
+    host = pick_host(system, planned)
     host.write_settings()
     host.send_signal(signal.SIGHUP)
 
@@ -112,7 +113,7 @@
     system: SoakSystem, planned: PlannedFault
 ) -> None:
     """Connections that lose bytes are silent for good, others work again."""
-    host = _pick_host(system, planned)
+    host = pick_host(system, planned)
     link_fault = planned.pick(_LINK_FAULTS)
     system.record_fault(
         f'store-link-{link_fault.value}', host.name, planned.for_s
--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -16,6 +16,7 @@
 # For requests, readiness, look-ups, two internal ports, and one unused.
 PORTS_PER_HOST = 6
 _EXIT_POLL_S = 0.05
+_END_SIGNALS = frozenset((signal.SIGKILL, signal.SIGTERM))
 REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 
 
@@ -25,11 +26,14 @@
 
     :param workdir: directory of the settings file and the logs.
     :param starts: number of starts so far; each has a log file of its own.
+    :param own_ends: ends of its processes that nobody had asked to end.
     """
 
     document: HostDocument
     workdir: Path
     starts: int = 0
+    own_ends: list[str] = field(default_factory=list)
+    _is_asked_to_end: bool = False
     _process: subprocess.Popen[bytes] | None = None
     _logs: list[Any] = field(default_factory=list)
 
@@ -61,8 +65,10 @@
         """
         if self.is_running:
             return
+        self._note_end()
         self.write_settings()
         self.starts += 1
+        self._is_asked_to_end = False
         log = (self.workdir / f'{self.name}.{self.starts}.log').open('wb')
         self._logs.append(log)
         self._process = subprocess.Popen(  # noqa: S603
@@ -75,6 +81,8 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self.is_running:
+            if number in _END_SIGNALS:
+                self._is_asked_to_end = True
             self._process.send_signal(number)
 
     async def wait(self, seconds: float) -> int | None:
@@ -97,6 +105,7 @@
 
     def close(self) -> None:
         """Kill the process and close its logs."""
+        self._note_end()
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGKILL)
         if self._process is not None:
@@ -104,6 +113,15 @@
         for log in self._logs:
             log.close()
 
+    def _note_end(self) -> None:
+        """Record the end of a process that nobody had asked to end."""
+        if self._process is None or self.is_running or self._is_asked_to_end:
+            return
+        status = self._process.returncode
+        self.own_ends.append(
+            f'start {self.starts} of {self.name} ended with status {status}'
+        )
+
     @property
     def _settings_path(self) -> Path:
         return self.workdir / f'{self.name}.json'
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -126,6 +126,7 @@
     """Everything recorded in one soak test.
 
     :param customers_by_key: name of the customer that holds each API key.
+    :param own_ends: ends of host processes that nobody had asked to end.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -138,6 +139,7 @@
     notices: list[ServerNotice] = field(default_factory=list)
     rejections: list[PoolRejection] = field(default_factory=list)
     customers_by_key: dict[str, str] = field(default_factory=dict)
+    own_ends: list[str] = field(default_factory=list)
 
     def is_fault_free(self, host: str, start_at: float, end_at: float) -> bool:
         """Tell whether no fault affected a host in a span of time."""
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -92,6 +92,7 @@
         """End all processes that were started, and close all ports."""
         for host in self.hosts:
             host.close()
+            self.records.own_ends.extend(host.own_ends)
         for proxy in self.store_proxies.values():
             proxy.stop()
         for server in self.servers:
--- a/crocusshunt/soak/tests/test_processes.py
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -1,7 +1,9 @@
 """Hosts of a soak test as processes."""
 
 import asyncio
+import os
 import random
+import signal
 import subprocess  # noqa: S404
 import sys
 from pathlib import Path
@@ -9,6 +11,7 @@
 
 import pytest
 
+from crocusshunt.soak import CheckLimits, Records, find_violations
 from crocusshunt.soak._plan import PlannedFault, SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._registry import inject_fault
@@ -64,3 +67,21 @@
         text=True,
     )
     assert ran.stdout.strip() == 'SIG_IGN'
+
+
+async def test_end_that_nobody_asked_for_is_a_violation(tmp_path: Path) -> None:
+    port = draw_free_ports(PORTS_PER_HOST, random.Random(8))[0]
+    host = HostProcess(HostDocument('h0', 'a1', port, '127.0.0.1:9'), tmp_path)
+    host.start()
+    pid = host.pid
+    assert pid is not None
+    os.kill(pid, signal.SIGABRT)
+    await host.wait(10)
+    host.start()
+    host.send_signal(signal.SIGKILL)
+    await host.wait(10)
+    host.close()
+    assert host.own_ends == ['start 1 of h0 ended with status -6']
+    records = Records(own_ends=host.own_ends)
+    found = find_violations(records, CheckLimits('bank', 8, 8, 0))
+    assert 'own-end' in {one.promise for one in found}
