--- a/crocusshunt/front/_answer_memory.py
+++ b/crocusshunt/front/_answer_memory.py
@@ -61,7 +61,9 @@
         """Bound the answers under way by what the host has left."""
         host_bytes = self.ledger.limits.max_host_bytes
         self.limit.max_total_bytes = int(host_bytes * _HOST_FRACTION)
-        self.limit.max_held = int(host_bytes * _HELD_FRACTION / _HELD_BYTES)
+        self.limit.max_held_count = int(
+            host_bytes * _HELD_FRACTION / _HELD_BYTES
+        )
         self.limit.get_spare = self._get_spare
         self.limit.make_room = self._make_room
         self.ledger.count_under_way = self._count_under_way
--- a/crocusshunt/upstream/_buffering.py
+++ b/crocusshunt/upstream/_buffering.py
@@ -56,8 +56,8 @@
     :param used_bytes: bytes of the bodies under way from servers.
     :param reserved_bytes: bytes that are still to come of long ones.
     :param kept_bytes: bytes of long answers that callers have not taken yet.
-    :param max_held: most answers that wait for room or for their turn.
-    :param held: how many do.
+    :param max_held_count: most answers that wait for room or for their turn.
+    :param held_count: how many do.
     :param get_spare: returns how many bytes the host has left for the bodies
         under way.
     :param make_room: called while an answer waits for room.
@@ -69,8 +69,8 @@
     used_bytes: int = 0
     reserved_bytes: int = 0
     kept_bytes: int = 0
-    max_held: int = 137
-    held: int = 0
+    max_held_count: int = 137
+    held_count: int = 0
     get_spare: Callable[[], float] = _get_unbounded
     make_room: Callable[[], None] = _make_no_room
     budget: ReadingBudget = field(default_factory=ReadingBudget)
@@ -205,14 +205,14 @@
     def _track_hold(self) -> Iterator[None]:
         """Count the answer as held during the body, if one more may be."""
         limit = self.limit
-        if limit.held >= limit.max_held:
+        if limit.held_count >= limit.max_held_count:
             raise NoRoomError('too many answers wait at this host')
-        limit.held += 1
+        limit.held_count += 1
         try:
             with nullcontext() if self.hold is None else self.hold.track():
                 yield
         finally:
-            limit.held -= 1
+            limit.held_count -= 1
 
     async def _wait_until_growing(self, added: int) -> None:
         try:
