Check the addresses of the settings before a host listens at them

What was seen (test): a listening address without a port, or an internal port without one after it, passed the reading of the settings and ended the start with an error of the library; with the metrics in the background, the last would have kept the host from being ready for ever.

--- a/crocusshunt/platform/_settings.py
+++ b/crocusshunt/platform/_settings.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from crocusshunt.core import DECODE_ERRORS
+from crocusshunt.core import DECODE_ERRORS, parse_address, parse_count
 from crocusshunt.front import (
     DeploymentLimits,
     FrontSettings,
@@ -16,8 +16,11 @@
 SETTINGS_VARIABLE = 'CROCUSSHUNT_CONFIG'
 
 _BYTES_PER_MB = 1_000_000
+_MAX_PORT = 65_535
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
+# The port after it is used, too.
+_InternalPort = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT - 1)]
 _READ_ERRORS = (OSError, LookupError, *DECODE_ERRORS)
 
 
@@ -40,7 +43,7 @@
     # Address of each service of the host, by name of the service.
     listen: dict[str, str]
     # First and last port reserved for traffic between the hosts' processes.
-    internal_ports: tuple[int, ...]
+    internal_ports: tuple[_InternalPort, ...]
     # Region of each zone, that is, failure domain.
     zones: dict[str, str]
 
@@ -93,9 +96,9 @@
         ip=own_host.ip,
         region=own_host.region,
         failure_domain=own_host.zone,
-        front_address=network.listen['front'],
-        ready_address=network.listen['ready'],
-        directory_address=network.listen['directory'],
+        front_address=_read_address(network, 'front'),
+        ready_address=_read_address(network, 'ready'),
+        directory_address=_read_address(network, 'directory'),
         internal_port=network.internal_ports[0],
         regions=network.zones,
         store_address=document.platform.platform.address,
@@ -110,3 +113,17 @@
         memory_bytes=int(own_host.limits.memory_mb * _BYTES_PER_MB),
         max_descriptors=own_host.limits.max_fds,
     )
+
+
+def _read_address(network: _NetworkSection, service: str) -> str:
+    """Return where a service of this host listens.
+
+    :raises ValueError: the address has no port or no IP address.
+    """
+    address = network.listen[service]
+    host, _separator, digits = address.rpartition(':')
+    port = parse_count(digits)
+    is_port = port is not None and 0 < port <= _MAX_PORT
+    if not is_port or parse_address(host).is_err():
+        raise ValueError(f'address of {service}: {address}')
+    return address
--- a/crocusshunt/platform/tests/test_decoding.py
+++ b/crocusshunt/platform/tests/test_decoding.py
@@ -58,7 +58,7 @@
     'info': {'service': 's1', 'version': 'v1', 'zone': 'z', 'slots': 5},
     'status': {'state': 'ready', 'sequence': 4, 'cold_left_s': 1.5},
 }
-_SETTINGS = {
+_SETTINGS: dict[str, Any] = {
     'self': {
         'node_name': 'h1',
         'ip': '10.0.0.1',
@@ -207,6 +207,27 @@
     assert missing in error.problem
 
 
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('listen', {**_SETTINGS['network']['listen'], 'front': '10.0.0.1'}),
+        ('listen', {**_SETTINGS['network']['listen'], 'ready': 'a:80'}),
+        ('listen', {**_SETTINGS['network']['listen'], 'ready': '10.0.0.1:0'}),
+        ('internal_ports', [65_535, 65_536]),
+        ('internal_ports', [0, 1]),
+        ('internal_ports', []),
+    ],
+)
+def test_addresses_that_cannot_be_listened_at_are_a_typed_error(
+    tmp_path: Path, name: str, value: object
+) -> None:
+    """The process ended with an error of the library, or did nothing else."""
+    path = tmp_path / 'node.json'
+    network = {**_SETTINGS['network'], name: value}
+    path.write_bytes(_encode({**_SETTINGS, 'network': network}))
+    assert read_front_settings(path).is_err()
+
+
 def test_missing_settings_file_is_a_typed_error(tmp_path: Path) -> None:
     error = read_front_settings(tmp_path / 'none.json').unwrap_err()
     assert 'No such file' in error.problem
