--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -114,7 +114,6 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Follow all tables in the background."""
-        self._images.open()
         for follower in self.all:
             tasks.keep(f'follow {follower.settings.table}', follower.run)
 
--- a/crocusshunt/front/_peer_images.py
+++ b/crocusshunt/front/_peer_images.py
@@ -21,10 +21,6 @@
         """Prepare; connections are opened on first use."""
         self._session: ClientSession | None = None
 
-    def open(self) -> None:
-        """Prepare for connections; needs a running event loop."""
-        self._session = ClientSession()
-
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
@@ -52,7 +48,8 @@
         return None
 
     async def _get(self, url: str) -> bytes:
-        assert self._session is not None  # noqa: S101
+        if self._session is None:
+            self._session = ClientSession()
         async with (
             asyncio.timeout(_FETCH_TIMEOUT_S),
             self._session.get(url) as response,
