Plan no division of a pool whose servers all take no requests

What callers saw: hosts that started were not ready ("task-failing", heartbeats) while the table of servers had a pool of which no server may be selected, for example one odd row of another writer in proper form that says it drains. Hosts that had run before were not ready either where some region had not reported load.

Cause: while the load of some region has not been heard of, the expected load is divided by the number of regions with servers of the pool, which is zero then (ZeroDivisionError). It ended the heartbeats task before the host sent one, so the others did not hear of its region, and so on.

Evidence: a host beside one such row and a record of a host of another region fails at each heartbeat; the test failed before and passes with this.

Why it works: without such servers there is no region to expect load in, and an empty plan is what a pool without slots gets elsewhere, too.

--- a/crocusshunt/front/_region_loads.py
+++ b/crocusshunt/front/_region_loads.py
@@ -96,8 +96,11 @@
 
         Load pattern: a region with few servers in which large customers of
         all regions have their home. It must leave room for them from the
-        first request on, since its share may only change in steps then.
+        first request on, since its share may only change in steps then. Without
+        servers that take requests, no region has anything to expect.
         """
+        if not slots:
+            return {}
         index = self.cluster.index
         homes = share_homes(() if index is None else index.catalog.customers)
         expected = _EXPECTED_UTILIZATION * sum(slots.values())
--- a/crocusshunt/programs/tests/test_host_starts.py
+++ b/crocusshunt/programs/tests/test_host_starts.py
@@ -20,6 +20,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     LOOPBACK,
+    SERVERS_TABLE,
     CustomerDocument,
     FeedStoreApplication,
     HostDocument,
@@ -27,6 +28,7 @@
     describe_route,
     draw_free_ports,
     encode_configuration,
+    encode_server,
 )
 
 _PORTS_PER_HOST = 6
@@ -35,6 +37,8 @@
 _START_S = 30
 # How long an earlier process may keep a port: until it is killed in a stop.
 _TAKEN_S = 6
+# What fails does so at once, and again after a pause of at most a second.
+_STEADY_S = 4
 _EXIT_PORT_TAKEN = 3
 _EXIT_INVALID_SETTINGS = 2
 # Offsets of a host's ports from its first one.
@@ -217,3 +221,31 @@
             start.host.send_signal(signal.SIGTERM)
             status = await start.host.wait(_TAKEN_S)
     assert status == 0
+
+
+async def test_host_starts_beside_a_pool_whose_servers_all_drain(
+    tmp_path: Path,
+) -> None:
+    """The heartbeats failed while another region was not heard from."""
+    other = {
+        'name': 'h2',
+        'ip': LOOPBACK,
+        'internal_port': 1,
+        'front_address': f'{LOOPBACK}:1',
+        'failure_domain': 'b1',
+        'region': 'b',
+    }
+    async with _prepare(tmp_path) as start:
+        start.store.put('hosts', 'h2', json.dumps(other).encode())
+        entry = encode_server(f'{LOOPBACK}:1', 'odd', 'a1', state='draining')
+        start.store.put(SERVERS_TABLE, 'a28&b=', entry)
+        start.host.start()
+        await start.wait_until_ready()
+        await asyncio.sleep(_STEADY_S)
+        failed = [
+            one
+            for one in start.read_log()
+            if one['event'] == 'background task failed'
+        ]
+        assert not failed, failed[0]
+        assert await start.is_ready()
