Close a connection whose opener left as it opened

Callers that left while a connection to a server was being opened could leave it open for good: a descriptor here, and a place and a slot at the server. Since the wait runs the opening as a task of its own, a cancellation that comes when the task has ended, or is about to, lost its outcome. The wait now hands an outcome that nobody gets to the caller's function, which closes it; it also takes note of an error, so that none is logged as never retrieved.

--- a/crocusshunt/services/_deadlines.py
+++ b/crocusshunt/services/_deadlines.py
@@ -1,7 +1,8 @@
 """Deadlines of an event loop that is blocked at times."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeVar
 
 # A timer that fires so late was held up by other work of the process.
@@ -12,13 +13,23 @@
 _Outcome = TypeVar('_Outcome')
 
 
-async def wait_in_time(work: Awaitable[_Outcome], timeout_s: float) -> _Outcome:
+def _keep(_outcome: object) -> None:
+    """Leave an outcome that needs no closing alone."""
+
+
+async def wait_in_time(
+    work: Awaitable[_Outcome],
+    timeout_s: float,
+    discard: Callable[[_Outcome], None] = _keep,
+) -> _Outcome:
     """Return the outcome of work that ends in time, and cancel it otherwise.
 
     If the event loop was blocked when the time was over, an answer may be
     there that it has not read. It reads once more before it gives up.
 
     :param timeout_s: in seconds.
+    :param discard: called with the outcome if the caller is cancelled when it
+        is already there.
     :raises TimeoutError: the work did not end in time.
 
     >>> async def answer() -> int:
@@ -30,14 +41,30 @@
     due_at = loop.time() + timeout_s
     task = asyncio.ensure_future(work)
     try:
-        await asyncio.wait((task,), timeout=timeout_s)
-        late_s = loop.time() - due_at
-        if late_s > _LATE_S and not task.done():
-            grace_s = min(late_s, _MAX_GRACE_S)
-            await asyncio.wait((task,), timeout=grace_s)
-    finally:
+        await _wait(task, due_at)
+    except asyncio.CancelledError:
         task.cancel()
-    await asyncio.wait((task,))
+        task.add_done_callback(partial(_discard, discard))
+        raise
     if task.cancelled():
         raise TimeoutError
     return task.result()
+
+
+async def _wait(task: asyncio.Future[_Outcome], due_at: float) -> None:
+    """Wait until a task has ended, and cancel it when its time is over."""
+    loop = asyncio.get_running_loop()
+    await asyncio.wait((task,), timeout=due_at - loop.time())
+    late_s = loop.time() - due_at
+    if late_s > _LATE_S and not task.done():
+        grace_s = min(late_s, _MAX_GRACE_S)
+        await asyncio.wait((task,), timeout=grace_s)
+    task.cancel()
+    await asyncio.wait((task,))
+
+
+def _discard(
+    discard: Callable[[_Outcome], None], task: asyncio.Future[_Outcome]
+) -> None:
+    if not task.cancelled() and task.exception() is None:
+        discard(task.result())
--- a/crocusshunt/upstream/_opening.py
+++ b/crocusshunt/upstream/_opening.py
@@ -35,7 +35,13 @@
         _transport, protocol = await wait_in_time(
             loop.create_connection(StreamProtocol, target.host, target.port),
             timeout_s,
+            _abort,
         )
     except (OSError, TimeoutError) as error:
         raise NotConnectedError(type(error).__name__) from error
     return Connection(protocol, echo_policy, buffer_limit)
+
+
+def _abort(opened: tuple[asyncio.Transport, StreamProtocol]) -> None:
+    """Close a connection that nobody waits for any more."""
+    opened[0].abort()
