Use no host record whose address is not IPv4

A host, and every other one of the region that its record named, was not ready for as long as the table of hosts had a record with an IPv6 address: uvloop raises ValueError for a datagram to it, so each heartbeat failed, and the hosts behind it in the order got none either. The record was taken since its address could be read. Tests inside one process passed, since asyncio's own loop only reports such an error; the new one starts a process, and failed with 'background task failed', task heartbeats. An address that the hosts' ports can't send to now makes a record unusable, like one that can't be read.

--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -1,8 +1,10 @@
 """Messages between hosts, and the record of a host in the store."""
 
+from ipaddress import IPv4Address
 from typing import Annotated
 
 import msgspec
+from result import Ok
 
 from crocusshunt.core import (
     DECODE_ERRORS,
@@ -273,8 +275,18 @@
         record = msgspec.json.decode(content, type=HostRecord)
     except DECODE_ERRORS:
         return None
-    if record.name != name or parse_address(record.ip).is_err():
+    if record.name != name or not _is_ipv4(record.ip):
         return None
     if parse_socket_address(record.front_address).is_err():
         return None
     return record
+
+
+def _is_ipv4(text: str) -> bool:
+    """Tell whether a text is an address that the hosts' ports can send to."""
+    parsed = parse_address(text)
+    return (
+        isinstance(parsed, Ok)
+        and str(parsed.ok_value) == text
+        and (isinstance(parsed.ok_value, IPv4Address))
+    )
