End a host without settings with its own status whatever its logs do

A host whose settings stayed unreadable ended with status 1 instead of 2, and its log named a broken pipe as the cause, if nobody read standard error: the problem was printed there, which failed. The log has the problem already, so it is no longer printed.

--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -83,7 +83,6 @@
     while isinstance(found, Err):
         problem = found.err_value.describe()
         if time.monotonic() >= until:
-            print(problem, file=sys.stderr)
             raise SettingsUnreadableError(problem)
         log_event('settings not readable', logging.WARNING, cause=problem)
         time.sleep(_PAUSE_S)
