Keep the longer wait until a table's last page is read

A host was never ready beside a store that takes 2 s for a page, once a table had more rows than a page: the client waits longer after a page that was late, but a page in time, also one of another table, set the wait back to 1.5 s, so the second page was late each time and the table was read anew from its first. The new test reads 1200 rows in three such pages; it had not ended after 30 s. The wait is now that of a table, and lasts until its last page is read.

--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -52,7 +52,7 @@
         self._url = f'http://{address}'
         self._session: aiohttp.ClientSession | None = None
         self._eras = EraReader()
-        self._read_timeout_s: float = _CALL_TIMEOUT_S
+        self._read_timeouts: dict[str, float] = {}
 
     def redirect(self, address: str) -> None:
         """Use the store at another address from now on.
@@ -83,8 +83,9 @@
             query = {'table': table, 'part': '', 'limit': str(_PAGE_ROWS)}
             if start:
                 query['from'] = start
-            answer = await self._get('/rows-get', query, self._read_timeout_s)
-            self._adapt_timeout(answer)
+            timeout_s = self._read_timeouts.get(table, _CALL_TIMEOUT_S)
+            answer = await self._get('/rows-get', query, timeout_s)
+            self._adapt_timeout(table, answer)
             if isinstance(answer, Err):
                 return answer
             page = answer.ok_value
@@ -180,13 +181,20 @@
         checked = _check_status(status, content)
         return checked.map(partial(Reply, era=era.ok_value))
 
-    def _adapt_timeout(self, answer: Result[Page, FeedError]) -> None:
-        """Wait longer for the next page if this one did not come in time."""
-        if not isinstance(answer, Err):
-            self._read_timeout_s = _CALL_TIMEOUT_S
+    def _adapt_timeout(
+        self, table: str, answer: Result[Page, FeedError]
+    ) -> None:
+        """Wait longer for the pages of a table of which one was late.
+
+        Until the table is read to its end: its other pages are as slow.
+        """
+        if isinstance(answer, Ok):
+            if not answer.ok_value.answer.has_more:
+                self._read_timeouts.pop(table, None)
         elif isinstance(answer.err_value, FeedUnreachableError):
-            longer_s = self._read_timeout_s * _TIMEOUT_GROWTH
-            self._read_timeout_s = min(_MAX_READ_TIMEOUT_S, longer_s)
+            last_s = self._read_timeouts.get(table, _CALL_TIMEOUT_S)
+            longer_s = min(_MAX_READ_TIMEOUT_S, last_s * _TIMEOUT_GROWTH)
+            self._read_timeouts[table] = longer_s
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/crocusshunt/platform/tests/test_odd_pages.py
+++ b/crocusshunt/platform/tests/test_odd_pages.py
@@ -110,3 +110,19 @@
         while (await client.read_table('servers')).is_err():
             await asyncio.sleep(0.1)
     assert time.monotonic() - began_at < 10
+
+
+async def test_table_of_several_slow_pages_is_read_in_the_end() -> None:
+    """The wait for each page began anew from the shortest."""
+    keys = [f'{number:04}' for number in range(1200)]
+
+    def answer(request: web.Request) -> web.Response:
+        start = request.query.get('from', '')
+        left = [key for key in keys if key >= start]
+        rows = [{'key': key, 'value': '', 'ver': 1} for key in left[:500]]
+        page = {'rows': rows, 'ver': 1, 'has_more': len(left) > 500}
+        return web.json_response(page)
+
+    async with asyncio.timeout(30), _serve(answer, delay_s=2) as client:
+        while (await client.read_table('servers')).is_err():
+            await asyncio.sleep(0.1)
