Drop log lines instead of waiting for the reader of a socket

What callers saw: a host whose standard output is a socket that nobody reads, as a service manager may set it, did not become ready, and its readiness check timed out: the write of a log line blocked the event loop. Pipes were handled.

Cause: only pipes were set to non-blocking mode.

The test fails without the change.

Why it works: a write to a full socket then fails at once, and the line is dropped and counted like one that a pipe does not take. Terminals keep their mode, which they share with other programs.

--- a/crocusshunt/logs/_sink.py
+++ b/crocusshunt/logs/_sink.py
@@ -25,7 +25,7 @@
         descriptor: int,
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Create a stream; a pipe is set to non-blocking mode.
+        """Create a stream; a pipe or socket is set to non-blocking mode.
 
         :param descriptor: open file descriptor to write to.
         :param monotonic: clock, in seconds.
@@ -37,7 +37,8 @@
         self._unsent = b''
         self._unreported = 0
         self.dropped = 0
-        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        mode = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
--- a/crocusshunt/logs/tests/test_sink.py
+++ b/crocusshunt/logs/tests/test_sink.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 
 import pytest
 
@@ -59,3 +60,15 @@
     sink = LineSink(pipe[1])
     sink.close()
     assert sink.write('line') == len('line')
+
+
+def test_unread_socket_drops_lines_and_never_blocks() -> None:
+    """A service manager may connect the standard output to a socket."""
+    reader, writer = socket.socketpair()
+    with reader, writer:
+        sink = LineSink(writer.fileno(), ManualClock().monotonic)
+        # Otherwise the test would wait for ever.
+        assert not os.get_blocking(writer.fileno())
+        for _ in range(800):
+            sink.write(_LINE)
+    assert sink.dropped > 0
