Start a host whose standard output is closed

What callers saw: nothing answered; the process ended at once with status 1 and a traceback on standard error, before it had a log.

Cause: without a standard output Python has no stream whose descriptor could be asked for.

Why it works: logs then go to the null device. It is opened first, so no socket gets the descriptor of the standard output.

--- a/crocusshunt/programs/host.py
+++ b/crocusshunt/programs/host.py
@@ -56,11 +56,22 @@
 def main() -> None:
     """Run the service until SIGTERM or SIGINT; SIGHUP reloads the settings."""
     docopt(__doc__ or '')
-    start_logging(stream=LineSink(sys.stdout.fileno()))
+    start_logging(stream=LineSink(_find_output()))
     path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
     sys.exit(run_to_end(partial(_run, path)))
 
 
+def _find_output() -> int:
+    """Return the descriptor that logs go to.
+
+    If the standard output is closed they go nowhere. Something else that is
+    opened later could have its descriptor.
+    """
+    if sys.stdout is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return sys.stdout.fileno()
+
+
 def _run(path: Path) -> None:
     settings = _wait_for_settings(path)
     service = FrontService(
--- a/crocusshunt/programs/tests/test_host_starts.py
+++ b/crocusshunt/programs/tests/test_host_starts.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import socket
+import subprocess  # noqa: S404
+import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -249,3 +252,25 @@
         ]
         assert not failed, failed[0]
         assert await start.is_ready()
+
+
+async def test_host_starts_with_its_standard_output_closed(
+    tmp_path: Path,
+) -> None:
+    """The process ended at once by an error that no log told."""
+    async with _prepare(tmp_path) as start:
+        start.host.write_settings()
+        command = 'exec "$0" -m crocusshunt.programs.host >&-'
+        settings_path = str(tmp_path / 'h1.json')
+        process = subprocess.Popen(  # noqa: S603
+            ['/bin/sh', '-c', command, sys.executable],
+            env={**os.environ, 'CROCUSSHUNT_CONFIG': settings_path},
+        )
+        try:
+            async with asyncio.timeout(_START_S):
+                while not await start.is_ready():
+                    assert process.poll() is None
+                    await asyncio.sleep(_POLL_S)
+        finally:
+            process.kill()
+            process.wait()
