Start a host in the soak's series of starts even if another fault or a slow end is in the way

A trial with two start-with-taken-port at one host and port raised OSError(98): the whole play would have had no result.

Cause: the kill of these faults gave up after 2 s, and a start does nothing while the process still runs. Why that process took so long to end was not shown. HostProcess.wait waited for whichever process ran, also one that another fault had started meanwhile; that then held the ports to be taken.

Works: the kill ends what runs until nothing does; a wait is for the process that ran at its begin; a port that is in use then is taken by a fault of the same kind, and any other error is still raised. No check changed.

Evidence: three tests fail without the change (OSError, None instead of -9, no process running) and pass with it, three of three runs of the module.

--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -86,15 +86,19 @@
             self._process.send_signal(number)
 
     async def wait(self, seconds: float) -> int | None:
-        """Wait for the exit and return its status, None after a timeout."""
+        """Wait for the exit and return its status, None after a timeout.
+
+        Another fault may have started the host again by then.
+        """
         started_at = time.monotonic()
+        process = self._process
         try:
             async with asyncio.timeout(seconds):
-                while self.is_running:
+                while process is not None and process.poll() is None:
                     await asyncio.sleep(_EXIT_POLL_S)
         except TimeoutError:
             return None
-        status = None if self._process is None else self._process.returncode
+        status = None if process is None else process.returncode
         log_event(
             'host exited',
             host=self.name,
--- a/crocusshunt/soak/_start_faults.py
+++ b/crocusshunt/soak/_start_faults.py
@@ -1,9 +1,11 @@
 """Starts of hosts in series, while what they need is late or gone."""
 
 import asyncio
+import errno
 import signal
 import socket
 
+from crocusshunt.logs import log_event
 from crocusshunt.soak._faults import pick_host
 from crocusshunt.soak._plan import PlannedFault
 from crocusshunt.soak._processes import HostProcess
@@ -36,9 +38,7 @@
     await _kill(host)
     port = host.document.first_port + planned.pick(range(_USED_PORT_COUNT))
     with socket.socket() as taken:
-        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        taken.bind((LOOPBACK, port))
-        taken.listen()
+        _take(taken, port)
         host.start()
         await asyncio.sleep(planned.for_s)
 
@@ -97,7 +97,25 @@
     return _ENTRY.replace(field, b'%b:%b%b' % (name, sign, digits))
 
 
+def _take(taken: socket.socket, port: int) -> None:
+    """Listen on a port of a host that does not run.
+
+    If it is in use, another fault of this kind has taken it.
+    """
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        taken.bind((LOOPBACK, port))
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+        log_event('port taken already', port=port)
+    else:
+        taken.listen()
+
+
 async def _kill(host: HostProcess) -> None:
-    host.send_signal(signal.SIGCONT)
-    host.send_signal(signal.SIGKILL)
-    await host.wait(_EXIT_TIMEOUT_S)
+    """End a host, also if another fault starts it meanwhile."""
+    while host.is_running:
+        host.send_signal(signal.SIGCONT)
+        host.send_signal(signal.SIGKILL)
+        await host.wait(_EXIT_TIMEOUT_S)
--- a/crocusshunt/soak/tests/test_processes.py
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -11,7 +11,12 @@
 
 import pytest
 
-from crocusshunt.soak import CheckLimits, Records, find_violations
+from crocusshunt.soak import (
+    CheckLimits,
+    Records,
+    _start_faults,
+    find_violations,
+)
 from crocusshunt.soak._plan import PlannedFault, SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._registry import inject_fault
@@ -85,3 +90,67 @@
     records = Records(own_ends=host.own_ends)
     found = find_violations(records, CheckLimits('bank', 8, 8, 0))
     assert 'own-end' in {one.promise for one in found}
+
+
+async def test_two_faults_may_take_one_port_of_a_host(tmp_path: Path) -> None:
+    """The second one raised an error, so the whole run had no result."""
+    rng = random.Random(9)
+    port = draw_free_ports(PORTS_PER_HOST, rng)[0]
+    host = HostProcess(HostDocument('h0', 'a1', port, '127.0.0.1:9'), tmp_path)
+    settings = SoakSettings(9, 18, 1, 1, ('start-with-taken-port',))
+    system = SoakSystem(settings, rng, hosts=[host])
+    host.start()
+    planned = PlannedFault('start-with-taken-port', 0, 2.5, 0)
+    raised = await asyncio.gather(
+        inject_fault(system, planned),
+        inject_fault(system, planned),
+        return_exceptions=True,
+    )
+    is_running = host.is_running
+    host.close()
+    assert not any(raised)
+    assert is_running
+
+
+async def test_wait_ends_with_the_process_though_another_was_started(
+    tmp_path: Path,
+) -> None:
+    port = draw_free_ports(PORTS_PER_HOST, random.Random(10))[0]
+    host = HostProcess(HostDocument('h0', 'a1', port, '127.0.0.1:9'), tmp_path)
+    host.start()
+    pid = host.pid
+    assert pid is not None
+    waiting = asyncio.create_task(host.wait(2))
+    await asyncio.sleep(0)
+    host.send_signal(signal.SIGKILL)
+    os.waitid(os.P_PID, pid, os.WEXITED | os.WNOWAIT)
+    host.start()
+    status = await waiting
+    host.close()
+    assert status == -signal.SIGKILL
+
+
+async def test_host_that_is_slow_to_end_is_started_all_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was taken for running, and ended without a start after it."""
+    monkeypatch.setattr(_start_faults, '_EXIT_TIMEOUT_S', 0.1)
+    send = subprocess.Popen.send_signal
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(
+        subprocess.Popen,
+        'send_signal',
+        lambda process, number: loop.call_later(0.3, send, process, number),
+    )
+    rng = random.Random(11)
+    port = draw_free_ports(PORTS_PER_HOST, rng)[0]
+    host = HostProcess(HostDocument('h0', 'a1', port, '127.0.0.1:9'), tmp_path)
+    settings = SoakSettings(11, 18, 1, 1, ('start-without-store',))
+    system = SoakSystem(settings, rng, hosts=[host])
+    host.start()
+    await inject_fault(system, PlannedFault('start-without-store', 0, 1, 0))
+    is_running = host.is_running
+    monkeypatch.undo()
+    host.close()
+    assert is_running
+    assert host.starts == 2
