--- a/crocusshunt/front/tests/test_draining_servers.py
+++ b/crocusshunt/front/tests/test_draining_servers.py
@@ -1,5 +1,7 @@
 """Backend servers that say in their responses that they are draining."""
 
+import asyncio
+
 import pytest
 from aiohttp import web
 
@@ -16,6 +18,7 @@
 _DRAINING_HEADER = 'Server-Leaving'
 _REQUESTS = 30
 _NEW_START_MS = 2
+_HEARTBEATS_S = 3
 
 
 @pytest.fixture(autouse=True)
@@ -82,6 +85,22 @@
         assert len(backend.received) == 1
 
 
+async def test_hosts_start_beside_a_pool_whose_servers_all_drain() -> None:
+    """Each plan failed until the other hosts' load was heard, and so forever.
+
+    No host was ready, none sent a heartbeat, and so none heard of another.
+    """
+    async with deploy('s1', domains=('a1', 'b1')) as deployment:
+        await deployment.stop_hosts()
+        entry = encode_server('127.0.0.1:9', 'old', 'a1', 'draining')
+        deployment.store.put(SERVERS_TABLE, 'd1', entry)
+        await deployment.start_hosts()
+        await asyncio.sleep(_HEARTBEATS_S)
+        for host in deployment.hosts:
+            assert host._components.readiness.is_ready
+            assert host._components.heartbeat_loop._sequence > 1
+
+
 def test_other_hosts_and_those_that_start_later_hear_of_it() -> None:
     region = Region(names=('a1', 'a2', 'b1', 'b2'))
     for name in region.names[:-1]:
--- a/crocusshunt/front/tests/test_start_of_traffic.py
+++ b/crocusshunt/front/tests/test_start_of_traffic.py
@@ -1,12 +1,13 @@
 """Division of objects between regions when hosts and traffic start."""
 
+from dataclasses import replace
 from itertools import pairwise
 
 from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
 from crocusshunt.core import ManualClock
 from crocusshunt.front._heartbeats import HeartbeatLoop
 from crocusshunt.front.tests._region import Region
-from crocusshunt.placement import Locality, rank_servers
+from crocusshunt.placement import Locality, ServerEntry, rank_servers
 
 
 def _advance(region: Region, seconds: float) -> float:
@@ -40,6 +41,23 @@
     assert _find_locality(loop).local_share == 1
 
 
+def test_pool_whose_servers_all_drain_has_a_plan() -> None:
+    """The plan raised an error until the load of all regions was heard.
+
+    So a host that lost another region sent no heartbeats and was not ready.
+    """
+    region = Region(names=('a1', 'b1'))
+    loop = region.start('a1')
+    entry = ServerEntry('d1', 'old', 'x:9', 'a1', 4, is_draining=True)
+    loop.cluster.servers.put(entry, region.clock.monotonic())
+    loop.planner.plan(_advance(region, 1))
+    assert loop.planner.state.localities['old'].is_sound
+    ready = replace(entry, is_draining=False)
+    loop.cluster.servers.put(ready, region.clock.monotonic())
+    loop.planner.plan(_advance(region, 1))
+    assert loop.planner.state.localities['old'].local_share == 1
+
+
 def test_plan_steps_from_the_first_requests_on() -> None:
     region = Region(names=('a1', 'b1'))
     loop = region.start('a1')
