Keep the heartbeats and the other pools from an error in one pool's plan

The design behind the last fault: the plans of all pools and the heartbeats were one step of work, so what another writer says of one pool could end the heartbeats of a host and keep it from being ready. An error of one pool is logged and counted now, the pool keeps its last division, and everything else goes on, as with rows that can't be applied.

--- a/crocusshunt/front/_localities.py
+++ b/crocusshunt/front/_localities.py
@@ -1,5 +1,6 @@
 """The share of objects that a region serves itself."""
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from math import inf
@@ -35,12 +36,14 @@
     :param loads: that load, by region.
     :param local_factor: factor on the planned local share, by pool; below 1
         while servers of this region are full.
+    :param failed_pools: those whose last plan failed with an error.
     """
 
     cluster: ClusterState
     state: PlacerState
     loads: RegionLoads
     local_factor: dict[str, float] = field(default_factory=dict)
+    failed_pools: set[str] = field(default_factory=set)
     _slots: dict[str, Mapping[str, float]] = field(default_factory=dict)
     _logged_shares: dict[str, float] = field(default_factory=dict)
 
@@ -48,7 +51,7 @@
         """Measure load, and move each pool's division by a bounded step."""
         self.state.offered.measure(now)
         self.state.localities = {
-            pool: self._plan_pool(pool, now)
+            pool: self._plan_or_keep(pool, now)
             for pool in self.cluster.servers.pools
         }
         self.state.unheard_hosts = self._count_unheard(now)
@@ -97,6 +100,30 @@
         self.state.backoffs.expire(now)
         self.cluster.servers.draining.expire(now)
 
+    def _plan_or_keep(self, pool: str, now: float) -> Locality:
+        """Plan a pool's division; keep the last one after an error.
+
+        What other writers say of one pool concerns no other pool, and must not
+        end the heartbeats.
+        """
+        try:
+            division = self._plan_pool(pool, now)
+        except Exception as error:
+            self._note_failure(pool, error)
+            return self.state.localities.get(pool, Locality())
+        self.failed_pools.discard(pool)
+        return division
+
+    def _note_failure(self, pool: str, error: Exception) -> None:
+        if pool not in self.failed_pools:
+            self.failed_pools.add(pool)
+            log_event(
+                'pool not planned',
+                logging.ERROR,
+                pool=pool,
+                error=repr(error),
+            )
+
     def _plan_pool(self, pool: str, now: float) -> Locality:
         region = self.cluster.fleet.own.region
         loads = self.loads.collect(pool, now)
--- a/crocusshunt/front/tests/test_start_of_traffic.py
+++ b/crocusshunt/front/tests/test_start_of_traffic.py
@@ -1,13 +1,22 @@
 """Division of objects between regions when hosts and traffic start."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 from itertools import pairwise
 
+import pytest
+
 from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
 from crocusshunt.core import ManualClock
 from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._region_loads import RegionLoads
 from crocusshunt.front.tests._region import Region
-from crocusshunt.placement import Locality, ServerEntry, rank_servers
+from crocusshunt.placement import (
+    Locality,
+    RegionLoad,
+    ServerEntry,
+    rank_servers,
+)
 
 
 def _advance(region: Region, seconds: float) -> float:
@@ -168,3 +177,33 @@
     loop.planner.adopt({'p': (1.5, {'b': 1}), 'q': (0.5, {'b': -1})})
     loop.planner.adopt({'p': (float('nan'), {}), 'q': (0, {'b': 1e999})})
     assert loop.planner.state.localities == {'p': before}
+
+
+def test_error_of_one_pool_leaves_the_others_planned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One pool that could not be planned ended the heartbeats of the host."""
+    region = Region(names=('a1', 'b1'))
+    loop = region.start('a1')
+    planner = loop.planner
+    entry = ServerEntry('d1', 'odd', 'x:9', 'a1', 4, is_draining=False)
+    loop.cluster.servers.put(entry, region.clock.monotonic())
+    planner.plan(_advance(region, 1))
+    before = planner.state.localities['odd']
+    collect = RegionLoads.collect
+
+    def fail_for_one(
+        loads: RegionLoads, pool: str, now: float
+    ) -> Mapping[str, RegionLoad]:
+        if pool == 'odd':
+            raise ArithmeticError
+        return collect(loads, pool, now)
+
+    monkeypatch.setattr(RegionLoads, 'collect', fail_for_one)
+    planner.plan(_advance(region, 1))
+    assert planner.failed_pools == {'odd'}
+    assert planner.state.localities['odd'] == before
+    assert planner.state.localities.keys() == set(loop.cluster.servers.pools)
+    monkeypatch.undo()
+    planner.plan(_advance(region, 1))
+    assert not planner.failed_pools
