--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -120,7 +120,11 @@
         """Yield what is held back for the sake of servers."""
         yield self._count_backoffs()
         yield self._count_isolated()
-        yield self._count_unplanned()
+        yield GaugeMetricFamily(
+            'crocus_pools_not_planned',
+            'Pools whose division between regions failed with an error.',
+            len(self._components.heartbeat_loop.planner.failed_pools),
+        )
         servers = self._components.cluster.servers
         yield GaugeMetricFamily(
             'crocus_servers_draining',
@@ -151,14 +155,6 @@
             len(isolation.list_isolated(loop.clock.monotonic())),
         )
 
-    def _count_unplanned(self) -> Metric:
-        planner = self._components.heartbeat_loop.planner
-        return GaugeMetricFamily(
-            'crocus_pools_not_planned',
-            'Pools whose division between regions failed with an error.',
-            len(planner.failed_pools),
-        )
-
     def _count_retries(self) -> Metric:
         limits = self._components.heartbeat_loop.tokens.limits
         watch = limits.retries
