--- a/crocusshunt/soak/_end_checks.py
+++ b/crocusshunt/soak/_end_checks.py
@@ -1,4 +1,4 @@
-"""Check of the ends of processes."""
+"""Checks of the ends of processes, and of what fails inside them."""
 
 from collections.abc import Iterator
 
@@ -10,3 +10,9 @@
 def _check_ends(records: Records, _limits: CheckLimits) -> Iterator[str]:
     """Yield the ends that nobody had asked for."""
     yield from records.own_ends
+
+
+@register_check('no-program-error')
+def _check_errors(records: Records, _limits: CheckLimits) -> Iterator[str]:
+    """Yield the errors that hosts caught, which callers may not notice."""
+    yield from records.program_errors
--- a/crocusshunt/soak/_processes.py
+++ b/crocusshunt/soak/_processes.py
@@ -17,6 +17,11 @@
 PORTS_PER_HOST = 6
 _EXIT_POLL_S = 0.05
 _END_SIGNALS = frozenset((signal.SIGKILL, signal.SIGTERM))
+_ERROR_EVENTS = (
+    '"background task failed"',
+    '"pool not planned"',
+    '"row not applied"',
+)
 REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
 
 
@@ -117,6 +122,16 @@
         for log in self._logs:
             log.close()
 
+    def read_errors(self) -> list[str]:
+        """Return the lines of all logs that tell of an error of the program."""
+        logs = sorted(self.workdir.glob(f'{self.name}.*.log'))
+        return [
+            f'{log.name}: {line}'
+            for log in logs
+            for line in log.read_text(errors='replace').splitlines()
+            if any(event in line for event in _ERROR_EVENTS)
+        ]
+
     def _note_end(self) -> None:
         """Record the end of a process that nobody had asked to end."""
         if self._process is None or self.is_running or self._is_asked_to_end:
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -127,6 +127,8 @@
 
     :param customers_by_key: name of the customer that holds each API key.
     :param own_ends: ends of host processes that nobody had asked to end.
+    :param program_errors: lines of hosts' logs that tell of an error of the
+        program.
     """
 
     calls: list[Call] = field(default_factory=list)
@@ -140,6 +142,7 @@
     rejections: list[PoolRejection] = field(default_factory=list)
     customers_by_key: dict[str, str] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
+    program_errors: list[str] = field(default_factory=list)
 
     def is_fault_free(self, host: str, start_at: float, end_at: float) -> bool:
         """Tell whether no fault affected a host in a span of time."""
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -93,6 +93,7 @@
         for host in self.hosts:
             host.close()
             self.records.own_ends.extend(host.own_ends)
+            self.records.program_errors.extend(host.read_errors())
         for proxy in self.store_proxies.values():
             proxy.stop()
         for server in self.servers:
--- a/crocusshunt/soak/tests/test_processes.py
+++ b/crocusshunt/soak/tests/test_processes.py
@@ -154,3 +154,17 @@
     host.close()
     assert is_running
     assert host.starts == 2
+
+
+def test_error_inside_a_process_is_a_violation(tmp_path: Path) -> None:
+    """Heartbeats failed in two runs, and no check noticed."""
+    host = HostProcess(HostDocument('h0', 'a1', 1, '127.0.0.1:9'), tmp_path)
+    line = '{"event":"background task failed","task":"heartbeats"}'
+    (tmp_path / 'h0.1.log').write_text('{"event":"host started"}\n')
+    (tmp_path / 'h0.2.log').write_text(f'{line}\n')
+    (tmp_path / 'h1.1.log').write_text(f'{line}\n')
+    errors = host.read_errors()
+    assert errors == [f'h0.2.log: {line}']
+    records = Records(program_errors=errors)
+    found = find_violations(records, CheckLimits('bank', 8, 8, 0))
+    assert 'no-program-error' in {one.promise for one in found}
