Open connections to servers as before, and list what their mend was for

The opening is as on again. The wait for replies of keepers, which has no connection to lose, stays.

--- a/crocusshunt/services/_deadlines.py
+++ b/crocusshunt/services/_deadlines.py
@@ -1,8 +1,7 @@
 """Deadlines of an event loop that is blocked at times."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from functools import partial
+from collections.abc import Awaitable
 from typing import TypeVar
 
 # A timer that fires so late was held up by other work of the process.
@@ -13,14 +12,9 @@
 _Outcome = TypeVar('_Outcome')
 
 
-def _keep(_outcome: object) -> None:
-    """Leave an outcome that needs no closing alone."""
-
-
 async def wait_in_time(
     work: Awaitable[_Outcome],
     timeout_s: float,
-    discard: Callable[[_Outcome], None] = _keep,
 ) -> _Outcome:
     """Return the outcome of work that ends in time, and cancel it otherwise.
 
@@ -28,8 +22,6 @@
     there that it has not read. It reads once more before it gives up.
 
     :param timeout_s: in seconds.
-    :param discard: called with the outcome if the caller is cancelled when it
-        is already there.
     :raises TimeoutError: the work did not end in time.
 
     >>> async def answer() -> int:
@@ -44,7 +36,6 @@
         await _wait(task, due_at)
     except asyncio.CancelledError:
         task.cancel()
-        task.add_done_callback(partial(_discard, discard))
         raise
     if task.cancelled():
         raise TimeoutError
@@ -61,10 +52,3 @@
         await asyncio.wait((task,), timeout=grace_s)
     task.cancel()
     await asyncio.wait((task,))
-
-
-def _discard(
-    discard: Callable[[_Outcome], None], task: asyncio.Future[_Outcome]
-) -> None:
-    if not task.cancelled() and task.exception() is None:
-        discard(task.result())
--- a/crocusshunt/upstream/_connection.py
+++ b/crocusshunt/upstream/_connection.py
@@ -102,8 +102,8 @@
         :raises AnswerBrokenError: no complete response came.
         :raises ConnectionLostError: the server ended the connection before.
         :raises NoRoomError: this host had no room for the response.
-        :raises NotConnectedError: the request is not valid HTTP, or the
-            connection ended before; nothing was sent.
+        :raises NotConnectedError: the request is not valid HTTP; nothing was
+            sent.
         """
         self._is_new = self._is_new and not self._protocol.has_unexpected_bytes
         self._protocol.is_idle = False
@@ -131,10 +131,6 @@
         self._protocol.abort()
 
     async def _exchange(self, request: UpstreamRequest) -> UpstreamAnswer:
-        transport = self._protocol.transport
-        if transport is None or transport.is_closing():
-            # The event loop raises an error of its own for a write then.
-            raise NotConnectedError('ended before the request')
         try:
             encoded = encode_request(self._parser, request)
         except h11.LocalProtocolError as error:
--- a/crocusshunt/upstream/_opening.py
+++ b/crocusshunt/upstream/_opening.py
@@ -5,7 +5,6 @@
 from result import Err
 
 from crocusshunt.core import parse_socket_address
-from crocusshunt.services import wait_in_time
 from crocusshunt.upstream._buffering import BufferLimit
 from crocusshunt.upstream._connection import Connection
 from crocusshunt.upstream._errors import NotConnectedError
@@ -32,16 +31,12 @@
     target = parsed.ok_value
     loop = asyncio.get_running_loop()
     try:
-        _transport, protocol = await wait_in_time(
-            loop.create_connection(StreamProtocol, target.host, target.port),
-            timeout_s,
-            _abort,
-        )
+        async with asyncio.timeout(timeout_s):
+            _transport, protocol = await loop.create_connection(
+                StreamProtocol,
+                target.host,
+                target.port,
+            )
     except (OSError, TimeoutError) as error:
         raise NotConnectedError(type(error).__name__) from error
     return Connection(protocol, echo_policy, buffer_limit)
-
-
-def _abort(opened: tuple[asyncio.Transport, StreamProtocol]) -> None:
-    """Close a connection that nobody waits for any more."""
-    opened[0].abort()
