Tell how large messages are, how late tables are and what of an answer was dropped

Logs and metrics could not tell the three hypotheses of the incident apart: no line said how large a heartbeat was, how many bytes of an answer had come when it was given up, or for how long a peer had known a newer version. Now they do: 'message over a frame', 'datagrams refused' (was at debug level), received bytes in 'store lost' and 'feed call lost', the time a peer's copy took, and metrics for messages by kind, refused and ignored datagrams, peers' age, lag, answer size and wasted bytes by table. No decision changes.

--- a/crocusshunt/feeds/__init__.py
+++ b/crocusshunt/feeds/__init__.py
@@ -9,6 +9,7 @@
 )
 from crocusshunt.feeds._follower import Follower, FollowerSettings
 from crocusshunt.feeds._image import TableImage
+from crocusshunt.feeds._progress import CallProgress
 from crocusshunt.feeds._rows import (
     MAX_WRITE_COUNT,
     Changes,
@@ -26,6 +27,7 @@
 __all__ = (
     'MAX_NUMBER',
     'MAX_WRITE_COUNT',
+    'CallProgress',
     'Changes',
     'FeedError',
     'FeedMalformedError',
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -131,6 +131,7 @@
         answer = await self._read()
         self._is_refreshing = False
         if isinstance(answer, Err):
+            self.call.note_waste()
             self.availability.note_failure(answer.err_value)
             return False
         return True
@@ -154,6 +155,7 @@
         """
         if not self.is_failing and not self._is_refreshing:
             self._is_refreshing = self.call.abandon()
+            self.call.note_waste()
 
     def apply_peer_image(self, changes: Changes) -> bool:
         """Apply a peer's copy of the table; return whether it was newer.
@@ -171,7 +173,7 @@
         replace = partial(self._accept, image.replace)
         merge = partial(self._accept, image.merge)
         if not image.is_known:
-            answer = await self._store.read_table(table)
+            answer = await self._store.read_table(table, self.call.progress)
             return answer.inspect(replace)
         settings = self.settings
         answer = await self._store.read_changes(
@@ -179,6 +181,7 @@
             image.version,
             self._compute_wait(),
             settings.slow_answer_s if self.is_failing else settings.answer_s,
+            self.call.progress,
         )
         if not isinstance(answer, Err):
             self._losses_in_a_row = 0
@@ -186,7 +189,7 @@
         if isinstance(answer.err_value, HistoryLostError):
             self._losses_in_a_row += 1
             log_event('feed history lost, reading the table', table=table)
-            answer = await self._store.read_table(table)
+            answer = await self._store.read_table(table, self.call.progress)
             check_age = partial(_check_age, image)
             return answer.and_then(check_age).inspect(replace)
         return answer
@@ -216,6 +219,7 @@
         :param update: updates the copy, and returns the rows that changed.
         """
         settings = self.settings
+        self.call.note_answer()
         failing_s = self.availability.note_answer()
         settle_s = settings.settle_s if failing_s >= settings.outage_s else 0
         if _has_returned(self.image, changes):
--- a/crocusshunt/feeds/_rows.py
+++ b/crocusshunt/feeds/_rows.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from crocusshunt.feeds._errors import FeedError
+from crocusshunt.feeds._progress import CallProgress
 
 # Rows that one call may write or remove.
 MAX_WRITE_COUNT = 100
@@ -45,8 +46,13 @@
 class FeedStore(Protocol):
     """A store whose tables can be read and followed through feeds."""
 
-    async def read_table(self, table: str) -> Result[Changes, FeedError]:
-        """Return all rows of a table."""
+    async def read_table(
+        self, table: str, progress: CallProgress | None = None
+    ) -> Result[Changes, FeedError]:
+        """Return all rows of a table.
+
+        :param progress: told of each part of the answer as it comes.
+        """
 
     async def read_changes(
         self,
@@ -54,6 +60,7 @@
         after: int,
         wait_s: float,
         answer_s: float,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version.
 
@@ -62,6 +69,7 @@
         :param wait_s: longest wait for a change, in seconds.
         :param answer_s: time after that wait by which the answer must be
             here, in seconds; without it the call counts as lost.
+        :param progress: told of each part of the answer as it comes.
         """
 
     async def write(self, *writes: RowWrite) -> Result[None, FeedError]:
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -7,6 +7,7 @@
 
 from crocusshunt.core import ManualClock, SystemClock
 from crocusshunt.feeds import (
+    CallProgress,
     Changes,
     FeedError,
     Follower,
@@ -220,7 +221,9 @@
 
     reads = 0
 
-    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+    async def read_table(
+        self, table: str, progress: CallProgress | None = None
+    ) -> Result[Changes, FeedError]:
         self.reads += 1
         return await MemoryFeedStore.read_table(self, table)
 
@@ -230,6 +233,7 @@
         after: int,
         wait_s: float,
         answer_s: float = 0,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         return Err(HistoryLostError('status 410'))
 
--- a/crocusshunt/fleet/_datagrams.py
+++ b/crocusshunt/fleet/_datagrams.py
@@ -7,6 +7,9 @@
 
 from crocusshunt.logs import log_event
 
+# Of so many refused datagrams the first one is logged.
+_LOGGED_COUNT = 100
+
 # Gets the content of a datagram and the address of its sender, ``ip:port``.
 Receive = Callable[[bytes, str], None]
 
@@ -21,6 +24,7 @@
         """
         self._receive = receive
         self._transport: asyncio.DatagramTransport | None = None
+        self.refused = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which is needed to send."""
@@ -34,11 +38,18 @@
         self._receive(content, f'{ip}:{port}')
 
     def error_received(self, error: Exception) -> None:
-        """Log an error of an earlier datagram; it is not sent again.
+        """Count an error of an earlier datagram; it is not sent again.
 
         The next heartbeat replaces it.
         """
-        log_event('datagram refused', logging.DEBUG, error=repr(error))
+        self.refused += 1
+        if self.refused % _LOGGED_COUNT == 1:
+            log_event(
+                'datagrams refused',
+                logging.WARNING,
+                error=repr(error),
+                refused=self.refused,
+            )
 
     def send(self, content: bytes, host: str, port: int) -> None:
         """Send a datagram, which may be lost; without a port it is dropped."""
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -55,6 +55,7 @@
         self._clock = clock
         self._behind_since: dict[int, float] = {}
         self._known_versions: dict[int, int] = {}
+        self._lagging_since: dict[int, float] = {}
         self._images = PeerImages()
         self.configuration = Follower(
             store,
@@ -101,6 +102,20 @@
         """Return the version of the newest known change of each table."""
         return tuple(one.image.changed_at for one in self.all)
 
+    def measure_lag(self, position: int) -> float:
+        """Return how long peers have known a newer version of a table.
+
+        In seconds; zero if none is known to be newer.
+
+        :param position: of the table in ``all``.
+        """
+        known = self._known_versions.get(position, -1)
+        if known <= self.all[position].image.version:
+            return 0
+        return self._clock.monotonic() - self._lagging_since.get(
+            position, self._clock.monotonic()
+        )
+
     def is_failing(self) -> bool:
         """Tell whether the last call for configuration or servers failed."""
         return self.configuration.is_failing or self.servers.is_failing
@@ -131,7 +146,12 @@
             watched.limit_wait(wait_s)
         for position, follower in enumerate(self.all):
             if self._has_lost_call(position, follower):
-                log_event('feed call lost', table=follower.settings.table)
+                log_event(
+                    'feed call lost',
+                    table=follower.settings.table,
+                    call_age_s=round(follower.call.age_s, 3),
+                    received_bytes=follower.call.progress.received_bytes,
+                )
                 follower.refresh()
 
     async def fetch_if_behind(
@@ -147,8 +167,10 @@
             self._known_versions[position] = known
             if known <= follower.image.version:
                 self._behind_since.pop(position, None)
+                self._lagging_since.pop(position, None)
                 continue
             since = self._behind_since.setdefault(position, now)
+            self._lagging_since.setdefault(position, now)
             if version <= follower.image.version:
                 continue
             max_lag_s = (
@@ -185,6 +207,7 @@
     async def _fetch_image(self, peer: HostRecord, position: int) -> None:
         follower = self.all[position]
         address = f'{peer.ip}:{peer.internal_port}'
+        started_at = self._clock.monotonic()
         changes = await self._images.fetch(peer.name, address, position)
         if changes is None:
             return
@@ -196,4 +219,5 @@
             version=changes.version,
             is_newer=is_newer,
             store_age_s=round(follower.age_s, 3),
+            took_s=round(self._clock.monotonic() - started_at, 3),
         )
--- a/crocusshunt/front/_heard_hosts.py
+++ b/crocusshunt/front/_heard_hosts.py
@@ -16,11 +16,12 @@
 
     ``restarts`` counts the starts of each host after an earlier process of it,
     apart for those whose process was ready until then: it did not announce its
-    end.
+    end. ``ignored`` counts datagrams that are no message.
     """
 
     fleet: FleetView
     restarts: Counter[tuple[str, bool]] = field(default_factory=Counter)
+    ignored: int = 0
     _heard: frozenset[str] = frozenset()
 
     def note_heartbeat(self, message: StatusMessage) -> None:
@@ -40,6 +41,14 @@
             ran_s=(message.started_at - known.started_at) / _MILLISECONDS,
         )
 
+    def note_ignored(self, size: int) -> None:
+        """Record a datagram that is no message.
+
+        :param size: in bytes.
+        """
+        self.ignored += 1
+        log_event('datagram ignored', logging.WARNING, size=size)
+
     def log_changes(self, now: float) -> None:
         """Log the changes since the last call.
 
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -31,7 +30,6 @@
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
-from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
 
 # Decimal places of rates in messages.
@@ -144,7 +142,7 @@
         """
         message = decode_message(content)
         if message is None:
-            log_event('datagram ignored', logging.WARNING, size=len(content))
+            self.heard.note_ignored(len(content))
         elif isinstance(message, TokenRequest):
             self.tokens.handle_request(message)
         elif isinstance(message, TokenReply):
--- a/crocusshunt/front/_metrics.py
+++ b/crocusshunt/front/_metrics.py
@@ -12,6 +12,7 @@
 
 from crocusshunt.front._assembly import HostComponents
 from crocusshunt.front._life_metrics import LifeCollector
+from crocusshunt.front._news_metrics import NewsCollector
 from crocusshunt.metrics import render_metrics
 
 _PATH = '/metrics'
@@ -30,12 +31,17 @@
             components.readiness_watch, loop.heard, loop.started_at
         )
 
+        # What is told and read, with its age and size.
+        self._news = NewsCollector(
+            loop.outbox, components.followers, loop.heard, loop.clock
+        )
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a scrape."""
         if request.path != _PATH:
             return web.Response(status=_STATUS_NOT_FOUND)
         text = render_metrics(
-            self._components.metrics, self._collector, self._life
+            self._components.metrics, self._collector, self._life, self._news
         )
         return web.Response(body=text, content_type='text/plain')
 
--- a/crocusshunt/front/_outbox.py
+++ b/crocusshunt/front/_outbox.py
@@ -1,7 +1,9 @@
 """Sending of messages to other hosts."""
 
+import logging
+from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crocusshunt.fleet import (
     DatagramEndpoint,
@@ -10,6 +12,46 @@
     Message,
     encode,
 )
+from crocusshunt.logs import log_event
+
+# What one Ethernet frame carries besides the headers of IPv4 and UDP.
+_FRAME_BYTES = 1_472
+
+
+@dataclass(slots=True)
+class SentMessages:
+    """Datagrams sent, by the kind of their message.
+
+    >>> sent = SentMessages()
+    >>> sent.note('TokenReply', 90, 3)
+    >>> sent.datagrams, sent.largest_bytes, sent.oversized
+    (Counter({'TokenReply': 3}), {'TokenReply': 90}, Counter())
+    """
+
+    datagrams: Counter[str] = field(default_factory=Counter)
+    oversized: Counter[str] = field(default_factory=Counter)
+    largest_bytes: dict[str, int] = field(default_factory=dict)
+
+    def note(self, kind: str, size: int, count: int) -> None:
+        """Record a message that was sent to some hosts.
+
+        :param size: in bytes.
+        :param count: number of datagrams.
+        """
+        self.datagrams[kind] += count
+        if size > _FRAME_BYTES:
+            self.oversized[kind] += count
+        largest = self.largest_bytes.get(kind, 0)
+        if size <= largest:
+            return
+        self.largest_bytes[kind] = size
+        if size > _FRAME_BYTES:
+            log_event(
+                'message over a frame',
+                logging.WARNING,
+                kind=kind,
+                size=size,
+            )
 
 
 @dataclass(slots=True)
@@ -22,14 +64,18 @@
 
     fleet: FleetView
     endpoint: DatagramEndpoint | None = None
+    sent: SentMessages = field(default_factory=SentMessages)
 
     def send(self, message: Message, records: Iterable[HostRecord]) -> None:
         """Send a message to hosts; delivery is not guaranteed."""
         if self.endpoint is None:
             return
         content = encode(message)
+        count = 0
         for record in records:
             self.endpoint.send(content, record.ip, record.internal_port)
+            count += 1
+        self.sent.note(type(message).__name__, len(content), count)
 
     def send_to(self, message: Message, host: str) -> None:
         """Send a message to a host by name; delivery is not guaranteed."""
--- a/crocusshunt/front/tests/test_lost_reads.py
+++ b/crocusshunt/front/tests/test_lost_reads.py
@@ -7,7 +7,12 @@
 from aiohttp import web
 from result import Err, Result
 
-from crocusshunt.feeds import Changes, FeedError, FeedUnreachableError
+from crocusshunt.feeds import (
+    CallProgress,
+    Changes,
+    FeedError,
+    FeedUnreachableError,
+)
 from crocusshunt.front.tests._backend import Backend
 from crocusshunt.front.tests._deployment import Deployment, deploy
 from crocusshunt.platform import SOURCE_FORMAT
@@ -31,7 +36,9 @@
     read_table = MemoryFeedStore.read_table
 
     async def read_or_lose(
-        store: MemoryFeedStore, table: str
+        store: MemoryFeedStore,
+        table: str,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         if table != lost:
             return await read_table(store, table)
--- a/crocusshunt/front/tests/test_silent_feed.py
+++ b/crocusshunt/front/tests/test_silent_feed.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from crocusshunt.core import SystemClock
-from crocusshunt.feeds import Changes, FeedError
+from crocusshunt.feeds import CallProgress, Changes, FeedError
 from crocusshunt.front._followers import Followers
 from crocusshunt.front._settings import TableNames
 from crocusshunt.front.tests._region import Region
@@ -30,7 +30,12 @@
     calls: int = 0
 
     async def read_changes(
-        self, table: str, after: int, wait_s: float, answer_s: float = 1
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        answer_s: float = 1,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         self.calls += 1
         # Without an explicit class, super() fails in a class with slots.
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -8,6 +8,7 @@
 
 from crocusshunt.core import create_outgoing_socket
 from crocusshunt.feeds import (
+    CallProgress,
     Changes,
     FeedError,
     FeedMalformedError,
@@ -66,7 +67,9 @@
         if self._session is not None:
             await self._session.close()
 
-    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+    async def read_table(
+        self, table: str, progress: CallProgress | None = None
+    ) -> Result[Changes, FeedError]:
         """Return all rows of a table.
 
         The table is read in pages, of which later ones may be newer than the
@@ -84,7 +87,7 @@
             if start:
                 query['from'] = start
             timeout_s = self._read_timeouts.get(table, _CALL_TIMEOUT_S)
-            answer = await self._get('/rows-get', query, timeout_s)
+            answer = await self._get('/rows-get', query, timeout_s, progress)
             self._adapt_timeout(table, answer)
             if isinstance(answer, Err):
                 return answer
@@ -105,12 +108,14 @@
         after: int,
         wait_s: float,
         answer_s: float,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version; wait for one if there is none.
 
         :param wait_s: longest wait for a change, in seconds.
         :param answer_s: time after that wait by which the answer must be
             here, in seconds.
+        :param progress: told of each part of the answer as it comes.
         """
         era = find_era(after)
         if era < self._eras.newest:
@@ -124,6 +129,7 @@
             '/rows-feed',
             query,
             wait_s + answer_s,
+            progress,
         )
         if isinstance(answer, Err):
             return answer
@@ -147,8 +153,11 @@
         path: str,
         query: dict[str, str],
         timeout_s: float,
+        progress: CallProgress | None = None,
     ) -> Result[Page, FeedError]:
-        reply = await self._call('GET', path, timeout_s, query=query)
+        reply = await self._call(
+            'GET', path, timeout_s, query=query, progress=progress
+        )
         return reply.and_then(decode_page)
 
     async def _call(
@@ -158,6 +167,7 @@
         timeout_s: float,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
+        progress: CallProgress | None = None,
     ) -> Result[Reply, FeedError]:
         session = self._open_session()
         try:
@@ -173,9 +183,9 @@
             ):
                 era = self._eras.read(response.headers.get(ERA_HEADER))
                 status = response.status
-                content = await response.read()
+                content = await _read_body(response, progress)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(FeedUnreachableError(type(error).__name__))
+            return Err(FeedUnreachableError(_describe(error, progress)))
         if isinstance(era, Err):
             return era
         checked = _check_status(status, content)
@@ -210,6 +220,25 @@
         return self._session
 
 
+async def _read_body(
+    response: aiohttp.ClientResponse, progress: CallProgress | None
+) -> bytes:
+    parts = []
+    async for part in response.content.iter_any():
+        if progress is not None:
+            progress.note(len(part))
+        parts.append(part)
+    return b''.join(parts)
+
+
+def _describe(error: Exception, progress: CallProgress | None) -> str:
+    """Return the name of an error, and what had come before it."""
+    name = type(error).__name__
+    if progress is None or not progress.received_bytes:
+        return name
+    return f'{name} after {progress.received_bytes} bytes'
+
+
 def _check_status(status: int, content: bytes) -> Result[bytes, FeedError]:
     if status == _STATUS_OK:
         return Ok(content)
--- a/crocusshunt/platform/tests/test_rows.py
+++ b/crocusshunt/platform/tests/test_rows.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from crocusshunt.feeds import (
+    CallProgress,
     Changes,
     FeedError,
     FeedRefusedError,
@@ -47,7 +48,9 @@
 
     has_changed = False
 
-    async def read_table(self, table: str) -> Result[Changes, FeedError]:
+    async def read_table(
+        self, table: str, progress: CallProgress | None = None
+    ) -> Result[Changes, FeedError]:
         page = await MemoryFeedStore.read_table(self, table)
         if not self.has_changed:
             self.put(table, 's000', b'changed')
--- a/crocusshunt/standin/_feeds.py
+++ b/crocusshunt/standin/_feeds.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from crocusshunt.feeds import (
+    CallProgress,
     Changes,
     FeedError,
     FeedRefusedError,
@@ -130,8 +131,13 @@
         """Set the address of the store that is used from now on."""
         self.address = address
 
-    async def read_table(self, table: str) -> Result[Changes, FeedError]:
-        """Return all rows of a table, ordered by key."""
+    async def read_table(
+        self, table: str, progress: CallProgress | None = None
+    ) -> Result[Changes, FeedError]:
+        """Return all rows of a table, ordered by key.
+
+        :param progress: not told anything, since answers come whole.
+        """
         failure = await self.faults.apply()
         if failure is not None:
             return Err(failure)
@@ -149,6 +155,7 @@
         after: int,
         wait_s: float,
         answer_s: float = _SILENCE_S,
+        progress: CallProgress | None = None,
     ) -> Result[Changes, FeedError]:
         """Return the changes after a version; wait for one if there is none.
 
@@ -156,6 +163,7 @@
         :param wait_s: longest wait for a change, in seconds.
         :param answer_s: time after that wait at which a call without an
             answer fails, in seconds.
+        :param progress: not told anything, since answers come whole.
         """
         failure = await self.faults.apply(wait_s + answer_s)
         if failure is not None:
