--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -6,9 +6,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from crocusshunt.soak._link_rates import LinkRate
 from crocusshunt.standin import LOOPBACK
 
 _CHUNK_BYTES = 65_536
+# On a narrow link small parts of all connections pass in turn.
+_NARROW_CHUNK_BYTES = 1_460
 _DELAY_S = 0.15
 
 Reader = asyncio.StreamReader
@@ -38,11 +41,13 @@
     :param target: ``ip:port`` that connections are forwarded to.
     :param address: ``ip:port`` that the proxy listens on, empty until it
         is started.
+    :param rate: of the link, None for any number of bytes a second.
     """
 
     target: str
     link_fault: LinkFault = LinkFault.none
     address: str = ''
+    rate: LinkRate | None = None
     _reserved: socket.socket | None = None
     _server: asyncio.Server | None = None
     _open_writers: set[Writer] = field(default_factory=set)
@@ -109,6 +114,14 @@
         finally:
             self._drop(writers)
 
+    async def _read(self, reader: Reader) -> bytes:
+        """Return the next bytes once the link has carried them."""
+        if self.rate is None:
+            return await reader.read(_CHUNK_BYTES)
+        content = await reader.read(_NARROW_CHUNK_BYTES)
+        await self.rate.take(len(content))
+        return content
+
     def _drop(self, writers: set[Writer]) -> None:
         self._open_writers -= writers
         for writer in writers:
@@ -127,7 +140,7 @@
         """
         try:
             is_silent = False
-            while content := await reader.read(_CHUNK_BYTES):
+            while content := await self._read(reader):
                 is_silent = is_silent or not await admits(writer)
                 if not is_silent:
                     writer.write(content)
