Read answers to their end while they come, and large tables from a host near by

Cause: an answer of the store had to be whole within 1 s (1.5 s after a failure), a peer's copy within 1 s, and a call was repeated 0.4 s after a peer told a newer version. What came was dropped, and the next try began anew; both ways share the link. The feed also brings each version in between, so a host that is late has more to read the later it is.

--- a/crocusshunt/feeds/__init__.py
+++ b/crocusshunt/feeds/__init__.py
@@ -3,6 +3,7 @@
 from crocusshunt.feeds._errors import (
     FeedError,
     FeedMalformedError,
+    FeedOversizedError,
     FeedRefusedError,
     FeedUnreachableError,
     HistoryLostError,
@@ -31,6 +32,7 @@
     'Changes',
     'FeedError',
     'FeedMalformedError',
+    'FeedOversizedError',
     'FeedRefusedError',
     'FeedStore',
     'FeedUnreachableError',
--- a/crocusshunt/feeds/_calls.py
+++ b/crocusshunt/feeds/_calls.py
@@ -20,24 +20,24 @@
         self.progress = CallProgress(clock)
         self.answer_bytes = 0
         self.wasted_bytes = 0
+        self._hold_s: float = 0
         self._clock = clock
         self._task: asyncio.Task[bool] | None = None
-        self._started_at: float = 0
 
     @property
-    def age_s(self) -> float:
-        """Return the time since the call under way began, in seconds.
+    def quiet_s(self) -> float:
+        """Return the time since the call under way brought anything.
 
-        Zero if no call is under way.
+        In seconds, from its begin until the answer begins; zero if no call is
+        under way, or if its answer is left with the store on purpose.
         """
-        if self._task is None or self._task.done():
+        if self._task is None or self._task.done() or self.progress.is_held:
             return 0
-        return self._clock.monotonic() - self._started_at
+        return self.progress.quiet_s
 
     async def run(self, call: Coroutine[Any, Any, bool]) -> bool | None:
         """Return the result of a call, None if it was abandoned."""
-        self._started_at = self._clock.monotonic()
-        self.progress = CallProgress(self._clock)
+        self.progress = CallProgress(self._clock, hold_s=self._hold_s)
         task = asyncio.create_task(call)
         self._task = task
         try:
@@ -47,6 +47,15 @@
             raise
         return None if task.cancelled() else task.result()
 
+    def hold_answers(self, hold_s: float) -> None:
+        """Leave large answers with the store for a while from now on.
+
+        :param hold_s: in seconds, 0 to read them at once.
+        """
+        self._hold_s = hold_s
+        if not self.progress.has_begun:
+            self.progress.hold_s = hold_s
+
     def note_answer(self) -> None:
         """Record that the answer to the call under way came whole."""
         self.answer_bytes = self.progress.received_bytes
--- a/crocusshunt/feeds/_errors.py
+++ b/crocusshunt/feeds/_errors.py
@@ -39,6 +39,13 @@
     code = 'feed-malformed'
 
 
+@dataclass(unsafe_hash=True)
+class FeedOversizedError(FeedError):
+    """The changes take more bytes than the table; they were not read."""
+
+    code = 'feed-oversized'
+
+
 @dataclass(unsafe_hash=True)
 class HistoryLostError(FeedError):
     """The store no longer has the changes since a version.
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -5,19 +5,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 
-from result import Err, Ok, Result
+from result import Err
 
 from crocusshunt.core import Clock
 from crocusshunt.feeds._availability import StoreAvailability
 from crocusshunt.feeds._calls import AbandonableCall
-from crocusshunt.feeds._errors import (
-    FeedError,
-    FeedRefusedError,
-    HistoryLostError,
-)
 from crocusshunt.feeds._image import TableImage
+from crocusshunt.feeds._reader import Reading, TableReader
 from crocusshunt.feeds._removals import DeferredRemovals
 from crocusshunt.feeds._rows import Changes, FeedStore, Row
 from crocusshunt.feeds._versions import find_era, find_number
@@ -94,14 +89,13 @@
         self.call = AbandonableCall(clock)
         self.rejected_rows = 0
         self.rejection = ''
-        self._store = store
+        self._reader = TableReader(store, settings.table, self.image, self.call)
         self._clock = clock
         self._sink = sink
         self._max_wait_s = settings.wait_s
         self._is_refreshing = False
         self.availability = StoreAvailability(settings.table, clock)
         self._has_changes = False
-        self._losses_in_a_row = 0
         self._removals = DeferredRemovals(clock)
 
     @property
@@ -128,12 +122,17 @@
 
     async def poll(self) -> bool:
         """Call the store once; return whether it answered."""
-        answer = await self._read()
+        settings = self.settings
+        answer = await self._reader.read(
+            self._compute_wait(),
+            settings.slow_answer_s if self.is_failing else settings.answer_s,
+        )
         self._is_refreshing = False
         if isinstance(answer, Err):
             self.call.note_waste()
             self.availability.note_failure(answer.err_value)
             return False
+        self._accept(answer.ok_value)
         return True
 
     def limit_wait(self, wait_s: float) -> None:
@@ -165,35 +164,10 @@
         if changes.version <= self.image.version:
             return False
         self._publish(self.image.replace(changes))
+        if self.call.progress.is_held:
+            self.call.abandon()
         return True
 
-    async def _read(self) -> Result[Changes, FeedError]:
-        image = self.image
-        table = self.settings.table
-        replace = partial(self._accept, image.replace)
-        merge = partial(self._accept, image.merge)
-        if not image.is_known:
-            answer = await self._store.read_table(table, self.call.progress)
-            return answer.inspect(replace)
-        settings = self.settings
-        answer = await self._store.read_changes(
-            table,
-            image.version,
-            self._compute_wait(),
-            settings.slow_answer_s if self.is_failing else settings.answer_s,
-            self.call.progress,
-        )
-        if not isinstance(answer, Err):
-            self._losses_in_a_row = 0
-            return answer.inspect(merge)
-        if isinstance(answer.err_value, HistoryLostError):
-            self._losses_in_a_row += 1
-            log_event('feed history lost, reading the table', table=table)
-            answer = await self._store.read_table(table, self.call.progress)
-            check_age = partial(_check_age, image)
-            return answer.and_then(check_age).inspect(replace)
-        return answer
-
     def _compute_wait(self) -> float:
         if self.is_failing or self._is_refreshing:
             return 0
@@ -205,19 +179,13 @@
         It ends early when deferred removals are due.
         """
         spacing_s = self.settings.spacing_s if self._has_changes else 0
-        if self._losses_in_a_row > 1:
+        if self._reader.losses_in_a_row > 1:
             spacing_s = max(spacing_s, _LOST_AGAIN_PAUSE_S)
         return self._removals.limit_wait(spacing_s)
 
-    def _accept(
-        self,
-        update: Callable[[Changes], tuple[Row, ...]],
-        changes: Changes,
-    ) -> None:
-        """Apply an answer of the store to the copy.
-
-        :param update: updates the copy, and returns the rows that changed.
-        """
+    def _accept(self, reading: Reading) -> None:
+        """Apply an answer of the store to the copy."""
+        changes = reading.changes
         settings = self.settings
         self.call.note_answer()
         failing_s = self.availability.note_answer()
@@ -227,6 +195,7 @@
             settle_s = max(settle_s, _RETURN_SETTLE_S)
         if settle_s:
             self._removals.defer_until(self._clock.monotonic() + settle_s)
+        update = self.image.replace if reading.is_whole else self.image.merge
         self._publish(update(changes))
 
     def _publish(self, changed_rows: tuple[Row, ...]) -> None:
@@ -252,18 +221,6 @@
             )
 
 
-def _check_age(
-    image: TableImage, changes: Changes
-) -> Result[Changes, FeedError]:
-    """Return an error for a table that is older than the copy.
-
-    It counts as a failed call, so that calls are spaced.
-    """
-    if changes.version < image.version:
-        return Err(FeedRefusedError('table is older than the copy'))
-    return Ok(changes)
-
-
 def _has_returned(image: TableImage, changes: Changes) -> bool:
     """Tell whether the store came back from a copy since the last answer.
 
--- a/crocusshunt/feeds/_image.py
+++ b/crocusshunt/feeds/_image.py
@@ -8,6 +8,7 @@
 
     ``version`` is that of the store when the copy was last updated, -1 before
     the first time. Some rows may be newer, if the table was read in pages.
+    ``revision`` counts the updates that changed rows.
 
     >>> image = TableImage()
     >>> image.replace(Changes((Row('a', b'1', 3),), 5))
@@ -22,6 +23,7 @@
         """Start without rows."""
         self.rows: dict[str, Row] = {}
         self.version = -1
+        self.revision = 0
         self._newest_change = 0
 
     @property
@@ -92,5 +94,6 @@
 
     def _advance(self, version: int, changed_rows: tuple[Row, ...]) -> None:
         self.version = max(self.version, version)
+        self.revision += bool(changed_rows)
         versions = (row.version for row in changed_rows)
         self._newest_change = max((self._newest_change, *versions))
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -196,7 +196,7 @@
     await asyncio.sleep(0.1)
     setup.store.faults.is_silent = False
     setup.store.put(_TABLE, 'a', b'')
-    assert follower.call.age_s > 0
+    assert follower.call.quiet_s > 0
     follower.refresh()
     assert await _wait_for_row(setup)
     task.cancel()
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -1,6 +1,5 @@
 """Local copies of the store tables, also fetched from and sent to peers."""
 
-import msgspec
 from aiohttp import web
 
 from crocusshunt.core import Clock, parse_count
@@ -12,7 +11,8 @@
 )
 from crocusshunt.fleet import HostRecord
 from crocusshunt.front._cluster import ClusterState
-from crocusshunt.front._peer_images import PeerImages
+from crocusshunt.front._peer_images import ImageCopies, PeerImages
+from crocusshunt.front._peer_versions import PeerVersions
 from crocusshunt.front._settings import TableNames
 from crocusshunt.logs import log_event
 from crocusshunt.services import TaskGroup
@@ -26,6 +26,9 @@
 # A feed that works delivers a change to all hosts within about this time; a
 # call that did not is taken for lost.
 _MAX_CALL_LAG_S = 0.4
+# Time for which a large answer of the store is left there, since a host of the
+# region that watches the store may have a copy sooner.
+_HOLD_S = 0.5
 # Pause after a change, so that the next call returns several at once.
 _CONFIGURATION_SPACING_S = 0.5
 _SERVERS_SPACING_S = 1.3
@@ -53,10 +56,11 @@
     ) -> None:
         """Create the followers of the tables; nothing is read yet."""
         self._clock = clock
-        self._behind_since: dict[int, float] = {}
-        self._known_versions: dict[int, int] = {}
-        self._lagging_since: dict[int, float] = {}
+        self._peer_versions = PeerVersions(clock)
         self._images = PeerImages()
+        self._copies = ImageCopies()
+        # Positions of the tables of which a copy is under way.
+        self._fetched: set[int] = set()
         self.configuration = Follower(
             store,
             FollowerSettings(
@@ -103,18 +107,14 @@
         return tuple(one.image.changed_at for one in self.all)
 
     def measure_lag(self, position: int) -> float:
-        """Return how long peers have known a newer version of a table.
+        """Return how long a newer version of a table has been known.
 
-        In seconds; zero if none is known to be newer.
+        In seconds; zero if none is known.
 
         :param position: of the table in ``all``.
         """
-        known = self._known_versions.get(position, -1)
-        if known <= self.all[position].image.version:
-            return 0
-        return self._clock.monotonic() - self._lagging_since.get(
-            position, self._clock.monotonic()
-        )
+        own = self.all[position].image.version
+        return self._peer_versions.measure_lag(position, own)
 
     def is_failing(self) -> bool:
         """Tell whether the last call for configuration or servers failed."""
@@ -144,12 +144,16 @@
         wait_s = _WATCH_WAIT_S if is_watcher else _POLL_WAIT_S
         for watched in (self.configuration, self.servers):
             watched.limit_wait(wait_s)
+            may_hold = watched.image.is_known and not is_watcher
+            watched.call.hold_answers(_HOLD_S if may_hold else 0)
         for position, follower in enumerate(self.all):
-            if self._has_lost_call(position, follower):
+            own = follower.image.version
+            lag_s = self._peer_versions.measure_pause(position, own)
+            if _withholds(follower, lag_s):
                 log_event(
                     'feed call lost',
                     table=follower.settings.table,
-                    call_age_s=round(follower.call.age_s, 3),
+                    quiet_s=round(follower.call.quiet_s, 3),
                     received_bytes=follower.call.progress.received_bytes,
                 )
                 follower.refresh()
@@ -161,23 +165,14 @@
 
         :param versions: of the peer's tables, in the order of ``all``.
         """
-        now = self._clock.monotonic()
+        peers = self._peer_versions
         for position, (follower, version) in enumerate(zip(self.all, versions)):
-            known = max(version, self._known_versions.get(position, -1))
-            self._known_versions[position] = known
-            if known <= follower.image.version:
-                self._behind_since.pop(position, None)
-                self._lagging_since.pop(position, None)
-                continue
-            since = self._behind_since.setdefault(position, now)
-            self._lagging_since.setdefault(position, now)
-            if version <= follower.image.version:
+            own = follower.image.version
+            if not peers.note(position, told=version, own=own):
                 continue
-            max_lag_s = (
-                _MAX_LAG_WITHOUT_STORE_S if follower.is_failing else _MAX_LAG_S
-            )
-            if now - since >= max_lag_s:
-                self._behind_since[position] = now
+            pause_s = peers.measure_pause(position, own)
+            if version > own and pause_s >= _find_max_lag(follower):
+                peers.note_try(position)
                 await self._fetch_image(peer, position)
 
     async def fetch_hosts(self, host: str, address: str) -> Changes | None:
@@ -194,17 +189,19 @@
         if position is None or position >= len(self.all):
             return web.Response(status=_STATUS_NOT_FOUND)
         image = self.all[position].image
-        return web.Response(body=msgspec.msgpack.encode(image.export()))
-
-    def _has_lost_call(self, position: int, follower: Follower) -> bool:
-        """Tell whether a call withholds a change that peers know."""
-        known = self._known_versions.get(position, -1)
-        if known <= follower.image.version or follower.is_failing:
-            return False
-        behind_s = self._clock.monotonic() - self._behind_since[position]
-        return min(behind_s, follower.call.age_s) > _MAX_CALL_LAG_S
+        return self._copies.respond(request, position, image)
 
     async def _fetch_image(self, peer: HostRecord, position: int) -> None:
+        """Fetch a table from a peer, one copy of it at a time."""
+        if position in self._fetched:
+            return
+        self._fetched.add(position)
+        try:
+            await self._apply_copy(peer, position)
+        finally:
+            self._fetched.remove(position)
+
+    async def _apply_copy(self, peer: HostRecord, position: int) -> None:
         follower = self.all[position]
         address = f'{peer.ip}:{peer.internal_port}'
         started_at = self._clock.monotonic()
@@ -221,3 +218,28 @@
             store_age_s=round(follower.age_s, 3),
             took_s=round(self._clock.monotonic() - started_at, 3),
         )
+
+
+def _find_max_lag(follower: Follower) -> float:
+    """Return how long a peer may be ahead before it is asked for its copy.
+
+    In seconds. A large answer that is left with the store is not waited for,
+    one that is coming is.
+    """
+    if follower.call.progress.is_held:
+        return 0
+    if follower.is_failing:
+        return _MAX_LAG_WITHOUT_STORE_S
+    return _MAX_LAG_S
+
+
+def _withholds(follower: Follower, lag_s: float) -> bool:
+    """Tell whether the call under way withholds a change that peers know.
+
+    One that brings an answer does not, however long that takes.
+
+    :param lag_s: how long they have known it, in seconds.
+    """
+    if follower.is_failing:
+        return False
+    return min(lag_s, follower.call.quiet_s) > _MAX_CALL_LAG_S
--- a/crocusshunt/front/_peer_images.py
+++ b/crocusshunt/front/_peer_images.py
@@ -1,17 +1,23 @@
 """Copies of tables that other hosts have."""
 
 import asyncio
+import zlib
+from dataclasses import dataclass, field
 
 import msgspec
-from aiohttp import ClientError, ClientSession
+from aiohttp import ClientError, ClientSession, web
 
 from crocusshunt.core import DECODE_ERRORS
-from crocusshunt.feeds import Changes
+from crocusshunt.feeds import Changes, TableImage
 from crocusshunt.logs import log_event
 
-_FETCH_TIMEOUT_S = 1
+# A copy is lost without any part of it for so long, and late after the second
+# time.
+_PART_TIMEOUT_S = 1
+_MAX_FETCH_S = 5
 _FETCH_ERRORS = (ClientError, TimeoutError, OSError, *DECODE_ERRORS)
 _STATUS_OK = 200
+_CODING = 'deflate'
 
 
 class PeerImages:
@@ -35,25 +41,66 @@
         :param address: its port for other hosts, ``ip:port``.
         :param position: identifies the table between hosts.
         """
+        parts: list[bytes] = []
         try:
-            content = await self._get(f'http://{address}/image/{position}')
-            return msgspec.msgpack.decode(content, type=Changes)
+            await self._read(f'http://{address}/image/{position}', parts)
+            return msgspec.msgpack.decode(b''.join(parts), type=Changes)
         except _FETCH_ERRORS as error:
             log_event(
                 'peer image not fetched',
                 peer=host,
                 position=position,
                 cause=repr(error),
+                received_bytes=sum(map(len, parts)),
             )
         return None
 
-    async def _get(self, url: str) -> bytes:
+    async def _read(self, url: str, parts: list[bytes]) -> None:
+        """Read an answer, however long it takes while parts of it come."""
         if self._session is None:
             self._session = ClientSession()
+        now = asyncio.get_running_loop().time
+        latest = now() + _MAX_FETCH_S
         async with (
-            asyncio.timeout(_FETCH_TIMEOUT_S),
+            asyncio.timeout(_PART_TIMEOUT_S) as deadline,
             self._session.get(url) as response,
         ):
             if response.status != _STATUS_OK:
                 raise ClientError(f'status {response.status}')
-            return await response.read()
+            async for part in response.content.iter_any():
+                deadline.reschedule(min(latest, now() + _PART_TIMEOUT_S))
+                parts.append(part)
+
+
+@dataclass(slots=True)
+class ImageCopies:
+    """Encoded copies of this host's tables, for other hosts.
+
+    Each version of a table is compressed once.
+    """
+
+    _compressed: dict[int, tuple[tuple[int, int], bytes]] = field(
+        default_factory=dict
+    )
+
+    def respond(
+        self, request: web.BaseRequest, position: int, image: TableImage
+    ) -> web.Response:
+        """Return a table, compressed if the other host takes that.
+
+        :param position: identifies the table.
+        """
+        if _CODING not in request.headers.get('Accept-Encoding', ''):
+            return web.Response(body=msgspec.msgpack.encode(image.export()))
+        return web.Response(
+            body=self._compress(position, image),
+            headers={'Content-Encoding': _CODING},
+        )
+
+    def _compress(self, position: int, image: TableImage) -> bytes:
+        state = (image.revision, image.changed_at)
+        known, content = self._compressed.get(position, (None, b''))
+        if known != state:
+            content = zlib.compress(msgspec.msgpack.encode(image.export()))
+            self._compressed[position] = (state, content)
+        return content
--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -12,6 +12,7 @@
     Changes,
     FeedError,
     FeedMalformedError,
+    FeedOversizedError,
     FeedRefusedError,
     FeedUnreachableError,
     HistoryLostError,
@@ -37,6 +38,10 @@
 # that did not come in time.
 _MAX_READ_TIMEOUT_S = 5
 _TIMEOUT_GROWTH = 1.5
+# An answer that has begun is lost without any part of it for so long, and
+# late after the second time.
+_PART_TIMEOUT_S = 1
+_MAX_ANSWER_S = 10
 # Only a few calls run at the same time, for reads, writes and feeds together.
 _MAX_CONNECTIONS = 8
 _KEEPALIVE_S = 20
@@ -172,7 +177,7 @@
         session = self._open_session()
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                asyncio.timeout(timeout_s) as deadline,
                 session.request(
                     method,
                     self._url + path,
@@ -183,7 +188,9 @@
             ):
                 era = self._eras.read(response.headers.get(ERA_HEADER))
                 status = response.status
-                content = await _read_body(response, progress)
+                content = await _read_body(response, deadline, progress)
+                if content is None:
+                    return Err(FeedOversizedError('more than the table'))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(FeedUnreachableError(_describe(error, progress)))
         if isinstance(era, Err):
@@ -221,10 +228,27 @@
 
 
 async def _read_body(
-    response: aiohttp.ClientResponse, progress: CallProgress | None
-) -> bytes:
+    response: aiohttp.ClientResponse,
+    deadline: asyncio.Timeout,
+    progress: CallProgress | None,
+) -> bytes | None:
+    """Return a body, however long it takes while parts of it come.
+
+    Return None for one that is not to be read.
+
+    :param deadline: moved with each part.
+    """
+    now = asyncio.get_running_loop().time
+    latest = now() + _MAX_ANSWER_S
     parts = []
+    deadline.reschedule(latest)
+    size = response.content_length or 0
+    if progress is not None and not await progress.begin(size):
+        response.close()
+        return None
+    deadline.reschedule(now() + _PART_TIMEOUT_S)
     async for part in response.content.iter_any():
+        deadline.reschedule(min(latest, now() + _PART_TIMEOUT_S))
         if progress is not None:
             progress.note(len(part))
         parts.append(part)
