Keep each message between hosts within one frame, whatever has changed

Cause: each host told all others of every server that its table said drains (up to 64, for a minute), so heartbeats grew by 100 bytes a second, past 1,472 bytes after some 20 s of releases, and nothing bounded a message.

Now a status is told in messages of at most 1,400 bytes, four of them at most: the first has the state of the host, so that it is heard whatever else is lost; news have a bounded space, the newest first and the rest in turn; a server that the table of servers shows as leaving is told for 6 s only. Entries of a part that is lost are those of the status before. A former build understands the first message and ignores the others, which it could not receive before.

Receiving is in a module of its own, since heartbeats had grown too long.

--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -17,12 +17,14 @@
     PartRequest,
     RegionSummary,
     StatusMessage,
+    StatusPart,
     TokenReply,
     TokenRequest,
     decode_host,
     decode_message,
     encode,
 )
+from crocusshunt.fleet._parts import MAX_DATAGRAM_BYTES, split_status
 from crocusshunt.fleet._reaching import (
     choose_relays,
     list_reaching,
@@ -31,6 +33,7 @@
 from crocusshunt.fleet._view import FleetSettings, FleetView, Peer
 
 __all__ = (
+    'MAX_DATAGRAM_BYTES',
     'DatagramEndpoint',
     'FleetSettings',
     'FleetView',
@@ -47,6 +50,7 @@
     'Peer',
     'RegionSummary',
     'StatusMessage',
+    'StatusPart',
     'TokenReply',
     'TokenRequest',
     'choose_relays',
@@ -57,4 +61,5 @@
     'list_reaching',
     'list_relays',
     'open_datagram_endpoint',
+    'split_status',
 )
--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -71,6 +71,8 @@
         started again; hosts that hear of it drop these leases and reply.
     :param dropped: only in that reply: start of the other host whose former
         leases this one has dropped, see ``started_at``.
+    :param parts: number of messages that tell this state; the others are a
+        :class:`StatusPart` each.
     """
 
     name: str
@@ -93,6 +95,7 @@
     divisions: dict[str, tuple[float, dict[str, float]]] = {}
     is_unsure: bool = False
     dropped: int = 0
+    parts: int = 1
 
 
 class RegionSummary(
@@ -120,6 +123,7 @@
     :param relays: names of some ready hosts that reach backend servers.
     :param lost_pools: pools of which the sender reaches no backend server.
     :param draining: see :class:`Heartbeat`.
+    :param parts: see :class:`Heartbeat`.
     """
 
     name: str
@@ -136,6 +140,29 @@
     relays: tuple[str, ...] = ()
     lost_pools: tuple[str, ...] = ()
     draining: dict[str, tuple[int, float]] = {}
+    parts: int = 1
+
+
+class StatusPart(msgspec.Struct, frozen=True, array_like=True, tag='more'):
+    """What a :class:`Heartbeat` or :class:`RegionSummary` has no space for.
+
+    Its fields have entries beside those of the same status.
+
+    :param name: the host that sends it.
+    :param started_at: see :class:`Heartbeat`.
+    :param sequence: number of the status that it belongs to.
+    """
+
+    name: str
+    started_at: int
+    sequence: int
+    crashes: list[CrashReport] = []
+    draining: dict[str, tuple[int, float]] = {}
+    limits: dict[str, tuple[float | None, float]] = {}
+    kept: tuple[str, ...] = ()
+    busy: dict[str, float] = {}
+    demand: dict[str, float] = {}
+    full: dict[str, int] = {}
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
@@ -250,7 +277,7 @@
 LeaseMessage = (
     LeaseNotice | PartRequest | PartLeases | LeaseRecall | LeasesDropped
 )
-Message = StatusMessage | TokenRequest | TokenReply | LeaseMessage
+Message = StatusMessage | StatusPart | TokenRequest | TokenReply | LeaseMessage
 
 
 def encode(message: msgspec.Struct) -> bytes:
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
+from crocusshunt.fleet._assembly import AssembledStatus, begin_status
 from crocusshunt.fleet._messages import (
     Heartbeat,
     HostRecord,
     RegionSummary,
     StatusMessage,
+    StatusPart,
 )
+from crocusshunt.fleet._regions import RegionStates
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +33,19 @@
 class Peer:
     """Another host, with its record and its last heartbeat.
 
+    :param assembled: that heartbeat, None before the first one.
     :param received_at: time of the last heartbeat, monotonic seconds.
     """
 
     record: HostRecord
-    heartbeat: Heartbeat | None = None
+    assembled: AssembledStatus[Heartbeat] | None = None
     received_at: float = float('-inf')
 
+    @property
+    def heartbeat(self) -> Heartbeat | None:
+        """Return the last heartbeat, as far as its parts have come."""
+        return None if self.assembled is None else self.assembled.status
+
     @property
     def is_following(self) -> bool:
         """Tell whether it was ready and the store answered its calls."""
@@ -58,6 +67,11 @@
         """Return the pools of which it reached no backend server."""
         return () if self.heartbeat is None else self.heartbeat.lost_pools
 
+    def add_part(self, part: StatusPart) -> None:
+        """Record a part of the last heartbeat, and ignore any other."""
+        if self.assembled is not None:
+            self.assembled = self.assembled.add(part)
+
     def is_live(self, now: float, max_age_s: float) -> bool:
         """Tell whether the last heartbeat is recent.
 
@@ -66,17 +80,6 @@
         return now - self.received_at <= max_age_s
 
 
-@dataclass(frozen=True, slots=True)
-class RegionState:
-    """Another region, with the last summary received from it.
-
-    :param received_at: time of the summary, monotonic seconds.
-    """
-
-    summary: RegionSummary
-    received_at: float
-
-
 class FleetView:
     """All registered hosts, as known to one of them.
 
@@ -94,7 +97,7 @@
         self.own = own
         self._settings = settings
         self.peers: dict[str, Peer] = {}
-        self._regions: dict[str, RegionState] = {}
+        self._regions = RegionStates()
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -171,22 +174,29 @@
         known = peer.heartbeat
         return known is None or known.started_at != message.started_at
 
-    def handle_message(self, message: StatusMessage, now: float) -> Peer | None:
+    def handle_message(
+        self, message: StatusMessage | StatusPart, now: float
+    ) -> Peer | None:
         """Record a message; return the host that sent it.
 
         Return None, and ignore the message, if the host is unknown or if a
-        newer heartbeat of it was received before.
+        newer heartbeat of it was received before. A part of another status
+        than the newest of its sender is not recorded.
         """
         peer = self.peers.get(message.name)
         if peer is None:
             return None
+        if isinstance(message, StatusPart):
+            peer.add_part(message)
+            self._regions.add_part(message, peer.record.region)
+            return peer
         if isinstance(message, RegionSummary):
-            self._regions[message.region] = RegionState(message, now)
+            self._regions.put(message, now)
             return peer
         known = peer.heartbeat
         if known is not None and _is_older(message, known):
             return None
-        peer.heartbeat = message
+        peer.assembled = begin_status(message, known)
         peer.received_at = now
         return peer
 
@@ -210,11 +220,7 @@
     def list_summaries(self, now: float) -> tuple[RegionSummary, ...]:
         """Return the summaries of other regions that are recent."""
         max_age_s = self._settings.silent_after_s
-        return tuple(
-            state.summary
-            for _region, state in sorted(self._regions.items())
-            if now - state.received_at <= max_age_s
-        )
+        return self._regions.list_recent(now, max_age_s)
 
 
 def _is_older(heartbeat: Heartbeat, known: Heartbeat) -> bool:
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -13,16 +13,12 @@
     Heartbeat,
     RegionSummary,
     StatusMessage,
-    TokenReply,
-    TokenRequest,
-    decode_message,
     list_relays,
 )
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._crash_watch import CrashWatch
-from crocusshunt.front._first_hosts import FirstHosts
 from crocusshunt.front._followers import Followers
-from crocusshunt.front._former_leases import FormerLeases, needs_reply
+from crocusshunt.front._former_leases import FormerLeases
 from crocusshunt.front._heard_hosts import HeardHosts
 from crocusshunt.front._lease_messages import LeaseMessages
 from crocusshunt.front._localities import LocalityPlanner
@@ -30,6 +26,7 @@
 from crocusshunt.front._readiness import Readiness
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._tokens import TokenService
+from crocusshunt.placement import ServerRegistry
 from crocusshunt.services import TaskGroup
 
 # Decimal places of rates in messages.
@@ -41,7 +38,7 @@
 
 @dataclass(slots=True)
 class HeartbeatLoop:
-    """Sends heartbeats to other hosts and processes those it receives.
+    """Sends heartbeats to other hosts.
 
     :param started_at: Unix time of this process's start, in milliseconds.
     """
@@ -59,26 +56,24 @@
     clock: Clock
     started_at: int
     heard: HeardHosts = field(init=False)
+    former: FormerLeases = field(init=False)
+    leases: LeaseMessages = field(init=False)
     _sequence: int = 0
     _announced_ready: bool = False
     _announced_cut_off: bool = False
     _announced_versions: tuple[int, ...] = ()
     _has_new_hosts: bool = False
-    _former: FormerLeases = field(init=False)
-    _leases: LeaseMessages = field(init=False)
-    _first_hosts: FirstHosts = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on other ones."""
         self.heard = HeardHosts(self.cluster.fleet)
-        self._first_hosts = FirstHosts(self.followers)
-        self._former = FormerLeases(
+        self.former = FormerLeases(
             self.tokens.limits, self.followers, self.started_at
         )
-        self._leases = LeaseMessages(
+        self.leases = LeaseMessages(
             self.tokens.lending,
             self.tokens.borrowing,
-            self._former,
+            self.former,
             self.outbox,
         )
 
@@ -106,7 +101,7 @@
         self.planner.plan(now)
         self._divide_limits()
         self.send_heartbeats()
-        self._leases.run_once()
+        self.leases.run_once()
         self.heard.log_changes(now)
         self.crashes.expire(now)
         self.cluster.connections.expire()
@@ -135,25 +130,25 @@
                 self._create_summary(now), fleet.other_region_hosts
             )
 
-    def receive(self, content: bytes, sender: str = '') -> None:
-        """Process a datagram from another host.
+    def reply_to_new_host(self, message: StatusMessage) -> None:
+        """Send a heartbeat to a host that just started.
 
-        :param sender: where it came from, ``ip:port``.
+        Otherwise it would learn of this host only with the next heartbeat, and
+        wait for the leases that it may have given to this host before.
         """
-        message = decode_message(content)
-        if message is None:
-            self.heard.note_ignored(len(content))
-        elif isinstance(message, TokenRequest):
-            self.tokens.handle_request(message)
-        elif isinstance(message, TokenReply):
-            self.tokens.handle_reply(message)
-        elif isinstance(message, StatusMessage):
-            self._receive_heartbeat(message, sender)
-        else:
-            self._leases.handle(message)
+        self._has_new_hosts = True
+        self._sequence += 1
+        self.former.drop(message.name)
+        heartbeat = self._create_heartbeat(self.clock.monotonic())
+        reply = msgspec.structs.replace(
+            heartbeat,
+            divisions=self.planner.export(),
+            dropped=message.started_at,
+        )
+        self.outbox.send_to(reply, message.name)
 
     def _check_for_changes(self) -> None:
-        self._leases.recall_former()
+        self.leases.recall_former()
         if self._has_new_hosts:
             self._has_new_hosts = False
             self._divide_limits()
@@ -188,58 +183,6 @@
             may_send=self._may_send,
         )
 
-    def _reply_to_new_host(self, message: StatusMessage) -> None:
-        """Send a heartbeat to a host that just started.
-
-        Otherwise it would learn of this host only with the next heartbeat, and
-        wait for the leases that it may have given to this host before.
-        """
-        self._has_new_hosts = True
-        self._sequence += 1
-        self._former.drop(message.name)
-        heartbeat = self._create_heartbeat(self.clock.monotonic())
-        reply = msgspec.structs.replace(
-            heartbeat,
-            divisions=self.planner.export(),
-            dropped=message.started_at,
-        )
-        self.outbox.send_to(reply, message.name)
-
-    def _receive_heartbeat(self, message: StatusMessage, sender: str) -> None:
-        now = self.clock.monotonic()
-        is_first = self.cluster.fleet.is_first_heartbeat(message)
-        if message.name not in self.cluster.fleet.names:
-            # Its record has not arrived; the call that waits for it may have
-            # been lost.
-            self.followers.hosts.refresh()
-            if sender and self._first_hosts.is_needed:
-                fetch = self._first_hosts.fetch(message.name, sender)
-                self.tasks.start(fetch)
-        self.heard.note_heartbeat(message)
-        peer = self.cluster.fleet.handle_message(message, now)
-        if is_first or needs_reply(message):
-            self._reply_to_new_host(message)
-        if peer is not None:
-            self.planner.state.limited.merge(message.limits, now)
-            self.cluster.merge_draining(message.draining, message.name, now)
-            # Every host gets the summaries of other regions itself.
-            passes_on = isinstance(message, Heartbeat)
-            self.crashes.merge(message.crashes, now, passes_on=passes_on)
-        if peer is not None and isinstance(message, Heartbeat):
-            self._apply_heartbeat(message, now, is_first=is_first)
-        if peer is not None:
-            fetch_if_behind = self.followers.fetch_if_behind
-            self.tasks.start(fetch_if_behind(peer.record, message.versions))
-
-    def _apply_heartbeat(
-        self, message: Heartbeat, now: float, *, is_first: bool
-    ) -> None:
-        """Apply what only hosts of this region tell each other."""
-        self.tokens.note_heartbeat(message, is_first=is_first)
-        self.planner.apply_full_servers(message.full, now)
-        self.planner.adopt(message.divisions)
-        self._former.apply(message)
-
     def _create_heartbeat(self, now: float) -> Heartbeat:
         return Heartbeat(
             name=self.cluster.fleet.own.name,
@@ -256,10 +199,10 @@
             crashes=self.crashes.export(now),
             lost_pools=self.reach.lost_pools,
             is_cut_off=self.reach.is_cut_off,
-            draining=dict(self.cluster.servers.draining.export(now)),
+            draining=_export_draining(self.cluster.servers, now),
             stamp=self.clock.boottime(),
             kept=self.tokens.limits.held.kept,
-            is_unsure=self._former.is_unsure,
+            is_unsure=self.former.is_unsure,
         )
 
     def _create_summary(self, now: float) -> RegionSummary:
@@ -279,7 +222,7 @@
             crashes=self.crashes.export(now),
             relays=list_relays(fleet, now, may_relay=self._may_send),
             lost_pools=() if self.reach.is_cut_off else self.reach.lost_pools,
-            draining=dict(self.cluster.servers.draining.export(now)),
+            draining=_export_draining(self.cluster.servers, now),
         )
 
 
@@ -291,3 +234,15 @@
     loads: Mapping[str, Mapping[str, float]],
 ) -> dict[str, dict[str, float]]:
     return {region: _round_values(load) for region, load in loads.items()}
+
+
+def _export_draining(
+    servers: ServerRegistry, now: float
+) -> dict[str, tuple[int, float]]:
+    """Return the draining servers that other hosts are told."""
+
+    def is_told_by_table(name: str) -> bool:
+        known = servers.find(name)
+        return known is None or known.entry.is_draining
+
+    return dict(servers.draining.export(now, is_told_by_table))
--- a/crocusshunt/front/_host_servers.py
+++ b/crocusshunt/front/_host_servers.py
@@ -20,6 +20,7 @@
 from crocusshunt.front._metrics import MetricsEndpoint
 from crocusshunt.front._pipelining import PipelinedServer
 from crocusshunt.front._ports import MAX_WAIT_S, HostPorts, bind_listener
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front._settings import FrontSettings
 from crocusshunt.http1 import ReadLimits
 
@@ -126,7 +127,7 @@
                 open_datagram_endpoint,
                 settings.ip,
                 settings.internal_port,
-                loop.receive,
+                MessageReceiver(loop).receive,
             ),
         )
 
--- a/crocusshunt/front/_outbox.py
+++ b/crocusshunt/front/_outbox.py
@@ -6,17 +6,18 @@
 from dataclasses import dataclass, field
 
 from crocusshunt.fleet import (
+    MAX_DATAGRAM_BYTES,
     DatagramEndpoint,
     FleetView,
+    Heartbeat,
     HostRecord,
     Message,
+    RegionSummary,
     encode,
+    split_status,
 )
 from crocusshunt.logs import log_event
 
-# What one Ethernet frame carries besides the headers of IPv4 and UDP.
-_FRAME_BYTES = 1_472
-
 
 @dataclass(slots=True)
 class SentMessages:
@@ -39,15 +40,15 @@
         :param count: number of datagrams.
         """
         self.datagrams[kind] += count
-        if size > _FRAME_BYTES:
+        if size > MAX_DATAGRAM_BYTES:
             self.oversized[kind] += count
         largest = self.largest_bytes.get(kind, 0)
         if size <= largest:
             return
         self.largest_bytes[kind] = size
-        if size > _FRAME_BYTES:
+        if size > MAX_DATAGRAM_BYTES:
             log_event(
-                'message over a frame',
+                'message over the bound',
                 logging.WARNING,
                 kind=kind,
                 size=size,
@@ -70,15 +71,23 @@
         """Send a message to hosts; delivery is not guaranteed."""
         if self.endpoint is None:
             return
-        content = encode(message)
-        count = 0
-        for record in records:
-            self.endpoint.send(content, record.ip, record.internal_port)
-            count += 1
-        self.sent.note(type(message).__name__, len(content), count)
+        addresses = [(one.ip, one.internal_port) for one in records]
+        for part in _split(message):
+            content = encode(part)
+            for ip, port in addresses:
+                self.endpoint.send(content, ip, port)
+            kind = type(part).__name__
+            self.sent.note(kind, len(content), len(addresses))
 
     def send_to(self, message: Message, host: str) -> None:
         """Send a message to a host by name; delivery is not guaranteed."""
         peer = self.fleet.peers.get(host)
         if peer is not None:
             self.send(message, (peer.record,))
+
+
+def _split(message: Message) -> Iterable[Message]:
+    """Return the messages of one datagram each that tell a message."""
+    if isinstance(message, (Heartbeat, RegionSummary)):
+        return split_status(message)
+    return (message,)
--- a/crocusshunt/front/tests/_region.py
+++ b/crocusshunt/front/tests/_region.py
@@ -26,6 +26,7 @@
 from crocusshunt.front._localities import LocalityPlanner
 from crocusshunt.front._outbox import Outbox
 from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front._region_loads import RegionLoads
 from crocusshunt.front._retry_watch import RetryWatch
 from crocusshunt.front._server_reach import ServerReach
@@ -142,4 +143,4 @@
         """Deliver a datagram if the receiving host was started."""
         heartbeat_loop = self.region.hosts.get(host)
         if heartbeat_loop is not None:
-            heartbeat_loop.receive(content)
+            MessageReceiver(heartbeat_loop).receive(content)
--- a/crocusshunt/front/tests/test_heartbeats.py
+++ b/crocusshunt/front/tests/test_heartbeats.py
@@ -7,6 +7,7 @@
 from crocusshunt.core import ManualClock
 from crocusshunt.fleet import encode
 from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front.tests._region import RULE, Region, create_record
 
 
@@ -106,8 +107,9 @@
 def test_undecodable_datagrams_are_ignored() -> None:
     region = Region()
     heartbeat_loop = region.start('a1')
-    heartbeat_loop.receive(b'garbage')
-    heartbeat_loop.receive(encode(create_record('a2')))
+    receiver = MessageReceiver(heartbeat_loop)
+    receiver.receive(b'garbage')
+    receiver.receive(encode(create_record('a2')))
     assert not list(_list_heard(heartbeat_loop, region.clock.monotonic()))
 
 
--- a/crocusshunt/front/tests/test_hosts_apart.py
+++ b/crocusshunt/front/tests/test_hosts_apart.py
@@ -13,6 +13,7 @@
 from crocusshunt.core import ManualClock
 from crocusshunt.fleet import DatagramEndpoint
 from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front.tests._region import Region
 
 _NAMES = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
@@ -57,7 +58,7 @@
             return
         receiver = self.network.region.hosts.get(host)
         if receiver is not None:
-            receiver.receive(content)
+            MessageReceiver(receiver).receive(content)
 
 
 @dataclass(slots=True)
--- a/crocusshunt/front/tests/test_odd_datagrams.py
+++ b/crocusshunt/front/tests/test_odd_datagrams.py
@@ -18,9 +18,11 @@
     PartLeases,
     PartRequest,
     RegionSummary,
+    StatusPart,
     TokenReply,
     TokenRequest,
 )
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front.tests._region import RULE, Region
 
 _ROUND_S = 0.5
@@ -62,6 +64,17 @@
         lost_pools=('p',),
         draining={'s2': (17, 0.2)},
     ),
+    StatusPart(
+        name='a2',
+        started_at=2,
+        sequence=5,
+        demand={'court': 5},
+        busy={'p': 3},
+        full={'s1': 4},
+        limits={'s1': (5, 0.1)},
+        draining={'s2': (17, 0.2)},
+        kept=('court',),
+    ),
     TokenRequest('a2', 1, 'court', patience_s=0.1, lease=_STAMP_S),
     TokenReply('a2', 1, 'a1', is_granted=True, wait_s=0.1, stamp=_STAMP_S),
     LeaseNotice('a2', _STAMP_S, ('court',)),
@@ -158,11 +171,11 @@
 ) -> None:
     """Another host is still heard, and the sum of the rates holds."""
     region = _start_region()
-    receiver = region.hosts['a1']
+    receiver = MessageReceiver(region.hosts['a1'])
     for count, (place, value) in enumerate(drawn, start=1):
         receiver.receive(_encode_odd(place, value))
         _check_rates(region, count)
         _run_round(region)
         _check_rates(region, count)
-    live = receiver.cluster.fleet.list_live(region.clock.monotonic())
+    live = receiver.loop.cluster.fleet.list_live(region.clock.monotonic())
     assert 'a3' in [peer.record.name for peer in live]
--- a/crocusshunt/placement/_draining.py
+++ b/crocusshunt/placement/_draining.py
@@ -1,6 +1,6 @@
 """Backend servers that said in a response that they are draining."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from crocusshunt.placement._entries import ServerEntry
@@ -8,6 +8,8 @@
 # A draining server is told to other hosts for so long, and remembered longer.
 _REPORT_S = 60
 _REMEMBER_S = 600
+# All hosts have followed a change of the table after this time.
+_TABLE_S = 6
 _MAX_REPORT_COUNT = 64
 _DECIMAL_COUNT = 2
 _UNKNOWN_START_MS = -1
@@ -50,17 +52,29 @@
         """Tell whether a server is draining; a later start is not."""
         return server.started_ms <= self._find_start(server.name)
 
-    def export(self, now: float) -> DrainingReport:
-        """Return the servers that other hosts are told, the newest first."""
+    def export(
+        self, now: float, is_told_by_table: Callable[[str], bool]
+    ) -> DrainingReport:
+        """Return the servers that other hosts are told, the newest first.
+
+        :param is_told_by_table: whether the table that all hosts follow says
+            of a server that it takes no requests; it needs some time to reach
+            them.
+        """
         newest_first = sorted(
             self._servers.items(),
             key=lambda one: one[1].learned_at,
             reverse=True,
         )
+        times = {True: _TABLE_S, False: _REPORT_S}
+        told = [
+            (name, one)
+            for name, one in newest_first
+            if now - one.learned_at < times[is_told_by_table(name)]
+        ]
         return {
             name: (one.started_ms, round(now - one.learned_at, _DECIMAL_COUNT))
-            for name, one in newest_first[:_MAX_REPORT_COUNT]
-            if now - one.learned_at < _REPORT_S
+            for name, one in told[:_MAX_REPORT_COUNT]
         }
 
     def expire(self, now: float) -> None:
