Let the soak change configurations and servers in series, over narrow links

New kinds of fault: changes-in-series, releases-in-series and narrow-link, and a check configuration-in-force: a route is served at each sound host from 2.5 s after the store acknowledged it; a narrow link is no excuse. Other servers' faults excuse refusals, but no 404. Faults of servers now hit servers that still have an entry: with releases in series most would have hit servers that had left.

--- a/crocusshunt/soak/__init__.py
+++ b/crocusshunt/soak/__init__.py
@@ -3,6 +3,7 @@
 from crocusshunt.soak import (  # noqa: F401
     _end_checks,
     _faults,
+    _series_faults,
     _server_faults,
     _start_faults,
     _store_faults,
--- a/crocusshunt/soak/_checks.py
+++ b/crocusshunt/soak/_checks.py
@@ -4,7 +4,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from crocusshunt.soak import _notice_checks  # noqa: F401
+from crocusshunt.soak import (  # noqa: F401
+    _configuration_checks,
+    _notice_checks,
+)
 from crocusshunt.soak._change_checks import find_late_runs, find_reversals
 from crocusshunt.soak._check_registry import (
     CheckLimits,
--- a/crocusshunt/soak/_load.py
+++ b/crocusshunt/soak/_load.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from crocusshunt.platform import SOURCE_FORMAT
+from crocusshunt.soak._configuration_checks import IN_FORCE_S
 from crocusshunt.soak._pipelined import (
     RawResponse,
     encode_get,
@@ -35,6 +36,22 @@
 _CRASH_SHARE = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class RouteCalls:
+    """Calls of a route that was added, one to each host.
+
+    :param added_at: monotonic time at which the store acknowledged it, in
+        seconds.
+    """
+
+    prefix: str
+    added_at: float
+
+    def is_due(self) -> bool:
+        """Tell whether each host must serve the route by now."""
+        return time.monotonic() >= self.added_at + IN_FORCE_S
+
+
 @dataclass(slots=True)
 class CallMix:
     """What is special about the calls that are sent now.
@@ -42,11 +59,13 @@
     :param key: API key of a customer that may send more than its part.
     :param rushes: times in which it does so and that are not over yet.
     :param crash_paths: paths of calls that crash servers and are repeated.
+    :param route_calls: calls of added routes that are to be sent, by time.
     """
 
     key: str = ''
     rushes: int = 0
     crash_paths: list[str] = field(default_factory=list)
+    route_calls: list[RouteCalls] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -85,6 +104,7 @@
             self._session = session
             while time.monotonic() < self.until:
                 self._start_call()
+                self._start_route_calls()
                 await asyncio.sleep(self.rng.expovariate(calls_per_s))
             await asyncio.gather(*self._tasks)
 
@@ -101,6 +121,19 @@
         else:
             self._start_task(self._send(call))
 
+    def _start_route_calls(self) -> None:
+        """Call the routes that each host must serve by now."""
+        waiting = self.mix.route_calls
+        while waiting and waiting[0].is_due():
+            due = waiting.pop(0)
+            for host in self.hosts:
+                call = self._create_call(host.name, is_idempotent=True)
+                call.prefix = due.prefix
+                call.added_at = due.added_at
+                call.path = 'x'
+                call.key = self.keys[-2]
+                self._start_task(self._send(call))
+
     def _create_call(self, host: str, *, is_idempotent: bool) -> Call:
         self._sent_calls += 1
         call = Call(
@@ -149,13 +182,13 @@
     async def _send(self, call: Call) -> None:
         assert self._session is not None  # noqa: S101
         fronts = {host.name: host.document.front for host in self.hosts}
-        path = 'read' if call.is_idempotent else 'write'
+        path = '/read/' if call.is_idempotent else '/write/'
         method = 'GET' if call.is_idempotent else 'POST'
         body = None if call.is_idempotent else call.request_id.encode()
         try:
             async with self._session.request(
                 method,
-                f'http://{fronts[call.host]}/{path}/{call.path}',
+                f'http://{fronts[call.host]}{call.prefix or path}{call.path}',
                 headers=self._build_headers(call),
                 data=body,
             ) as response:
--- a/crocusshunt/soak/_proxy.py
+++ b/crocusshunt/soak/_proxy.py
@@ -116,10 +116,11 @@
 
     async def _read(self, reader: Reader) -> bytes:
         """Return the next bytes once the link has carried them."""
-        if self.rate is None:
+        rate = self.rate
+        if rate is None:
             return await reader.read(_CHUNK_BYTES)
         content = await reader.read(_NARROW_CHUNK_BYTES)
-        await self.rate.take(len(content))
+        await rate.take(len(content))
         return content
 
     def _drop(self, writers: set[Writer]) -> None:
--- a/crocusshunt/soak/_records.py
+++ b/crocusshunt/soak/_records.py
@@ -49,6 +49,9 @@
     :param key: API key of the caller.
     :param status: HTTP status of the response, 0 without one.
     :param path: rest of its path, after the route's prefix.
+    :param prefix: of its route, empty for the usual ones.
+    :param added_at: when the store acknowledged its route, None for the usual
+        ones.
     """
 
     request_id: str
@@ -60,6 +63,8 @@
     outcome: CallOutcome = CallOutcome.closed
     status: int = 0
     path: str = 'x'
+    prefix: str = ''
+    added_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from crocusshunt.soak._added_routes import AddedRoutes
 from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._load import CallMix
 from crocusshunt.soak._plan import SoakSettings
@@ -68,6 +69,7 @@
     pool: str = 'pool-0'
     mix: CallMix = field(default_factory=CallMix)
     links: ServerLinks = field(default_factory=ServerLinks)
+    added: AddedRoutes = field(default_factory=AddedRoutes)
     _move_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _version: int = 0
     _started_servers: int = 0
@@ -113,6 +115,7 @@
                 kind='non_idempotent',
                 max_attempts=1,
             ),
+            *self.added.describe(self.pool),
         ]
         customers = [
             CustomerDocument('court', tuple(self.keys[:-1])),
@@ -210,7 +213,9 @@
         :param place: fraction of the list of servers, in [0, 1).
         """
         servers = [
-            server for server in self.servers if server.pool == self.pool
+            server
+            for server in self.servers
+            if server.pool == self.pool and server.state
         ]
         return servers[int(place * len(servers))]
 
--- a/crocusshunt/soak/tests/test_checks.py
+++ b/crocusshunt/soak/tests/test_checks.py
@@ -178,6 +178,20 @@
         call.outcome = CallOutcome.unreachable
 
 
+def _call_added_route(records: Records, **changes: object) -> None:
+    call = _make_call(
+        200, 12.6, outcome=CallOutcome.failed, status=404, added_at=10
+    )
+    for name, new in changes.items():
+        setattr(call, name, new)
+    records.calls.append(call)
+
+
+def _refuse_added_route(records: Records) -> None:
+    outcome = CallOutcome.refused
+    _call_added_route(records, outcome=outcome, status=503)
+
+
 def test_no_violation_in_clean_records() -> None:
     assert not find_violations(_make_clean_records(), _LIMITS)
 
@@ -203,6 +217,8 @@
         (_ignore_withdrawal, 'changes-in-force'),
         (_ignore_drain, 'changes-in-force'),
         (_revert_version, 'version-never-reverts'),
+        (_call_added_route, 'configuration-in-force'),
+        (_refuse_added_route, 'configuration-in-force'),
         (_cut_call_at_stop, 'graceful-stop'),
         (_stay_unreachable, 'recovery'),
     ],
@@ -244,6 +260,28 @@
     assert not find_violations(records, _LIMITS)
 
 
+@pytest.mark.parametrize(
+    ('host', 'added_at', 'is_found'),
+    [('h1', 10, False), ('h2', 10, True), ('h2', 10.2, False)],
+)
+def test_added_route_is_served_in_time_at_sound_hosts(
+    host: str, added_at: float, *, is_found: bool
+) -> None:
+    records = _make_clean_records()
+    _call_added_route(records, added_at=added_at)
+    records.fault_intervals.append(FaultInterval('pause-host', host, 9, 12))
+    assert bool(find_violations(records, _LIMITS)) == is_found
+
+
+def test_servers_in_trouble_excuse_refusals_only() -> None:
+    records = _make_clean_records()
+    records.cuts.append(HostCut('h9', 10, 20))
+    _refuse_added_route(records)
+    assert not find_violations(records, _LIMITS)
+    _call_added_route(records)
+    assert find_violations(records, _LIMITS)
+
+
 def test_requests_that_crash_servers_need_not_be_served() -> None:
     records = _make_clean_records()
     for number in range(200, 230):
