Tell a status whose messages have no space for items

Pools that a host doesn't reach can fill the messages of its status. Choosing among no items for less than no space divided by zero, which would have ended the heartbeats. Found by reading; the test failed before (ZeroDivisionError).

--- a/crocusshunt/fleet/_parts.py
+++ b/crocusshunt/fleet/_parts.py
@@ -148,7 +148,8 @@
     told = _FIELDS_BY_NAME[name]
     listed = told.list_items(getattr(message, name))
     items = [_create_item(name, key, content) for key, content in listed]
-    max_bytes = min(told.max_bytes, sum(space.left_bytes))
+    left_bytes = max(0, sum(space.left_bytes))
+    max_bytes = min(told.max_bytes, left_bytes)
     for item in _choose_in_turn(items, max_bytes, message.sequence):
         space.put(item)
 
--- a/crocusshunt/fleet/tests/test_parts.py
+++ b/crocusshunt/fleet/tests/test_parts.py
@@ -110,7 +110,7 @@
     view.put(_SENDER)
     heard_at: float = 0
     longest_s: float = 0
-    for second in range(60):
+    for second in range(300):
         for message in split_status(_create_status(second, 32, 64, 300, 300)):
             if draws.random() >= loss:
                 view.handle_message(message, now=second)
@@ -169,3 +169,10 @@
         view.handle_message(message, now=0)
     heard = view.list_summaries(now=1)[0]
     assert heard.demand == summary.demand
+
+
+def test_status_without_space_for_items_is_still_told() -> None:
+    """An error here would end the heartbeats of the host."""
+    pools = tuple(f'a-pool-with-a-long-name-{one:04}' for one in range(300))
+    status = Heartbeat('a2', 1, 1, True, lost_pools=pools)
+    assert split_status(status)[0].name == 'a2'
