Let only the configuration wait for a near host's copy

Cause: the mend before let any large answer wait 0.5 s at the store for a copy. Answers of the table of servers are large all the time on deployments with hundreds of servers, which write their entries again each 1.5 s, so each of them was late by that, and was given up for whole copies of peers. Now only the table of the configuration waits, whose one row is read whole in any case. The test fails before and passes.

--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -47,6 +47,8 @@
     :param settle_s: time for which removals are deferred after an outage of
         the store, in seconds, since the owners of the removed rows may still
         write them again.
+    :param copies_large: whether a peer's copy of the table takes the place of
+        a large answer of the store.
     :param outage_s: shortest time of failures that counts as an outage, in
         seconds.
     """
@@ -58,6 +60,7 @@
     spacing_s: float = 0
     settle_s: float = 0
     outage_s: float = 1
+    copies_large: bool = False
 
 
 class Follower:
@@ -108,6 +111,11 @@
         """Tell whether the last call to the store failed."""
         return self.availability.is_failing
 
+    @property
+    def is_reading_large(self) -> bool:
+        """Tell whether an answer comes that a peer's copy would replace."""
+        return self.settings.copies_large and self.call.is_reading_large
+
     async def run(self) -> None:
         """Poll the store until cancelled, with backoff after failures."""
         pause = _INITIAL_PAUSE_S
@@ -164,7 +172,7 @@
         if changes.version <= self.image.version:
             return False
         self._publish(self.image.replace(changes))
-        if self.call.is_reading_large:
+        if self.is_reading_large:
             self.call.note_waste()
             self.call.abandon()
         return True
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -67,6 +67,7 @@
                 tables.configuration,
                 wait_s=_POLL_WAIT_S,
                 spacing_s=_CONFIGURATION_SPACING_S,
+                copies_large=True,
             ),
             clock,
             cluster.apply_configuration,
@@ -144,8 +145,8 @@
         wait_s = _WATCH_WAIT_S if is_watcher else _POLL_WAIT_S
         for watched in (self.configuration, self.servers):
             watched.limit_wait(wait_s)
-            may_hold = watched.image.is_known and not is_watcher
-            watched.call.hold_answers(_HOLD_S if may_hold else 0)
+        may_hold = self.configuration.image.is_known and not is_watcher
+        self.configuration.call.hold_answers(_HOLD_S if may_hold else 0)
         for position, follower in enumerate(self.all):
             own = follower.image.version
             lag_s = self._peer_versions.measure_pause(position, own)
@@ -226,7 +227,7 @@
     In seconds. A large answer is not waited for, since a compressed copy is
     here sooner.
     """
-    if follower.call.is_reading_large:
+    if follower.is_reading_large:
         return 0
     if follower.is_failing:
         return _MAX_LAG_WITHOUT_STORE_S
--- a/crocusshunt/front/tests/test_narrow_links.py
+++ b/crocusshunt/front/tests/test_narrow_links.py
@@ -26,6 +26,8 @@
 # A change is to be in force this long after the store acknowledged it.
 _APPLIED_S = 2.5
 _CHECK_S = 0.2
+# A copy of the configuration is waited for longer.
+_COPY_S = 0.4
 _ROUTES = 1_400
 # Bytes a second of a link of 10 Mbit/s.
 _NARROW_BYTES_PER_S = 1_250_000
@@ -236,3 +238,23 @@
     assert watcher.version >= 2
     assert took_s < _APPLIED_S
     assert passed < len(content)
+
+
+async def test_entries_of_servers_do_not_wait_for_a_copy() -> None:
+    """A request reached a server 3.1 s after its entry said that it leaves.
+
+    Entries are written again all the time, so each answer of the store is
+    large, and its rows are news that no copy brings sooner.
+    """
+    rates = (0.1 * _NARROW_BYTES_PER_S, 100 * _NARROW_BYTES_PER_S)
+    async with _play(*rates) as region:
+        servers = region.hosts[1].followers.servers
+        await asyncio.sleep(_APPLIED_S)
+        for number in range(400):
+            region.store.put('servers', f's{number}', b'x' * 400)
+        newest = region.store.version
+        loop = asyncio.get_running_loop()
+        until = loop.time() + _COPY_S
+        while servers.image.version < newest and loop.time() < until:
+            await asyncio.sleep(0.01)
+        assert servers.image.version == newest
