End leases only by a heartbeat of which all parts have come

Callers of one customer got up to twice its rate at two hosts (QUOTA): a keeper that keeps more customers than its first datagram names (about 120) had each heartbeat's first datagram taken for all that it keeps. The hosts that had lent it parts of the other customers' rates used these parts again, beside the keeper, and so did they by a datagram that came before the first one or without it, and always where the names take more than four datagrams.

Cause: the receiver applied the first message, not the assembled status, and a status said that it was whole even if names had been left out.

Leases that are not ended early end by their time. A status that is whole takes no further parts.

--- a/crocusshunt/fleet/_assembly.py
+++ b/crocusshunt/fleet/_assembly.py
@@ -33,9 +33,16 @@
     parts: tuple[StatusPart, ...]
     status: _Status
 
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether all parts have come."""
+        return 1 + len(self.parts) >= self.head.parts
+
     def add(self, part: StatusPart) -> 'AssembledStatus[_Status]':
         """Return this status with a part of it; ignore any other part."""
-        if part in self.parts or part.sequence != self.head.sequence:
+        if self.is_whole or part in self.parts:
+            return self
+        if part.sequence != self.head.sequence:
             return self
         if part.started_at != self.head.started_at:
             return self
--- a/crocusshunt/front/_receiver.py
+++ b/crocusshunt/front/_receiver.py
@@ -94,8 +94,12 @@
         if not is_near:
             return
         self.loop.planner.apply_full_servers(part.full, now)
-        if peer.heartbeat is not None:
-            self.loop.tokens.note_heartbeat(peer.heartbeat, is_first=False)
+        if peer.assembled is not None:
+            self.loop.tokens.note_heartbeat(
+                peer.assembled.status,
+                is_first=False,
+                is_whole=peer.assembled.is_whole,
+            )
 
     def _apply_news(
         self, message: StatusMessage | StatusPart, *, passes_on: bool
@@ -114,7 +118,9 @@
     def _apply_heartbeat(self, message: Heartbeat, *, is_first: bool) -> None:
         """Apply what only hosts of this region tell each other."""
         loop = self.loop
-        loop.tokens.note_heartbeat(message, is_first=is_first)
+        loop.tokens.note_heartbeat(
+            message, is_first=is_first, is_whole=message.parts <= 1
+        )
         now = loop.clock.monotonic()
         loop.planner.apply_full_servers(message.full, now)
         loop.planner.adopt(message.divisions)
