Send notices of leases in messages of one frame each

Callers of customers with small rates got only the parts that their own hosts have: the notice by which a host lends its parts to their keeper was over a frame from about 230 customers a keeper on (1,704 bytes with 300 customers at two hosts), and the network drops it.

Cause: only heartbeats and summaries are told in parts.

A notice is now halved until it fits; each customer of it counts by itself, so a lost half ends or adds nothing else.

--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -24,6 +24,7 @@
     decode_message,
     encode,
 )
+from crocusshunt.fleet._notices import split_notice
 from crocusshunt.fleet._parts import MAX_DATAGRAM_BYTES, split_status
 from crocusshunt.fleet._reaching import (
     choose_relays,
@@ -61,5 +62,6 @@
     'list_reaching',
     'list_relays',
     'open_datagram_endpoint',
+    'split_notice',
     'split_status',
 )
