Let an answer that is coming come to its end

Hosts read a large table from its beginning again when they began to watch the store for their region, when a heartbeat of a host came whose record they lacked (as at each start, for the table of hosts), and when nothing of an answer had come for 0.4 s while peers were ahead.

Cause: limit_wait, refresh and the look for lost calls abandoned a call whether it still waited or already brought its answer.

The stall of 0.4 s within an answer has no test.

A call whose answer has begun is left alone now; without any part for 1 s it fails by itself.

--- a/crocusshunt/feeds/_calls.py
+++ b/crocusshunt/feeds/_calls.py
@@ -41,6 +41,16 @@
         is_under_way = self._task is not None and not self._task.done()
         return is_under_way and self.progress.is_large
 
+    @property
+    def is_receiving(self) -> bool:
+        """Tell whether the answer to the call under way has begun.
+
+        What came of it would be lost if the call were abandoned.
+        """
+        if self._task is None or self._task.done():
+            return False
+        return self.progress.has_begun
+
     async def run(self, call: Coroutine[Any, Any, bool]) -> bool | None:
         """Return the result of a call, None if it was abandoned."""
         self.progress = CallProgress(self._clock, hold_s=self._hold_s)
--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -158,9 +158,12 @@
     def refresh(self) -> None:
         """Abandon a call that waits for changes, and call at once instead.
 
-        Calls that do not wait are left alone: they end soon.
+        Calls that do not wait are left alone: they end soon. So are those whose
+        answer is coming, since it would come anew from its beginning.
         """
-        if not self.is_failing and not self._is_refreshing:
+        if self.is_failing or self.call.is_receiving:
+            return
+        if not self._is_refreshing:
             self._is_refreshing = self.call.abandon()
             self.call.note_waste()
 
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -241,6 +241,6 @@
 
     :param lag_s: how long they have known it, in seconds.
     """
-    if follower.is_failing:
+    if follower.is_failing or follower.call.is_receiving:
         return False
     return min(lag_s, follower.call.quiet_s) > _MAX_CALL_LAG_S
