Read copies of other hosts to their end, and none without end

And a copy without end (512 MB of zeros, compressed to 0.5 MB) took 538 MB of memory.

Cause: one deadline of 2 s for the whole copy, and no limit of its size.

A copy may take up to 10 s, as an answer of the store may, while it comes at 16 KB a second; one that trickles is given up after 2 s as before, so that another host is asked. Over 64 MB it is given up.

--- a/crocusshunt/front/_peer_images.py
+++ b/crocusshunt/front/_peer_images.py
@@ -11,15 +11,41 @@
 from crocusshunt.feeds import Changes, TableImage
 from crocusshunt.logs import log_event
 
-# A copy is lost without any part of it for so long, and late after the second
-# time.
+# A copy is lost without any part of it for so long.
 _PART_TIMEOUT_S = 1
-_MAX_FETCH_S = 2
+# It is given up after the first time if it comes slower than so, since other
+# hosts may send it sooner, and after the second time in any case.
+_MIN_FETCH_S = 2
+_MIN_BYTES_PER_S = 16_384
+_MAX_FETCH_S = 10
+# No table comes near this size.
+_MAX_COPY_BYTES = 67_108_864
 _FETCH_ERRORS = (ClientError, TimeoutError, OSError, *DECODE_ERRORS)
 _STATUS_OK = 200
 _CODING = 'deflate'
 
 
+class _FetchLimit:
+    """Until when a copy is waited for, by what has come of it."""
+
+    def __init__(self) -> None:
+        self._time = asyncio.get_running_loop().time
+        self._started_at = self._time()
+        self._received_bytes = 0
+
+    def note(self, size: int) -> float:
+        """Record that a part came; return the time of the loop to wait until.
+
+        :raises ClientError: if there is more than any table has.
+        """
+        self._received_bytes += size
+        if self._received_bytes > _MAX_COPY_BYTES:
+            raise ClientError('copy without end')
+        allowed_s = _MIN_FETCH_S + self._received_bytes / _MIN_BYTES_PER_S
+        latest = self._started_at + min(_MAX_FETCH_S, allowed_s)
+        return min(latest, self._time() + _PART_TIMEOUT_S)
+
+
 class PeerImages:
     """Fetches copies of tables from other hosts."""
 
@@ -59,16 +85,15 @@
         """Read an answer, however long it takes while parts of it come."""
         if self._session is None:
             self._session = ClientSession()
-        now = asyncio.get_running_loop().time
-        latest = now() + _MAX_FETCH_S
         async with (
             asyncio.timeout(_PART_TIMEOUT_S) as deadline,
             self._session.get(url) as response,
         ):
             if response.status != _STATUS_OK:
                 raise ClientError(f'status {response.status}')
+            limit = _FetchLimit()
             async for part in response.content.iter_any():
-                deadline.reschedule(min(latest, now() + _PART_TIMEOUT_S))
+                deadline.reschedule(limit.note(len(part)))
                 parts.append(part)
 
 
