--- a/crocusshunt/fleet/_parts.py
+++ b/crocusshunt/fleet/_parts.py
@@ -154,8 +154,6 @@
     max_bytes = min(told.max_bytes, left_bytes)
     chosen = _choose_in_turn(items, max_bytes, message.sequence)
     return sum(map(space.put, chosen)) == len(items)
-    chosen = _choose_in_turn(items, max_bytes, message.sequence)
-    return sum(map(space.put, chosen)) == len(items)
 
 
 def _choose_in_turn(
