Fetch a peer's table soon where the own call withholds news, and hold answers longer

Now a host whose call brings nothing for 0.4 s while a peer knows more fetches the peer's copy at once, and not after 1.5 s, which is kept for pauses after news; large answers wait up to 1 s for a copy. The test of the first failed before (no fetch).

--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -28,7 +28,7 @@
 _MAX_CALL_LAG_S = 0.4
 # Time for which a large answer of the store is left there, since a host of the
 # region that watches the store may have a copy sooner.
-_HOLD_S = 0.5
+_HOLD_S = 1
 # Pause after a change, so that the next call returns several at once.
 _CONFIGURATION_SPACING_S = 0.5
 _SERVERS_SPACING_S = 1.3
@@ -231,6 +231,9 @@
         return 0
     if follower.is_failing:
         return _MAX_LAG_WITHOUT_STORE_S
+    if follower.call.quiet_s > _MAX_CALL_LAG_S:
+        # Not a pause after news: the call withholds them.
+        return _MAX_CALL_LAG_S
     return _MAX_LAG_S
 
 
--- a/crocusshunt/front/tests/test_followers.py
+++ b/crocusshunt/front/tests/test_followers.py
@@ -23,6 +23,8 @@
     clock: ManualClock = field(default_factory=ManualClock)
     store: MemoryFeedStore = field(default_factory=MemoryFeedStore)
     fetch: AsyncMock = field(default_factory=AsyncMock)
+    # For how long the call under way has brought nothing.
+    quiet_s: float = 0
 
     async def receive_heartbeats(
         self, *, is_store_down: bool, seconds: float
@@ -38,6 +40,9 @@
         if is_store_down:
             self.store.faults.is_down = True
             await followers.servers.poll()
+        if self.quiet_s:
+            call = Mock(quiet_s=self.quiet_s, is_reading_large=False)
+            followers.servers.call = call
         followers._fetch_image = self.fetch  # type: ignore[method-assign]
         until = self.clock.monotonic() + seconds
         while self.clock.monotonic() <= until:
@@ -68,6 +73,21 @@
     )
 
 
+async def test_host_whose_call_withholds_news_fetches_from_a_peer_soon() -> (
+    None
+):
+    """Its calls for servers were late beside large answers on one link.
+
+    A request reached a server 3.1 s after its entry said that it leaves.
+    """
+    scenario = _Scenario()
+    scenario.quiet_s = 0.5
+    fetches = await scenario.receive_heartbeats(
+        is_store_down=False, seconds=0.5
+    )
+    assert fetches == 1
+
+
 async def test_hosts_of_a_peers_copy_may_not_be_all_hosts() -> None:
     """One that it lacks was not asked to drop the leases of a former start."""
     tables = TableNames('op', 'servers', 'hosts', 'crashes')
