Forget entries of a status after two statuses, and take few parts of one

Rates were divided by the demand of customers that had stopped long before, wherever a part of each status was lost or a status is never whole: entries of the status before were carried on, and on from there. And of a status that announced many parts, as a stranger's datagram may, each was kept and compared with all before it.

Cause: a status was joined with the joined one before it, not with what that one told; the number of parts was as the message said.

A status is joined only with what the one before told by itself. One part lost in a row still costs no entry.

--- a/crocusshunt/fleet/_assembly.py
+++ b/crocusshunt/fleet/_assembly.py
@@ -12,6 +12,7 @@
     StatusMessage,
     StatusPart,
 )
+from crocusshunt.fleet._parts import MAX_PARTS_COUNT
 
 _Status = TypeVar('_Status', Heartbeat, RegionSummary)
 # Fields of a status that tell a state. Those of its other fields that come in
@@ -38,9 +39,16 @@
         """Tell whether all parts have come."""
         return 1 + len(self.parts) >= self.head.parts
 
+    @property
+    def told(self) -> _Status:
+        """Return the status without entries of the one before."""
+        return _join(self.head, (self.head, *self.parts))
+
     def add(self, part: StatusPart) -> 'AssembledStatus[_Status]':
         """Return this status with a part of it; ignore any other part."""
-        if self.is_whole or part in self.parts:
+        if self.is_whole or len(self.parts) >= MAX_PARTS_COUNT:
+            return self
+        if part in self.parts:
             return self
         if part.sequence != self.head.sequence:
             return self
@@ -58,7 +66,8 @@
 ) -> AssembledStatus[_Status]:
     """Return a status of which the first message has come.
 
-    :param before: the last status of the same sender, None without one.
+    :param before: what the last status of the same sender told by itself, so
+        that no entry outlasts two statuses; None without one.
 
     >>> before = Heartbeat('h1', 1, 7, True, demand={'c1': 2, 'c2': 3})
     >>> head = Heartbeat('h1', 1, 8, True, demand={'c1': 4}, parts=2)
--- a/crocusshunt/fleet/_regions.py
+++ b/crocusshunt/fleet/_regions.py
@@ -35,7 +35,7 @@
     def put(self, summary: RegionSummary, now: float) -> None:
         """Record a summary."""
         known = self._states.get(summary.region)
-        before = None if known is None else known.assembled.status
+        before = None if known is None else known.assembled.told
         if before is not None and before.name != summary.name:
             before = None
         assembled = begin_status(summary, before)
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -196,7 +196,8 @@
         known = peer.heartbeat
         if known is not None and _is_older(message, known):
             return None
-        peer.assembled = begin_status(message, known)
+        before = None if peer.assembled is None else peer.assembled.told
+        peer.assembled = begin_status(message, before)
         peer.received_at = now
         return peer
 
