Log the first of each hundred datagrams that are no message

A stranger, or a host of a later build, had a host write a line for each of its datagrams, and its log rotate away what it is kept for.

Evidence: test_ignored_datagrams.py fails on (1,000 lines for 1,000 datagrams). The metric counts them all, as before.

--- a/crocusshunt/front/_heard_hosts.py
+++ b/crocusshunt/front/_heard_hosts.py
@@ -8,6 +8,8 @@
 from crocusshunt.logs import log_event
 
 _MILLISECONDS = 1000
+# Of so many ignored datagrams the first one is logged.
+_LOGGED_COUNT = 100
 
 
 @dataclass(slots=True)
@@ -47,7 +49,13 @@
         :param size: in bytes.
         """
         self.ignored += 1
-        log_event('datagram ignored', logging.WARNING, size=size)
+        if self.ignored % _LOGGED_COUNT == 1:
+            log_event(
+                'datagrams ignored',
+                logging.WARNING,
+                size=size,
+                ignored=self.ignored,
+            )
 
     def log_changes(self, now: float) -> None:
         """Log the changes since the last call.
