Let the soak narrow the ways between hosts, and drop datagrams over a frame

A proxy and a relay of datagrams from each host to each other one; the store names to each host its own ports.

--- a/crocusshunt/soak/_added_routes.py
+++ b/crocusshunt/soak/_added_routes.py
@@ -9,7 +9,7 @@
 from crocusshunt.standin import describe_route
 
 # Routes that nobody calls; the oldest ones leave when there are more.
-_MAX_OTHER_COUNT = 2400
+_MAX_OTHER_COUNT = 4200
 
 
 @dataclass(slots=True)
--- a/crocusshunt/soak/_series_faults.py
+++ b/crocusshunt/soak/_series_faults.py
@@ -11,7 +11,7 @@
 from crocusshunt.soak._system import SoakSystem
 
 _CONFIGURATION_GAPS_S = (0.3, 0.5, 0.7, 1)
-_ROUTE_COUNTS = (200, 400, 800)
+_ROUTE_COUNTS = (300, 700, 1400)
 _RELEASE_GAPS_S = (0.25, 0.35, 0.5)
 # How much longer than the planned time a series goes on.
 _SERIES_S = 3
@@ -73,10 +73,12 @@
 @register_fault('narrow-link')
 async def _narrow_link(system: SoakSystem, planned: PlannedFault) -> None:
     """Let a host's link carry few bytes a second, which it must cope with."""
-    host = pick_host(system, planned)
-    rate = LinkRate(planned.pick(_NARROW_RATES))
-    proxy = system.store_proxies[host.name]
-    proxy.rate = rate
+    host = pick_host(system, planned).name
+    proxy = system.store_proxies[host]
+    if proxy.rate is not None:
+        return
+    proxy.rate = LinkRate(planned.pick(_NARROW_RATES))
+    system.peer_links.change_rate(host, proxy.rate)
     await asyncio.sleep(planned.for_s + _NARROW_S)
-    if proxy.rate is rate:
-        proxy.rate = None
+    proxy.rate = None
+    system.peer_links.change_rate(host, None)
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -9,9 +9,11 @@
 
 from aiohttp import web
 
+from crocusshunt.feeds import Row
 from crocusshunt.soak._added_routes import AddedRoutes
 from crocusshunt.soak._links import ServerLinks
 from crocusshunt.soak._load import CallMix
+from crocusshunt.soak._peer_links import PeerLinks
 from crocusshunt.soak._plan import SoakSettings
 from crocusshunt.soak._processes import PORTS_PER_HOST, HostProcess
 from crocusshunt.soak._proxy import Proxy
@@ -69,6 +71,7 @@
     pool: str = 'pool-0'
     mix: CallMix = field(default_factory=CallMix)
     links: ServerLinks = field(default_factory=ServerLinks)
+    peer_links: PeerLinks = field(default_factory=PeerLinks)
     added: AddedRoutes = field(default_factory=AddedRoutes)
     _move_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _version: int = 0
@@ -101,6 +104,7 @@
         for server in self.servers:
             await server.stop()
         self.links.stop()
+        self.peer_links.stop()
         for runner in self._store_runners:
             await runner.cleanup()
 
@@ -239,7 +243,7 @@
 
     async def _start_store(self, reader: str) -> str:
         """Serve the store to a host; return the address."""
-        translate = partial(self.links.translate, reader)
+        translate = partial(_translate, self, reader)
         application = FeedStoreApplication(self.store, translate).create()
         runner = web.AppRunner(application, shutdown_timeout=0)
         self._store_runners.append(runner)
@@ -261,10 +265,18 @@
             store=proxy.address,
             retry_extra=RETRY_EXTRA_COUNT,
         )
+        await self.peer_links.add(name, document.internal_ports[0])
         host = HostProcess(document, Path(self.settings.workdir))
         self.hosts.append(host)
         host.start()
 
 
+def _translate(system: SoakSystem, reader: str, row: Row) -> Row:
+    """Return a row with the addresses by which a host reaches others."""
+    return system.peer_links.translate(
+        reader, system.links.translate(reader, row)
+    )
+
+
 def _name_host(number: int) -> str:
     return f'h{number}'
