--- a/crocusshunt/soak/_series_faults.py
+++ b/crocusshunt/soak/_series_faults.py
@@ -8,11 +8,14 @@
 from crocusshunt.soak._load import RouteCalls
 from crocusshunt.soak._plan import PlannedFault
 from crocusshunt.soak._registry import register_fault
-from crocusshunt.soak._system import SoakSystem
+from crocusshunt.soak._servers import SoakServer
+from crocusshunt.soak._system import DISCOVERY_S, SoakSystem
 
 _CONFIGURATION_GAPS_S = (0.3, 0.5, 0.7, 1)
 _ROUTE_COUNTS = (300, 700, 1400)
 _RELEASE_GAPS_S = (0.25, 0.35, 0.5)
+# Servers of a pool whose servers are replaced, so that each stays for 3 s.
+_MIN_POOL_COUNT = 12
 # How much longer than the planned time a series goes on.
 _SERIES_S = 3
 # Bytes a second of links of 10 and 20 Mbit/s, and how much longer than the
@@ -23,7 +26,17 @@
 
 @register_fault('changes-in-series')
 async def _change_in_series(system: SoakSystem, planned: PlannedFault) -> None:
-    """Write configurations that grow; one may overlap with another change."""
+    """Write configurations that grow; one may overlap with another change.
+
+    The series itself doesn't overlap with another one.
+    """
+    if system.series_lock.locked():
+        return
+    async with system.series_lock:
+        await _change(system, planned)
+
+
+async def _change(system: SoakSystem, planned: PlannedFault) -> None:
     gap_s = planned.pick(_CONFIGURATION_GAPS_S)
     count = planned.pick(_ROUTE_COUNTS)
     versions = _count_steps(planned, gap_s)
@@ -52,20 +65,40 @@
 
 @register_fault('releases-in-series')
 async def _release_in_series(system: SoakSystem, planned: PlannedFault) -> None:
-    """Replace servers one after the other, the oldest first."""
+    """Replace servers one after the other, the oldest first.
+
+    The pool is large enough for each new one to stay for some seconds.
+    """
+    if system.release_lock.locked():
+        return
+    async with system.release_lock:
+        pool = system.pool
+        while len(_list_ready(system, pool)) < _MIN_POOL_COUNT:
+            await system.add_server(pool)
+        await asyncio.sleep(DISCOVERY_S)
+        await _release(system, planned, pool)
+
+
+async def _release(
+    system: SoakSystem, planned: PlannedFault, pool: str
+) -> None:
     gap_s = planned.pick(_RELEASE_GAPS_S)
     async with asyncio.TaskGroup() as tasks:
         for _ in range(_count_steps(planned, gap_s)):
-            ready = [
-                server
-                for server in system.servers
-                if server.pool == system.pool and server.state == 'ready'
-            ]
-            if ready:
-                tasks.create_task(system.drain_server(ready[0], 0))
+            oldest = _list_ready(system, pool)[0]
+            tasks.create_task(system.drain_server(oldest, 0))
             await asyncio.sleep(gap_s)
 
 
+def _list_ready(system: SoakSystem, pool: str) -> list[SoakServer]:
+    """Return the servers of a pool that stay, oldest first."""
+    return [
+        server
+        for server in system.servers
+        if server.pool == pool and server.state == 'ready'
+    ]
+
+
 def _count_steps(planned: PlannedFault, gap_s: float) -> int:
     return int((planned.for_s + _SERIES_S) / gap_s)
 
--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -46,7 +46,7 @@
 _FAILURE_DOMAINS = ('a1', 'a2', 'b1')
 _MILLISECONDS = 1000
 # Time in which hosts learn of new servers, before routes move to them.
-_SERVER_DISCOVERY_S = 1.5
+DISCOVERY_S = 1.5
 
 
 @dataclass(slots=True)
@@ -58,6 +58,9 @@
     :param keys: API keys in force; the last one is that of the limited
         customer.
     :param pool: pool that the routes lead to.
+    :param added: routes beside those of the usual calls.
+    :param series_lock: held by a series of configurations.
+    :param release_lock: held by a series of releases.
     """
 
     settings: SoakSettings
@@ -73,6 +76,8 @@
     links: ServerLinks = field(default_factory=ServerLinks)
     peer_links: PeerLinks = field(default_factory=PeerLinks)
     added: AddedRoutes = field(default_factory=AddedRoutes)
+    series_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    release_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _move_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _version: int = 0
     _started_servers: int = 0
@@ -145,7 +150,7 @@
             old_pool = self.pool
             pool = f'pool-{self._started_servers}'
             await self.add_servers(pool)
-            await asyncio.sleep(_SERVER_DISCOVERY_S)
+            await asyncio.sleep(DISCOVERY_S)
             self.pool = pool
             self.write_configuration()
             self._record_change(ChangeKind.moved_route, old_pool)
