Read what came in time before a connection is ended as idle or late

Callers saw: a whole request, sent in time on a kept or new connection, got a reset in place of an answer, where the host was busy beyond the end of the connection's idle or header time.

Cause: the product's loop (uvloop) polls, then runs timers. Where what reads one connection blocks the loop, the timers that became due meanwhile run before the loop polls again, and the connection is ended although its request already lies in the socket.

--- a/crocusshunt/front/_connection_times.py
+++ b/crocusshunt/front/_connection_times.py
@@ -40,7 +40,9 @@
     """Ends one connection when its time is over.
 
     A head must be whole within a time of its first byte, or of the moment when
-    it is next on its connection. A connection may be idle for a time.
+    it is next on its connection. A connection may be idle for a time. After a
+    stall, the loop may look at times before it reads what had come; so what is
+    over is ended at a second look, before which the loop has read.
     """
 
     def __init__(
@@ -62,6 +64,8 @@
         self._head_began_at: float | None = None
         self._closing_since: float | None = None
         self._undelivered_since: float | None = None
+        # What was over at the last look.
+        self._due_cause: EndCause | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._schedule(get_limits().header_timeout_s)
 
@@ -95,9 +99,14 @@
         now = self._loop.time()
         limits = self._get_limits()
         cause = self._find_cause(now, limits)
+        is_confirmed = cause is self._due_cause
+        self._due_cause = cause
         if cause is not None:
-            self.stop()
-            self._end(cause)
+            if is_confirmed:
+                self.stop()
+                self._end(cause)
+            else:
+                self._schedule(_MIN_STEP_S)
             return
         step_s = limits.idle_timeout_s * _CHECK_FRACTION
         delay_s = min(limits.header_timeout_s, step_s)
