Let leases of a version, and kept buckets, be told by several messages

Preparation for lease messages that each fit in one frame. A borrower takes the leases of each message at once, and says that it has the version once it has all messages of it; until then it drops none that a missing message may renew. A list of kept buckets may cover a range of names, and then ends no lease of others.

Why no fraction gets two users: the borrower names a version as accepted only when it uses nothing older, and until then the lender counts the largest of what it gave, as before.

--- a/crocusshunt/sharing/__init__.py
+++ b/crocusshunt/sharing/__init__.py
@@ -6,13 +6,15 @@
 from crocusshunt.sharing._buckets import CustomerLimiter, Grant, TokenBucket
 from crocusshunt.sharing._demand import DemandMeter
 from crocusshunt.sharing._keepers import CustomerShare, choose_keeper
-from crocusshunt.sharing._given_leases import GivenLeases
+from crocusshunt.sharing._given_leases import GivenLeases, Loans
 from crocusshunt.sharing._held_leases import HeldLeases
 from crocusshunt.sharing._leases import (
     LEASE_S,
     NO_STAMP,
     NO_VERSION,
+    LeasePart,
     LeaseVersion,
+    NameRange,
 )
 from crocusshunt.sharing._loans import Balance, balance_groups, divide_surplus
 from crocusshunt.sharing._proportions import ProportionLimit, ProportionLimiter
@@ -34,8 +36,11 @@
     'Grant',
     'GroupDemand',
     'HeldLeases',
+    'LeasePart',
     'LeaseVersion',
+    'Loans',
     'MinIntervalLimiter',
+    'NameRange',
     'ProportionLimit',
     'ProportionLimiter',
     'RetryLimit',
--- a/crocusshunt/sharing/_given_leases.py
+++ b/crocusshunt/sharing/_given_leases.py
@@ -4,7 +4,13 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from crocusshunt.sharing._leases import LEASE_S, NO_STAMP, LeaseVersion
+from crocusshunt.sharing._leases import (
+    ALL_NAMES,
+    LEASE_S,
+    NO_STAMP,
+    LeaseVersion,
+    NameRange,
+)
 
 # Without a newer stamp for so long, the borrower is not heard: a lease would
 # end before it arrived.
@@ -128,16 +134,23 @@
         if self.dropped_by.issuperset(hosts):
             self.unknown_until = 0
 
-    def note_kept(self, host: str, stamp: float, kept: Collection[str]) -> None:
+    def note_kept(
+        self,
+        host: str,
+        stamp: float,
+        kept: Collection[str],
+        names: NameRange = ALL_NAMES,
+    ) -> None:
         """End the leases of customers whose bucket a host does not keep.
 
         A host that has just been started keeps none.
 
         :param stamp: time of that host's clock at which it said so.
+        :param names: range of customers of which it said so.
         """
         later = LeaseVersion(math.nextafter(stamp, math.inf))
         for customer, leases in self._customers.items():
-            if customer not in kept:
+            if customer not in kept and names.has(customer):
                 leases.end(host, later)
 
     def note_accepted(self, host: str, version: LeaseVersion) -> None:
--- a/crocusshunt/sharing/_held_leases.py
+++ b/crocusshunt/sharing/_held_leases.py
@@ -3,13 +3,31 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from crocusshunt.sharing._leases import LEASE_S, NO_VERSION, LeaseVersion
+from crocusshunt.sharing._leases import (
+    LEASE_S,
+    NO_VERSION,
+    WHOLE,
+    LeasePart,
+    LeaseVersion,
+)
 
 
 @dataclass(frozen=True, slots=True)
 class _HeldLease:
     fraction: float
-    stamp: float
+    version: LeaseVersion
+
+
+@dataclass(slots=True)
+class _Reading:
+    """Leases of a version, of which not all messages may have come.
+
+    :param has_shrunk: whether any of them is smaller than the one before.
+    """
+
+    version: LeaseVersion
+    parts: set[int] = field(default_factory=set)
+    has_shrunk: bool = False
 
 
 @dataclass(slots=True)
@@ -28,6 +46,7 @@
     # Of the newest leases of each host, and of the newest that replaced all.
     _versions: dict[str, LeaseVersion] = field(default_factory=dict)
     _complete: dict[str, LeaseVersion] = field(default_factory=dict)
+    _readings: dict[str, _Reading] = field(default_factory=dict)
     _dropped_at: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -54,6 +73,7 @@
             leases.pop(host, None)
         self._versions.pop(host, None)
         self._complete.pop(host, None)
+        self._readings.pop(host, None)
         self._dropped_at[host] = now
 
     def accept(
@@ -72,7 +92,7 @@
         if self._is_valid(customer, host, stamp, now):
             self._versions[host] = version
             leases = self._leases.setdefault(customer, {})
-            leases[host] = _HeldLease(1, stamp)
+            leases[host] = _HeldLease(1, version)
 
     def accept_all(
         self,
@@ -80,30 +100,32 @@
         version: LeaseVersion,
         fractions: Mapping[str, float],
         now: float,
+        part: LeasePart = WHOLE,
     ) -> bool:
-        """Accept all leases that a host gives; return whether any shrank.
+        """Accept leases of a host; return whether it has all, and any shrank.
 
-        They replace those that it gave before.
+        Once all messages of the version have come, they replace all that the
+        host gave before.
 
         :param fractions: fraction of its part that it lends, by customer.
+        :param part: place of the message that has these fractions.
         """
-        newest = self._versions.get(host, NO_VERSION)
-        if version <= newest or version.stamp > now:
+        if version.stamp > now:
             return False
         if version.stamp < self._dropped_at.get(host, version.stamp):
             return False
-        self._versions[host] = version
-        self._complete[host] = version
-        has_shrunk = False
-        for customer, leases in self._leases.items():
-            known = leases.pop(host, None)
-            fraction = fractions.get(customer, 0)
-            has_shrunk |= known is not None and fraction < known.fraction
+        reading = self._find_reading(host, version)
+        if reading is None or part.number in reading.parts:
+            return False
+        reading.parts.add(part.number)
         for lent, fraction in fractions.items():
             if self._is_valid(lent, host, version.stamp, now):
-                accepted = self._leases.setdefault(lent, {})
-                accepted[host] = _HeldLease(fraction, version.stamp)
-        return has_shrunk
+                self._put(lent, host, fraction, reading)
+        if len(reading.parts) < part.parts:
+            return False
+        self._drop_older(host, reading)
+        self._complete[host] = version
+        return reading.has_shrunk
 
     def find_complete_version(self, host: str) -> LeaseVersion:
         """Return the version of the leases that replaced all of a host's.
@@ -127,9 +149,41 @@
         return {
             host: lease.fraction
             for host, lease in self._leases.get(customer, {}).items()
-            if lease.fraction and now < lease.stamp + LEASE_S
+            if lease.fraction and now < lease.version.stamp + LEASE_S
         }
 
+    def _find_reading(
+        self, host: str, version: LeaseVersion
+    ) -> _Reading | None:
+        """Return the reading of a version, None if that is not the newest."""
+        newest = self._versions.get(host, NO_VERSION)
+        if version > newest:
+            self._versions[host] = version
+            self._readings[host] = _Reading(version)
+        elif version != newest:
+            return None
+        reading = self._readings.get(host)
+        if reading is None or reading.version != version:
+            return None
+        return reading
+
+    def _put(
+        self, customer: str, host: str, fraction: float, reading: _Reading
+    ) -> None:
+        leases = self._leases.setdefault(customer, {})
+        known = leases.get(host)
+        if known is not None and fraction < known.fraction:
+            reading.has_shrunk = True
+        leases[host] = _HeldLease(fraction, reading.version)
+
+    def _drop_older(self, host: str, reading: _Reading) -> None:
+        """Drop the leases of a host that a newer version does not name."""
+        for leases in self._leases.values():
+            known = leases.get(host)
+            if known is not None and known.version < reading.version:
+                leases.pop(host)
+                reading.has_shrunk |= known.fraction > 0
+
     def _is_valid(
         self, customer: str, host: str, stamp: float, now: float
     ) -> bool:
--- a/crocusshunt/sharing/_leases.py
+++ b/crocusshunt/sharing/_leases.py
@@ -12,6 +12,10 @@
   later.
 * A newer lease replaces those before it. Until the borrower says that it has
   the newer one, or they have ended, the lender counts the largest of them.
+  Where several messages tell the leases of a version, the borrower says so
+  once it has all of these; a lease that none of them names holds until then.
+* A borrower that keeps more buckets than a message has space for tells them by
+  ranges of names, so that a name that is missing is never one that is kept.
 * A borrower that stops to keep a customer's bucket drops the leases, says so,
   and accepts only leases with later stamps should it keep the bucket again.
 * A host that was started again does not know what it lent before. Each host
@@ -46,3 +50,36 @@
 
 
 NO_VERSION = LeaseVersion(NO_STAMP)
+
+
+class LeasePart(NamedTuple):
+    """Place of a message among those that tell all leases of a version.
+
+    :param parts: how many these are.
+    """
+
+    number: int = 0
+    parts: int = 1
+
+
+WHOLE = LeasePart()
+
+
+class NameRange(NamedTuple):
+    """Customers whose names lie in a range.
+
+    :param until: first name behind it, empty if it has no end.
+
+    >>> NameRange('b', 'd').has('b'), NameRange('b', 'd').has('d')
+    (True, False)
+    """
+
+    first: str = ''
+    until: str = ''
+
+    def has(self, name: str) -> bool:
+        """Tell whether a name lies in the range."""
+        return self.first <= name and (not self.until or name < self.until)
+
+
+ALL_NAMES = NameRange()
--- a/crocusshunt/sharing/tests/test_lent_fractions.py
+++ b/crocusshunt/sharing/tests/test_lent_fractions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 from hypothesis import settings
@@ -13,7 +14,9 @@
     NO_STAMP,
     GivenLeases,
     HeldLeases,
+    LeasePart,
     LeaseVersion,
+    NameRange,
 )
 
 _CUSTOMERS = ('court', 'clinic')
@@ -124,6 +127,66 @@
 
         self._send(arrive, is_late=is_late)
 
+    @rule(
+        lender=_NAMES,
+        borrower=_NAMES,
+        fraction=_FRACTIONS,
+        other=_FRACTIONS,
+        are_late=st.tuples(st.booleans(), st.booleans()),
+    )
+    def lend_in_parts(
+        self,
+        lender: str,
+        borrower: str,
+        fraction: float,
+        other: float,
+        are_late: tuple[bool, bool],
+    ) -> None:
+        """Lend fractions of two rates, each told by a message of its own."""
+        if lender == borrower:
+            return
+        wanted = dict(zip(_CUSTOMERS, (fraction, other), strict=True))
+        clock = self.read_clock(lender)
+        loans = self.hosts[lender].given.give_all(borrower, wanted, clock)
+        if loans is None:
+            return
+        for number, customer in enumerate(_CUSTOMERS):
+            lent = loans.fractions.get(customer)
+            told = {} if lent is None else {customer: lent}
+            arrive = partial(
+                self._accept_part,
+                (lender, borrower),
+                loans.version,
+                told,
+                LeasePart(number, len(_CUSTOMERS)),
+            )
+            self._send(arrive, is_late=are_late[number])
+
+    @rule(
+        borrower=_NAMES,
+        lender=_NAMES,
+        customer=_NAMED,
+        is_late=st.booleans(),
+    )
+    def tell_range(
+        self, borrower: str, lender: str, customer: str, *, is_late: bool
+    ) -> None:
+        """Tell a lender of one customer only whether it is kept."""
+        if borrower == lender:
+            return
+        self.now += 0.001
+        stamp = self.read_clock(borrower)
+        held = self.hosts[borrower].held
+        kept = tuple(one for one in held.kept if one == customer)
+        names = NameRange(customer, f'{customer}x')
+
+        def arrive() -> None:
+            given = self.hosts[lender].given
+            given.note_stamp(borrower, stamp, self.read_clock(lender))
+            given.note_kept(borrower, stamp, kept, names)
+
+        self._send(arrive, is_late=is_late)
+
     @rule(lender=_NAMES, keeper=_NAMES, customer=_NAMED, is_late=st.booleans())
     def lend_whole(
         self, lender: str, keeper: str, customer: str, *, is_late: bool
@@ -183,6 +246,18 @@
                     )
                 assert used <= 1 + _ROUNDING, (name, customer, used)
 
+    def _accept_part(
+        self,
+        hosts: tuple[str, str],
+        version: LeaseVersion,
+        fractions: dict[str, float],
+        part: LeasePart,
+    ) -> None:
+        lender, borrower = hosts
+        self.hosts[borrower].held.accept_all(
+            lender, version, fractions, self.read_clock(borrower), part
+        )
+
     def _send(self, message: Message, *, is_late: bool) -> None:
         if is_late:
             self.sent.append(message)
@@ -227,6 +302,35 @@
     assert held.sum_fractions('court', {'h1'}, now=11) == 0.2
 
 
+def test_leases_of_a_version_are_complete_with_its_last_message() -> None:
+    """Until then, what the missing message may renew is still used."""
+    held = HeldLeases()
+    for customer in _CUSTOMERS:
+        held.keep(customer, now=10)
+    first, second = LeaseVersion(11, 1), LeaseVersion(12, 2)
+    held.accept_all('h1', first, dict.fromkeys(_CUSTOMERS, 0.5), now=11)
+    court, clinic = (LeasePart(number, 2) for number in range(2))
+    assert not held.accept_all('h1', second, {'court': 0.2}, 12, court)
+    assert held.find_complete_version('h1') == first
+    assert held.sum_fractions('clinic', {'h1'}, now=12) == 0.5
+    assert not held.accept_all('h1', second, {'court': 0.2}, 12, court)
+    assert held.accept_all('h1', second, {}, 12, clinic)
+    assert held.find_complete_version('h1') == second
+    assert not held.sum_fractions('clinic', {'h1'}, now=12)
+    assert held.sum_fractions('court', {'h1'}, now=12) == 0.2
+
+
+def test_range_of_kept_customers_tells_nothing_of_others() -> None:
+    """A list that was cut ended leases that were still used."""
+    given = GivenLeases()
+    given.note_stamp('h2', 70, now=5)
+    loans = given.give_all('h2', dict.fromkeys(_CUSTOMERS, 1), now=5)
+    assert loans is not None
+    given.note_kept('h2', 71, (), NameRange('clinic', 'court'))
+    assert given.find_own_fraction('clinic', 5) == 1
+    assert given.find_own_fraction('court', 5) == 0
+
+
 def test_whole_part_is_not_lent_beside_a_fraction() -> None:
     given = GivenLeases()
     given.note_stamp('h2', 70, now=5)
