Keep messages about leases within one frame, and never cut a list of kept buckets

Callers would see a customer get more than its rate (QUOTA) where a host keeps more buckets than the first message of its heartbeat has space for (about 100), and 429 within the rate where lease messages pass one frame and are dropped.

Cause: the list of kept buckets was split like other entries of a status, and a host that heard the first message ended its leases of all that it lacked, while the borrower went on with them. PartRequest, PartLeases and LeaseNotice grew with the customers; nothing bounded them. Both have one remedy, so one commit.

Now a host names at most four frames of customers at a time, those first that were not named for the longest time; what is not named is not lent. Kept buckets are told whole or by ranges in which none is missing. Without a whole list, heartbeats and requests have stamp 0, which ends no lease at a host of the former build either; ranges only end leases earlier than their time does.

Price: where names are left out, leases given back by a list may last up to 3.5 s.

--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -5,9 +5,15 @@
     DatagramEndpoint,
     open_datagram_endpoint,
 )
+from crocusshunt.fleet._lease_space import (
+    LeaseTurns,
+    measure_lease_space,
+    measure_name,
+)
 from crocusshunt.fleet._messages import (
     Heartbeat,
     HostRecord,
+    KeptRange,
     LeaseMessage,
     LeaseNotice,
     LeaseRecall,
@@ -40,9 +46,11 @@
     'FleetView',
     'Heartbeat',
     'HostRecord',
+    'KeptRange',
     'LeaseMessage',
     'LeaseNotice',
     'LeaseRecall',
+    'LeaseTurns',
     'LeasesDropped',
     'Message',
     'OwnState',
@@ -61,6 +69,8 @@
     'find_front_addresses',
     'list_reaching',
     'list_relays',
+    'measure_lease_space',
+    'measure_name',
     'open_datagram_endpoint',
     'split_notice',
     'split_status',
--- a/crocusshunt/fleet/_assembly.py
+++ b/crocusshunt/fleet/_assembly.py
@@ -17,7 +17,7 @@
 _Status = TypeVar('_Status', Heartbeat, RegionSummary)
 # Fields of a status that tell a state. Those of its other fields that come in
 # parts are news, which count by themselves.
-_STATE_FIELDS = ('kept', 'busy', 'demand')
+_STATE_FIELDS = ('busy', 'demand')
 
 
 @dataclass(frozen=True, slots=True)
--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -14,9 +14,12 @@
 from crocusshunt.crashes import CrashReport
 
 _MAX_PORT = 65_535
+# More messages than this tell no leases.
+_MAX_PARTS = 255
 
 _Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
 _Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_PartNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PARTS)]
 
 
 class HostRecord(msgspec.Struct, frozen=True):
@@ -62,8 +65,9 @@
     :param draining: backend servers that said to some host that they drain:
         Unix time of the start in milliseconds and seconds since then, by name.
     :param stamp: time of its clock at which it was sent, in seconds; other
-        hosts name it in leases to this one.
-    :param kept: customers whose bucket it keeps.
+        hosts name it in leases to this one. 0 if a :class:`KeptRange` tells
+        it.
+    :param kept: all customers whose bucket it keeps, none without a stamp.
     :param divisions: only in the reply to a host that started: the share of
         objects that this region serves itself, and the weight of a slot of
         each other region for the rest, by pool.
@@ -159,7 +163,6 @@
     crashes: list[CrashReport] = []
     draining: dict[str, tuple[int, float]] = {}
     limits: dict[str, tuple[float | None, float]] = {}
-    kept: tuple[str, ...] = ()
     busy: dict[str, float] = {}
     demand: dict[str, float] = {}
     full: dict[str, int] = {}
@@ -225,6 +228,7 @@
     :param kept: see :class:`Heartbeat`.
     :param accepted: stamp and number of the newest leases of the receiver that
         it has; it uses none of those before.
+    :param has_more: whether another request follows; the last one is answered.
     """
 
     name: str
@@ -232,6 +236,27 @@
     customers: tuple[str, ...]
     kept: tuple[str, ...]
     accepted: tuple[float, int]
+    has_more: bool = False
+
+
+class KeptRange(msgspec.Struct, frozen=True, array_like=True, tag='kept'):
+    """Customers whose bucket a host keeps, of those in a range of names.
+
+    Sent where a :class:`Heartbeat` or :class:`PartRequest` has no space for
+    all of them.
+
+    :param name: the host that sends it.
+    :param stamp: see :class:`Heartbeat`.
+    :param customers: all that it keeps of the range.
+    :param first: first name of the range.
+    :param until: first name behind it, empty if it has no end.
+    """
+
+    name: str
+    stamp: float
+    customers: tuple[str, ...]
+    first: str = ''
+    until: str = ''
 
 
 class PartLeases(msgspec.Struct, frozen=True, array_like=True, tag='part'):
@@ -241,12 +266,16 @@
     :param stamp: stamp of the receiver until a while after which they hold.
     :param number: order of the messages with this stamp.
     :param fractions: fraction of its part that it lends, by customer.
+    :param part: number of this message among those with these leases.
+    :param parts: how many these are.
     """
 
     name: str
     stamp: float
     number: int
     fractions: dict[str, _Fraction]
+    part: _PartNumber = 0
+    parts: _PartNumber = 1
 
 
 class LeaseRecall(msgspec.Struct, frozen=True, array_like=True, tag='recall'):
@@ -275,7 +304,12 @@
 
 StatusMessage = Heartbeat | RegionSummary
 LeaseMessage = (
-    LeaseNotice | PartRequest | PartLeases | LeaseRecall | LeasesDropped
+    LeaseNotice
+    | PartRequest
+    | KeptRange
+    | PartLeases
+    | LeaseRecall
+    | LeasesDropped
 )
 Message = StatusMessage | StatusPart | TokenRequest | TokenReply | LeaseMessage
 
--- a/crocusshunt/fleet/_parts.py
+++ b/crocusshunt/fleet/_parts.py
@@ -56,10 +56,6 @@
     return {one.key: one.content for one in found}
 
 
-def _join_tuple(found: Sequence[_Item]) -> tuple[Any, ...]:
-    return tuple(one.content for one in found)
-
-
 def _join_list(found: Sequence[_Item]) -> list[Any]:
     return [one.content for one in found]
 
@@ -67,11 +63,9 @@
 # What a status has of news, which grows with what happened.
 _NEWS_BYTES = 800
 _STATE_BYTES = MAX_PARTS_COUNT * MAX_DATAGRAM_BYTES
-_KEPT = 'kept'
-# The most urgent first: leases, what keeps requests from servers, then what
-# divides rates and load.
+# The most urgent first: what keeps requests from servers, then what divides
+# rates and load.
 _FIELDS = (
-    _Field(_KEPT, _STATE_BYTES, _list_names, _join_tuple),
     _Field('crashes', _NEWS_BYTES, _list_names, _join_list),
     _Field('draining', _NEWS_BYTES, _list_pairs, _join_pairs),
     _Field('limits', _NEWS_BYTES, _list_pairs, _join_pairs),
@@ -127,12 +121,10 @@
     other = StatusPart(message.name, message.started_at, message.sequence)
     others = (other for _number in range(1, MAX_PARTS_COUNT))
     space = _Space([_measure_space(one) for one in (head, *others)])
-    cut = [name for name in names if not _put_items(space, message, name)]
+    for name in names:
+        _put_items(space, message, name)
     told = [one for one in space.items[1:] if one]
-    # Where a customer that is kept is not named, the status is never whole:
-    # other hosts would use the parts of rates that they lent.
-    parts = 1 + len(told) + (_KEPT in cut)
-    head = msgspec.structs.replace(head, parts=parts)
+    head = msgspec.structs.replace(head, parts=1 + len(told))
     return (
         msgspec.structs.replace(head, **_join(space.items[0])),
         *(msgspec.structs.replace(other, **_join(one)) for one in told),
@@ -145,15 +137,16 @@
     return MAX_DATAGRAM_BYTES - reserved - len(encode(message))
 
 
-def _put_items(space: _Space, message: StatusMessage, name: str) -> bool:
-    """Put the items of a field that are told this time; return if all are."""
+def _put_items(space: _Space, message: StatusMessage, name: str) -> None:
+    """Put the items of a field that are told this time."""
     told = _FIELDS_BY_NAME[name]
     listed = told.list_items(getattr(message, name))
     items = [_create_item(name, key, content) for key, content in listed]
     left_bytes = max(0, sum(space.left_bytes))
     max_bytes = min(told.max_bytes, left_bytes)
     chosen = _choose_in_turn(items, max_bytes, message.sequence)
-    return sum(map(space.put, chosen)) == len(items)
+    for item in chosen:
+        space.put(item)
 
 
 def _choose_in_turn(
--- a/crocusshunt/front/_borrowing.py
+++ b/crocusshunt/front/_borrowing.py
@@ -1,12 +1,22 @@
 """Leases of other hosts' parts of rates to this one."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from crocusshunt.core import Clock
-from crocusshunt.fleet import LeaseNotice, PartLeases, PartRequest
+from crocusshunt.fleet import (
+    LeaseNotice,
+    LeaseTurns,
+    PartLeases,
+    PartRequest,
+    measure_lease_space,
+)
+from crocusshunt.front._kept_customers import KeptCustomers
 from crocusshunt.front._lending import Send
 from crocusshunt.front._limits import SharedLimits
-from crocusshunt.sharing import LeaseVersion
+from crocusshunt.sharing import NO_STAMP, LeasePart, LeaseVersion
 
 
 @dataclass(slots=True)
@@ -19,7 +29,15 @@
     limits: SharedLimits
     clock: Clock
     send: Send
+    kept: KeptCustomers = field(init=False)
     _asked: frozenset[str] = frozenset()
+    _turns: LeaseTurns = field(default_factory=LeaseTurns)
+
+    def __post_init__(self) -> None:
+        """Create the part that depends on the others."""
+        self.kept = KeptCustomers(
+            self.limits.own_name, self.limits.held, self.clock
+        )
 
     def send_requests(self) -> None:
         """Ask for what the plans have, once each heartbeat.
@@ -30,8 +48,10 @@
         for customer, plan in self.limits.plans.items():
             for host in plan.lenders:
                 wanted.setdefault(host, []).append(customer)
-        for host in sorted(self._asked.union(wanted)):
-            self._send_request(host, tuple(wanted.get(host, ())))
+        asked = sorted(self._asked.union(wanted))
+        self._send_range(asked)
+        for host in asked:
+            self._send_request(host, wanted.get(host, ()))
         self._asked = frozenset(wanted)
 
     def handle_parts(self, leases: PartLeases) -> None:
@@ -41,6 +61,7 @@
             LeaseVersion(leases.stamp, leases.number),
             leases.fractions,
             self.clock.boottime(),
+            LeasePart(leases.part, leases.parts),
         )
         if has_shrunk:
             # It may use the rest as soon as it knows that this host does not.
@@ -52,13 +73,29 @@
         for customer in notice.customers:
             self.limits.held.accept(customer, notice.name, notice.stamp, now)
 
-    def _send_request(self, host: str, customers: tuple[str, ...]) -> None:
-        held = self.limits.held
+    def _send_range(self, lenders: Iterable[str]) -> None:
+        """Tell other hosts a range of what is kept, if all is too much."""
+        stamp, _kept = self.kept.tell()
+        if stamp != NO_STAMP or not self.limits.held.kept:
+            return
+        fleet = self.limits.cluster.fleet
+        near = [record.name for record in fleet.same_region_hosts]
+        told = self.kept.tell_range()
+        for host in sorted({*near, *lenders}):
+            self.send(told, host)
+
+    def _send_request(self, host: str, customers: Iterable[str]) -> None:
+        """Ask a host for fractions, in as many messages as needed."""
+        stamp, kept = self.kept.tell()
         request = PartRequest(
             self.limits.own_name,
-            self.clock.boottime(),
-            customers,
-            held.kept,
-            held.find_complete_version(host),
+            stamp,
+            (),
+            kept,
+            self.limits.held.find_complete_version(host),
         )
-        self.send(request, host)
+        space = measure_lease_space(request)
+        parts = self._turns.split(host, customers, space) or [()]
+        for left, part in zip(reversed(range(len(parts))), parts, strict=True):
+            told = replace(request, customers=part, has_more=left > 0)
+            self.send(told, host)
--- a/crocusshunt/front/_heartbeats.py
+++ b/crocusshunt/front/_heartbeats.py
@@ -184,6 +184,7 @@
         )
 
     def _create_heartbeat(self, now: float) -> Heartbeat:
+        stamp, kept = self.tokens.borrowing.kept.tell()
         return Heartbeat(
             name=self.cluster.fleet.own.name,
             started_at=self.started_at,
@@ -200,8 +201,8 @@
             lost_pools=self.reach.lost_pools,
             is_cut_off=self.reach.is_cut_off,
             draining=_export_draining(self.cluster.servers, now),
-            stamp=self.clock.boottime(),
-            kept=self.tokens.limits.held.kept,
+            stamp=stamp,
+            kept=kept,
             is_unsure=self.former.is_unsure,
         )
 
--- a/crocusshunt/front/_lease_messages.py
+++ b/crocusshunt/front/_lease_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from crocusshunt.fleet import (
+    KeptRange,
     LeaseMessage,
     LeaseNotice,
     LeaseRecall,
@@ -36,6 +37,8 @@
                 self.borrowing.handle_notice(message)
             case PartLeases():
                 self.borrowing.handle_parts(message)
+            case KeptRange():
+                self.lending.handle_range(message)
             case PartRequest():
                 self.lending.handle_request(message)
             case LeaseRecall():
--- a/crocusshunt/front/_lending.py
+++ b/crocusshunt/front/_lending.py
@@ -1,15 +1,18 @@
 """Leases of this host's parts of rates to other hosts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from math import inf
 
 from crocusshunt.core import Clock
 from crocusshunt.fleet import (
+    KeptRange,
     LeaseNotice,
+    LeaseTurns,
     Message,
     PartLeases,
     PartRequest,
+    measure_lease_space,
 )
 from crocusshunt.front._limits import SharedLimits
 from crocusshunt.sharing import (
@@ -17,6 +20,8 @@
     CustomerLimiter,
     CustomerShare,
     LeaseVersion,
+    Loans,
+    NameRange,
 )
 
 # A keeper gets a lease if it was not silent for so long: one that is slow
@@ -26,6 +31,8 @@
 _ASKING_S = 2.5
 # Plans that are older are made again before anything is lent.
 _MAX_PLAN_AGE_S = 0.2
+# Of a fraction in a message.
+_FRACTION_BYTES = 9
 
 Send = Callable[[Message, str], None]
 
@@ -45,6 +52,7 @@
     fallback: CustomerLimiter = field(default_factory=CustomerLimiter)
     silent_at: dict[str, float] = field(default_factory=dict)
     _asking: dict[str, dict[str, float]] = field(default_factory=dict)
+    _turns: LeaseTurns = field(default_factory=LeaseTurns)
 
     def lend_whole(self, customer: str, keeper: str) -> float:
         """Lend a whole part to a keeper that replies; return its stamp.
@@ -83,10 +91,19 @@
         given.note_accepted(host, LeaseVersion(*request.accepted))
         for customer in request.customers:
             self._asking.setdefault(customer, {})[host] = now
-        if request.customers:
+        if request.customers and not request.has_more:
             self.limits.renew(self.clock.monotonic(), _MAX_PLAN_AGE_S)
             self._send_parts(host)
 
+    def handle_range(self, told: KeptRange) -> None:
+        """End the leases that a host does not use, of a range of customers."""
+        if told.name not in self.limits.cluster.fleet.peers:
+            return
+        given = self.limits.given
+        given.note_stamp(told.name, told.stamp, self.clock.boottime())
+        names = NameRange(told.first, told.until)
+        given.note_kept(told.name, told.stamp, told.customers, names)
+
     def _is_trusted(self, customer: str, keeper: str) -> bool:
         """Tell whether a keeper gets a part.
 
@@ -100,6 +117,13 @@
         )
 
     def _send_notices(self, keeper: str, customers: list[str]) -> None:
+        """Lend whole parts, as many as messages have space for."""
+        empty = LeaseNotice(self.limits.own_name, self.clock.boottime(), ())
+        space = measure_lease_space(empty)
+        for part in self._turns.split(keeper, customers, space):
+            self._send_notice(keeper, part)
+
+    def _send_notice(self, keeper: str, customers: Iterable[str]) -> None:
         lent: dict[float, list[str]] = {}
         for customer in customers:
             stamp = self.lend_whole(customer, keeper)
@@ -116,13 +140,32 @@
         wanted = self._list_wanted(host)
         if not wanted and not given.has_loans(host, now):
             return
-        loans = given.give_all(host, wanted, now)
+        empty = PartLeases(self.limits.own_name, now, 0, {})
+        space = measure_lease_space(empty)
+        parts = self._turns.split(host, wanted, space, _FRACTION_BYTES)
+        told = {name: wanted[name] for part in parts for name in part}
+        loans = given.give_all(host, told, now)
         if loans is None:
             return
         for customer in loans.fractions:
             self.fallback.release(customer)
-        own = self.limits.own_name
-        self.send(PartLeases(own, *loans.version, loans.fractions), host)
+        self._send_loans(host, loans, parts or [()])
+
+    def _send_loans(
+        self, host: str, loans: Loans, parts: Sequence[Iterable[str]]
+    ) -> None:
+        """Tell a host what it is lent, each part in a message."""
+        lent = loans.fractions
+        for number, names in enumerate(parts):
+            told = {name: lent[name] for name in names if name in lent}
+            leases = PartLeases(
+                self.limits.own_name,
+                *loans.version,
+                told,
+                part=number,
+                parts=len(parts),
+            )
+            self.send(leases, host)
 
     def _list_wanted(self, host: str) -> dict[str, float]:
         """Return the fractions that a host is to have, by customer."""
--- a/crocusshunt/front/_receiver.py
+++ b/crocusshunt/front/_receiver.py
@@ -94,12 +94,6 @@
         if not is_near:
             return
         self.loop.planner.apply_full_servers(part.full, now)
-        if peer.assembled is not None:
-            self.loop.tokens.note_heartbeat(
-                peer.assembled.status,
-                is_first=False,
-                is_whole=peer.assembled.is_whole,
-            )
 
     def _apply_news(
         self, message: StatusMessage | StatusPart, *, passes_on: bool
@@ -118,9 +112,7 @@
     def _apply_heartbeat(self, message: Heartbeat, *, is_first: bool) -> None:
         """Apply what only hosts of this region tell each other."""
         loop = self.loop
-        loop.tokens.note_heartbeat(
-            message, is_first=is_first, is_whole=message.parts <= 1
-        )
+        loop.tokens.note_heartbeat(message, is_first=is_first)
         now = loop.clock.monotonic()
         loop.planner.apply_full_servers(message.full, now)
         loop.planner.adopt(message.divisions)
--- a/crocusshunt/front/_tokens.py
+++ b/crocusshunt/front/_tokens.py
@@ -83,23 +83,17 @@
             return self._take_own_part(customer, share, max_wait_s)
         return Grant(reply.is_granted, reply.wait_s)
 
-    def note_heartbeat(
-        self, heartbeat: Heartbeat, *, is_first: bool, is_whole: bool
-    ) -> None:
+    def note_heartbeat(self, heartbeat: Heartbeat, *, is_first: bool) -> None:
         """Apply what a heartbeat tells of the buckets that its host keeps.
 
         :param is_first: whether it is the first one after a start of its host,
             which then has none of the leases given before.
-        :param is_whole: whether all parts of it have come; without one of them
-            it does not tell which buckets its host does not keep.
         """
         now = self.clock.boottime()
         given = self.limits.given
         given.note_stamp(heartbeat.name, heartbeat.stamp, now)
-        if is_first:
-            given.note_kept(heartbeat.name, heartbeat.stamp, kept=())
-        elif is_whole:
-            given.note_kept(heartbeat.name, heartbeat.stamp, heartbeat.kept)
+        kept = () if is_first else heartbeat.kept
+        given.note_kept(heartbeat.name, heartbeat.stamp, kept)
 
     def put_back(self, customer: str) -> None:
         """Return the token of a request that was not sent.
--- a/crocusshunt/front/tests/test_kept_in_parts.py
+++ b/crocusshunt/front/tests/test_kept_in_parts.py
@@ -2,13 +2,17 @@
 
 import pytest
 
-from crocusshunt.fleet import Heartbeat, decode_message, encode, split_status
+from crocusshunt.core import ManualClock
+from crocusshunt.fleet import Heartbeat, Message, encode, split_status
+from crocusshunt.front._kept_customers import KeptCustomers
 from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front.tests._region import Region
+from crocusshunt.sharing import HeldLeases
 
 _STAMP_S = 70.0
 # Names of so many customers take two and five datagrams.
 _COUNTS = (150, 600)
+_RANGES_COUNT = 6
 _ALL = slice(None)
 _FIRST = slice(1)
 _WITHOUT_FIRST = slice(1, None)
@@ -38,22 +42,29 @@
     count: int,
     arriving: slice = _ALL,
 ) -> None:
-    """Receive the keeper's heartbeat.
+    """Receive what the keeper tells with a heartbeat.
 
     :param arriving: its datagrams that arrive, in their order.
     """
+    clock = ManualClock(_STAMP_S + sequence)
+    held = HeldLeases()
+    for customer in _name_customers(count):
+        held.keep(customer, clock.boottime())
+    kept = KeptCustomers('a2', held, clock)
+    stamp, names = kept.tell()
     heartbeat = Heartbeat(
         'a2',
         started_at=9,
         sequence=sequence,
         is_ready=True,
-        stamp=_STAMP_S + sequence,
-        kept=_name_customers(count),
+        stamp=stamp,
+        kept=names,
     )
-    for message in split_status(heartbeat)[arriving]:
-        decoded = decode_message(encode(message))
-        assert decoded is not None
-        receiver.receive(encode(decoded))
+    told: list[Message] = list(split_status(heartbeat))
+    if not stamp:
+        told += [kept.tell_range() for _number in range(_RANGES_COUNT)]
+    for message in told[arriving]:
+        receiver.receive(encode(message))
 
 
 @pytest.mark.parametrize('count', _COUNTS)
--- a/crocusshunt/front/tests/test_lease_sizes.py
+++ b/crocusshunt/front/tests/test_lease_sizes.py
@@ -1,98 +1,202 @@
-"""Sizes of messages about leases, with many customers."""
+"""Sizes of messages about leases, and the sum of the rates, by customers."""
 
+import random
+from collections import Counter
+from dataclasses import dataclass, field
 from typing import cast
 
-import msgspec
 import pytest
 
 from crocusshunt.catalog import Catalog, CatalogIndex, CustomerRule
-from crocusshunt.fleet import (
-    MAX_DATAGRAM_BYTES,
-    DatagramEndpoint,
-    Heartbeat,
-    decode_message,
-    encode,
-    split_status,
-)
+from crocusshunt.core import ManualClock
+from crocusshunt.fleet import DatagramEndpoint, decode_message
+from crocusshunt.front._heartbeats import HeartbeatLoop
+from crocusshunt.front._receiver import MessageReceiver
 from crocusshunt.front.tests._region import Region
 
-_CUSTOMERS = 300
-_ROUNDS = 6
-_RATE = 100
-# Of such a rate each region has one bucket.
-_SMALL_RATE = 2
-_POOLS = 60
-_REGIONS = 6
+# What one Ethernet frame carries besides the headers of IPv4 and UDP.
+_FRAME_BYTES = 1_472
+_NAMES = ('a1', 'a2', 'a3', 'b1')
+_HEARTBEAT_S = 1
+_ROUNDING = 0.0001
+# In requests a second: each host has a bucket of its own, or one keeps it.
+_DIVIDED_RATE = 40
+_KEPT_RATE = 8
 
 
-class _Frames:
-    """Notes the largest message of each kind, and delivers them all."""
+@dataclass(slots=True)
+class _Datagram:
+    due: float
+    receiver: str
+    content: bytes
 
-    def __init__(self, endpoint: DatagramEndpoint, sizes: dict[str, int]):
-        self._endpoint = endpoint
-        self._sizes = sizes
 
-    def send(self, content: bytes, host: str, port: int) -> None:
-        kind = type(decode_message(content)).__name__
-        self._sizes[kind] = max(len(content), self._sizes.get(kind, 0))
-        self._endpoint.send(content, host, port)
+@dataclass(slots=True)
+class _Network:
+    """Carries what fits in a frame; loses, delays and repeats some of it."""
 
+    region: Region
+    loss: float = 0
+    draws: random.Random = field(default_factory=lambda: random.Random(1))
+    largest: Counter[str] = field(default_factory=Counter)
+    waiting: list[_Datagram] = field(default_factory=list)
 
-def _play(names: tuple[str, ...], rate: float = _RATE) -> dict[str, int]:
-    """Let one host get all requests of all customers."""
-    region = Region(names=names)
-    rules = tuple(
-        CustomerRule(f'cust{number:06}', rate=rate, burst=rate)
-        for number in range(_CUSTOMERS)
+    def send(self, content: bytes, host: str, _port: int) -> None:
+        kind = type(decode_message(content)).__name__
+        self.largest[kind] = max(self.largest[kind], len(content))
+        if len(content) > _FRAME_BYTES or self.draws.random() < self.loss:
+            return
+        now = self.region.clock.monotonic()
+        is_late = self.draws.random() < self.loss
+        self.waiting.append(_Datagram(now, host, content))
+        if is_late:
+            due = now + self.draws.uniform(0, 3)
+            self.waiting.append(_Datagram(due, host, content))
+
+    def deliver(self) -> None:
+        """Deliver what is due, and the answers to it, in any order."""
+        now = self.region.clock.monotonic()
+        while any(one.due <= now for one in self.waiting):
+            due = [one for one in self.waiting if one.due <= now]
+            self.waiting = [one for one in self.waiting if one.due > now]
+            if self.loss:
+                self.draws.shuffle(due)
+            for one in due:
+                receiver = self.region.hosts.get(one.receiver)
+                if receiver is not None:
+                    MessageReceiver(receiver).receive(one.content)
+
+
+@dataclass(slots=True)
+class _Play:
+    """A region whose first host gets nearly all requests of all customers."""
+
+    customers: int
+    rate: float
+    loss: float = 0
+    network: _Network = field(init=False)
+    clock: ManualClock = field(default_factory=ManualClock)
+    used: Counter[str] = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        region = Region(_NAMES, self.clock)
+        self.network = _Network(region, self.loss)
+        for name in _NAMES:
+            loop = region.start(name)
+            rules = tuple(
+                CustomerRule(customer, rate=self.rate, burst=self.rate)
+                for customer in self.names
+            )
+            loop.cluster.index = CatalogIndex(Catalog(1, customers=rules))
+            loop.outbox.endpoint = cast(DatagramEndpoint, self.network)
+
+    @property
+    def names(self) -> list[str]:
+        return [f'cust{number:04}' for number in range(self.customers)]
+
+    def run(self, rounds: int, busy: str = 'a1') -> None:
+        """Run heartbeats, and check the rates after each host's."""
+        for _ in range(rounds):
+            for loop in self.network.region.hosts.values():
+                self.clock.advance(_HEARTBEAT_S / len(_NAMES))
+                self.network.deliver()
+                self._count_demand(busy)
+                loop.run_once()
+                self.network.deliver()
+                self._check_rates()
+            self._count_used(self.network.region.hosts[busy])
+
+    def find_rates(self, loop: HeartbeatLoop) -> dict[str, float]:
+        """Return what a host may use of each rate, in requests a second."""
+        now = self.clock.monotonic()
+        limits = loop.tokens.limits
+        rates: dict[str, float] = {}
+        for name in self.names:
+            share = limits.shares.get(name)
+            if share is None:
+                continue
+            limits.refresh(name, now)
+            if share.keeper in {'', limits.own_name}:
+                rates[name] = limits.customers.rates.get(name, 0)
+            else:
+                own = limits.given.find_own_fraction(name, now)
+                rates[name] = own * share.rate
+        return rates
+
+    def _count_demand(self, busy: str) -> None:
+        now = self.clock.monotonic()
+        demand = self.network.region.hosts[busy].tokens.limits.demand
+        for name in self.names:
+            demand.count(name, now, amount=self.rate / len(_NAMES))
+
+    def _check_rates(self) -> None:
+        total: Counter[str] = Counter()
+        for loop in self.network.region.hosts.values():
+            total.update(self.find_rates(loop))
+        for name, rate in total.items():
+            assert rate <= self.rate + _ROUNDING, (name, rate)
+
+    def _count_used(self, loop: HeartbeatLoop) -> None:
+        equal = self.rate / len(_NAMES)
+        rates = self.find_rates(loop)
+        self.used.update(
+            name for name, rate in rates.items() if rate > 1.2 * equal
+        )
+
+
+@pytest.mark.parametrize('rate', [_DIVIDED_RATE, _KEPT_RATE])
+@pytest.mark.parametrize('customers', [83, 300, 1_000])
+def test_messages_about_leases_fit_in_a_frame(
+    customers: int, rate: float
+) -> None:
+    """They grew with the customers, and the network dropped them."""
+    play = _Play(customers, rate)
+    play.run(6)
+    assert max(play.network.largest.values()) <= _FRAME_BYTES, (
+        play.network.largest
     )
-    sizes: dict[str, int] = {}
-    for name in names:
-        loop = region.start(name)
-        loop.cluster.index = CatalogIndex(Catalog(1, customers=rules))
-        loop.followers.hosts.image.rows[name] = b''  # type: ignore[assignment]
-        endpoint = cast(DatagramEndpoint, loop.outbox.endpoint)
-        loop.outbox.endpoint = cast(DatagramEndpoint, _Frames(endpoint, sizes))
-    for _ in range(_ROUNDS):
-        now = region.clock.monotonic()
-        demand = region.hosts[names[0]].tokens.limits.demand
-        for rule in rules:
-            demand.count(rule.name, now, rate)
-        for loop in region.hosts.values():
-            loop.run_once()
-        region.clock.advance(1)  # type: ignore[attr-defined]
-    return sizes
-
-
-@pytest.mark.parametrize('kind', ['PartRequest', 'PartLeases'])
-@pytest.mark.parametrize(
-    'names', [('a1', 'a2'), ('a1', 'b1')], ids=('near', 'apart')
-)
-def test_messages_about_leases_do_not_grow_with_customers(
-    kind: str, names: tuple[str, ...]
+
+
+@pytest.mark.parametrize('customers', [83, 300, 1_000])
+def test_each_customer_gets_more_than_a_part_where_it_asks(
+    customers: int,
+) -> None:
+    """Also where the messages have no space for all of them."""
+    play = _Play(customers, _DIVIDED_RATE)
+    play.run(12)
+    assert [name for name in play.names if not play.used[name]] == []
+
+
+@pytest.mark.parametrize('rate', [_DIVIDED_RATE, _KEPT_RATE])
+@pytest.mark.parametrize('loss', [0, 0.1, 0.3])
+@pytest.mark.parametrize('customers', [83, 300])
+def test_sum_of_the_rates_holds_with_lost_and_late_messages(
+    customers: int, loss: float, rate: float
 ) -> None:
-    """The network dropped them, and parts of rates went unused."""
-    assert _play(names).get(kind, 0) <= MAX_DATAGRAM_BYTES
-
-
-def test_notices_of_leases_do_not_grow_with_customers() -> None:
-    """The network dropped them, and parts of rates went unused."""
-    sizes = _play(('a1', 'a2'), _SMALL_RATE)
-    assert 0 < sizes['LeaseNotice'] <= MAX_DATAGRAM_BYTES
-
-
-@pytest.mark.parametrize('name', ['pinned', 'divisions'])
-def test_heartbeat_does_not_grow_with_pools_and_regions(name: str) -> None:
-    """The network dropped it, and its host counted as silent."""
-    pools = [f'pool-{number:03}' for number in range(_POOLS)]
-    regions = [f'region-{number}' for number in range(_REGIONS)]
-    contents = {
-        'pinned': {one: dict.fromkeys(pools, 1.25) for one in regions},
-        'divisions': {
-            one: (0.5, dict.fromkeys(regions, 0.25)) for one in pools
-        },
-    }
-    heartbeat = msgspec.structs.replace(
-        Heartbeat('a1', 1, 1, is_ready=True), **{name: contents[name]}
+    """A list of kept buckets that was cut ended leases that were used."""
+    play = _Play(customers, rate, loss)
+    play.run(6)
+    play.run(6, busy='a2')
+    play.run(4, busy='b1')
+
+
+def test_heartbeat_ends_no_lease_that_is_used() -> None:
+    """Its list of kept buckets was cut to fit in its first message."""
+    play = _Play(300, _DIVIDED_RATE)
+    lender, borrower = (play.network.region.hosts[one] for one in _NAMES[:2])
+    now = play.clock.boottime()
+    play.clock.advance(_HEARTBEAT_S)
+    for name in play.names:
+        borrower.tokens.limits.held.keep(name, now)
+    given = lender.tokens.limits.given
+    given.note_stamp('a2', now + _HEARTBEAT_S / 2, now + _HEARTBEAT_S)
+    loans = given.give_all(
+        'a2', dict.fromkeys(play.names, 0.5), now + _HEARTBEAT_S
     )
-    sizes = [len(encode(one)) for one in split_status(heartbeat)]
-    assert max(sizes) <= MAX_DATAGRAM_BYTES
+    assert loans is not None
+    for sent in range(3):
+        borrower.send_heartbeats()
+        borrower.tokens.borrowing.send_requests()
+        play.network.deliver()
+        left = {given.find_own_fraction(one, now + 1) for one in play.names}
+        assert left == {0.5}, sent
--- a/crocusshunt/front/tests/test_odd_datagrams.py
+++ b/crocusshunt/front/tests/test_odd_datagrams.py
@@ -12,6 +12,7 @@
 from crocusshunt.core import ManualClock
 from crocusshunt.fleet import (
     Heartbeat,
+    KeptRange,
     LeaseNotice,
     LeaseRecall,
     LeasesDropped,
@@ -73,13 +74,13 @@
         full={'s1': 4},
         limits={'s1': (5, 0.1)},
         draining={'s2': (17, 0.2)},
-        kept=('court',),
     ),
     TokenRequest('a2', 1, 'court', patience_s=0.1, lease=_STAMP_S),
     TokenReply('a2', 1, 'a1', is_granted=True, wait_s=0.1, stamp=_STAMP_S),
     LeaseNotice('a2', _STAMP_S, ('court',)),
     PartRequest('a2', _STAMP_S, ('court',), ('court',), (_STAMP_S, 1)),
     PartLeases('a2', _STAMP_S, 1000, {'court': 0.5}),
+    KeptRange('a2', _STAMP_S, ('court',), 'a', 'd'),
     LeaseRecall('a2', 5),
     LeasesDropped('a2', 5),
 )
--- a/crocusshunt/front/tests/test_tokens.py
+++ b/crocusshunt/front/tests/test_tokens.py
@@ -71,9 +71,7 @@
             for heartbeat in heartbeats:
                 fleet = service.limits.cluster.fleet
                 if fleet.handle_message(heartbeat, now) is not None:
-                    service.note_heartbeat(
-                        heartbeat, is_first=False, is_whole=True
-                    )
+                    service.note_heartbeat(heartbeat, is_first=False)
             service.limits.divide(now, is_ready=True)
         for name in heard:
             self.services[name].lending.send_leases()
