Drop servers at once that leave while only this host's calls fail, and copy near by

All 50 hosts of the two far regions took their copies of the configuration from one host, front-cpt-a-1, those of the other region by the link between the regions.

Now an outage counts from the last peer's copy, since a store that told a peer something new was not away for its servers; and hosts of other regions are asked for a copy only after 1.5 s. Both tests failed before.

--- a/crocusshunt/feeds/_follower.py
+++ b/crocusshunt/feeds/_follower.py
@@ -99,6 +99,7 @@
         self._is_refreshing = False
         self.availability = StoreAvailability(settings.table, clock)
         self._has_changes = False
+        self._copied_at = float('-inf')
         self._removals = DeferredRemovals(clock)
 
     @property
@@ -175,6 +176,7 @@
         if changes.version <= self.image.version:
             return False
         self._publish(self.image.replace(changes))
+        self._copied_at = self._clock.monotonic()
         if self.is_reading_large:
             self.call.note_waste()
             self.call.abandon()
@@ -201,7 +203,10 @@
         settings = self.settings
         self.call.note_answer()
         failing_s = self.availability.note_answer()
-        settle_s = settings.settle_s if failing_s >= settings.outage_s else 0
+        # A store that told a peer something new was not away for its servers.
+        copied_s = self._clock.monotonic() - self._copied_at
+        is_outage = min(failing_s, copied_s) >= settings.outage_s
+        settle_s = settings.settle_s if is_outage else 0
         if _has_returned(self.image, changes):
             _log_return(settings.table, self.image, changes)
             settle_s = max(settle_s, _RETURN_SETTLE_S)
--- a/crocusshunt/feeds/tests/test_follower.py
+++ b/crocusshunt/feeds/tests/test_follower.py
@@ -95,6 +95,25 @@
     assert ('back', True) not in setup.received_rows
 
 
+async def test_removal_is_passed_on_if_only_this_hosts_calls_failed() -> None:
+    """A request reached a server 3.4 s after its entry was removed.
+
+    The calls were late on a full link, while the store answered a peer.
+    """
+    setup = _FollowerSetup()
+    follower = setup.create_follower()
+    setup.store.put(_TABLE, 'a', b'')
+    await follower.poll()
+    await setup.simulate_outage(follower, seconds=3)
+    setup.store.put(_TABLE, 'b', b'')
+    copied = (await setup.store.read_table(_TABLE)).unwrap()
+    assert follower.apply_peer_image(copied)
+    setup.store.remove(_TABLE, 'a')
+    setup.clock.advance(0.1)
+    await follower.poll()
+    assert setup.received_rows[-1] == ('a', True)
+
+
 async def test_removal_without_an_outage_is_passed_on_at_once() -> None:
     setup = _FollowerSetup()
     follower = setup.create_follower()
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -160,11 +160,17 @@
                 follower.refresh()
 
     async def fetch_if_behind(
-        self, peer: HostRecord, versions: tuple[int, ...]
+        self,
+        peer: HostRecord,
+        versions: tuple[int, ...],
+        *,
+        is_near: bool = True,
     ) -> None:
         """Fetch tables from a peer that has been ahead for too long.
 
         :param versions: of the peer's tables, in the order of ``all``.
+        :param is_near: whether the peer is a host of this region; others are
+            asked later, since their copies take the links between regions.
         """
         peers = self._peer_versions
         for position, (follower, version) in enumerate(zip(self.all, versions)):
@@ -172,7 +178,8 @@
             if not peers.note(position, told=version, own=own):
                 continue
             pause_s = peers.measure_pause(position, own)
-            if version > own and pause_s >= _find_max_lag(follower):
+            max_lag_s = _find_max_lag(follower) if is_near else _MAX_LAG_S
+            if version > own and pause_s >= max_lag_s:
                 peers.note_try(position)
                 await self._fetch_image(peer, position)
 
--- a/crocusshunt/front/_receiver.py
+++ b/crocusshunt/front/_receiver.py
@@ -70,8 +70,12 @@
         self._apply_news(message, passes_on=isinstance(message, Heartbeat))
         if isinstance(message, Heartbeat):
             self._apply_heartbeat(message, is_first=is_first)
-        fetch_if_behind = loop.followers.fetch_if_behind
-        loop.tasks.start(fetch_if_behind(peer.record, message.versions))
+        fetch = loop.followers.fetch_if_behind(
+            peer.record,
+            message.versions,
+            is_near=peer.record.region == fleet.own.region,
+        )
+        loop.tasks.start(fetch)
 
     def _look_for_record(self, message: StatusMessage, sender: str) -> None:
         """Read the table of hosts again, in which a sender's record is missing.
--- a/crocusshunt/front/tests/test_followers.py
+++ b/crocusshunt/front/tests/test_followers.py
@@ -25,6 +25,7 @@
     fetch: AsyncMock = field(default_factory=AsyncMock)
     # For how long the call under way has brought nothing.
     quiet_s: float = 0
+    is_near: bool = True
 
     async def receive_heartbeats(
         self, *, is_store_down: bool, seconds: float
@@ -46,7 +47,7 @@
         followers._fetch_image = self.fetch  # type: ignore[method-assign]
         until = self.clock.monotonic() + seconds
         while self.clock.monotonic() <= until:
-            await followers.fetch_if_behind(_PEER, _NEWER)
+            await followers.fetch_if_behind(_PEER, _NEWER, is_near=self.is_near)
             self.clock.advance(_HEARTBEAT_S)
         return int(self.fetch.await_count)
 
@@ -88,6 +89,13 @@
     assert fetches == 1
 
 
+async def test_host_of_another_region_is_not_asked_for_a_copy_soon() -> None:
+    """Fifty hosts asked one host of another region by the link between them."""
+    scenario = _Scenario(is_near=False, quiet_s=0.5)
+    fetches = await scenario.receive_heartbeats(is_store_down=False, seconds=1)
+    assert fetches == 0
+
+
 async def test_hosts_of_a_peers_copy_may_not_be_all_hosts() -> None:
     """One that it lacks was not asked to drop the leases of a former start."""
     tables = TableNames('op', 'servers', 'hosts', 'crashes')
