Count load that no region may serve as offered to none

A request whose route and customer share no home counted as load that each region may serve ('regions or' took an empty set for all regions), though it reaches no server.

--- a/crocusshunt/placement/_offered_load.py
+++ b/crocusshunt/placement/_offered_load.py
@@ -77,7 +77,7 @@
         :param service_s: expected time of the request in a slot, in seconds.
         :param regions: the only regions that may serve it, None for all.
         """
-        places = regions or ('',)
+        places = ('',) if regions is None else regions
         for region in places:
             load = self._loads.setdefault((pool, region), _Load(now))
             load.slot_seconds += service_s / len(places)
--- a/crocusshunt/placement/tests/test_offered_load.py
+++ b/crocusshunt/placement/tests/test_offered_load.py
@@ -70,3 +70,13 @@
     spare = plan_locality('gauteng', loads).spare
     assert spare is not None
     assert spare['kzn'] == 0
+
+
+def test_load_that_no_region_may_serve_is_offered_to_none() -> None:
+    """It counted as load that each region may serve."""
+    load = OfferedLoad()
+    load.note('p', _SERVICE_S, 0, frozenset())
+    load.note('p', _SERVICE_S, 0, frozenset('a'))
+    load.measure(1)
+    assert not load.averages
+    assert load.pinned == {'a': {'p': pytest.approx(_SERVICE_S)}}
