Send a request only where its arrival and the newest configuration allow it

Seen by callers and servers: a request that waited for a slot, was sent again, whose body was read, or that was passed on, kept the homes, customer and route of its arrival, and reached a server in a region, by a key or by a route that the newest configuration of its own host forbids (HOME, hypothesis 3 of docs/incidents/tables-over-narrow-links.md). A host with a newer configuration answered 401 or 404 to what another host had admitted, and that became the caller's answer (DENIED). Where route and customer have homes, but none in common, the request took a token and had its body read before 503 no-server.

Cause: the admission was made once, on arrival, and nobody asked again.

Mend: front/_renewal.py decides alone: homes of both configurations bind, the key's customer, the route and its pool must still be there, and repeats are allowed if both allow them. It is asked when the body was read, before each choice of a server, and once the connection to a server or another host is open, with no pause between that and the first byte. What isn't allowed any more and was not run is refused with 503 configuration-changed, Retry-After 0.2 s; what may have run ends with what its server said. A host that passes a request on names the newest version that it has, so that an older one doesn't take it. No common home: refused at once as no-common-home, before a token is taken. The admission keeps the number of its version, not its index, so that old versions leave the memory. docs/design/requests-under-way.md has the table.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -10,6 +10,7 @@
 from crocusshunt.front._crash_watch import CrashWatch
 from crocusshunt.front._exchange import Exchanger
 from crocusshunt.front._in_flight import InFlight
+from crocusshunt.front._isolation_watch import IsolationWatch
 from crocusshunt.front._outcomes import (
     CAUSE_STOPPING,
     OTHER_HOST_RETRY_S,
@@ -21,7 +22,11 @@
 from crocusshunt.front._placement import Placer
 from crocusshunt.front._placements import Placement
 from crocusshunt.front._refusals import RefusalAdvisor
-from crocusshunt.front._retry_rules import MIN_REMAINING_S, RetryRules
+from crocusshunt.front._retry_rules import (
+    MIN_REMAINING_S,
+    RetryRules,
+    may_run_again,
+)
 from crocusshunt.front._waiting import SlotWaiters
 from crocusshunt.placement import (
     TrackedServer,
@@ -77,15 +82,10 @@
         fingerprint = pending.template.fingerprint
         is_trial = self._crashes.begin_trial(fingerprint)
         while is_trial or not self._crashes.is_quarantined(fingerprint):
-            self._update_isolation(pending)
-            placement = self._placer.place(pending.request)
-            if not self.can_finish(pending, placement):
-                return self._refuse_late(pending)
+            placement = await self._place(pending, now)
+            if not isinstance(placement, Placement):
+                return placement
             if placement.server is None:
-                refused = self._refuse_if_due(pending, placement, now)
-                if refused is not None:
-                    return refused
-                await self._wait_for_slot(pending, placement)
                 continue
             is_trial = False
             ended = await self._try_server(pending, placement.server, placement)
@@ -110,19 +110,51 @@
             self._clock.monotonic(),
         )
 
+    async def _place(
+        self, pending: PendingRequest, started_at: float
+    ) -> Placement | DispatchResult:
+        """Choose a server, or wait a while until one may have room.
+
+        :param started_at: when the request began to look for a server,
+            monotonic seconds.
+        :return: the result of a request that is sent no more.
+        """
+        withdrawn = self._renew(pending)
+        if withdrawn is not None:
+            return withdrawn
+        _update_isolation(pending, self._crashes.isolation)
+        placement = self._placer.place(pending.request)
+        if not self.can_finish(pending, placement):
+            return self._refuse_late(pending)
+        if placement.server is None:
+            refused = self._refuse_if_due(pending, placement, started_at)
+            if refused is not None:
+                return refused
+            await self._wait_for_slot(pending, placement)
+        return placement
+
     def _refuse_late(self, pending: PendingRequest) -> DispatchResult:
         """Return the result of a request that is sent no more."""
         if pending.last_outcome is not None and pending.executions:
             return self._create_result(pending, pending.last_outcome)
         return Err(refuse_unavailable(CAUSE_STOPPING, OTHER_HOST_RETRY_S))
 
-    def _update_isolation(self, pending: PendingRequest) -> None:
-        request = pending.request
-        fingerprint = pending.template.fingerprint
-        isolation = self._crashes.isolation
-        is_isolated = isolation.is_isolated(fingerprint, request.origin)
-        if request.is_isolated != is_isolated:
-            pending.request = replace(request, is_isolated=is_isolated)
+    def _renew(self, pending: PendingRequest) -> DispatchResult | None:
+        """Apply the newest configuration to a request.
+
+        :return: the result of a request that is sent no more, else None.
+        """
+        renewed = self._placer.renew(pending.request)
+        if isinstance(renewed, Ok):
+            pending.request = renewed.ok_value
+            admission = renewed.ok_value.admission
+            pending.trace.configuration = admission.configuration
+        last = pending.last_outcome
+        if last is None or not pending.executions:
+            return renewed if isinstance(renewed, Err) else None
+        if isinstance(renewed, Ok) and may_run_again(pending):
+            return None
+        return self._create_result(pending, last)
 
     async def _try_server(
         self,
@@ -256,5 +288,15 @@
         return self._advisor.schedule_resend(pending.request, server)
 
 
+def _update_isolation(
+    pending: PendingRequest, isolation: IsolationWatch
+) -> None:
+    request = pending.request
+    fingerprint = pending.template.fingerprint
+    is_isolated = isolation.is_isolated(fingerprint, request.origin)
+    if request.is_isolated != is_isolated:
+        pending.request = replace(request, is_isolated=is_isolated)
+
+
 _RELAYED = frozenset((Verdict.answered, Verdict.failed))
 _TURNED_AWAY = frozenset((Verdict.shed, Verdict.withheld))
--- a/crocusshunt/front/_exchange.py
+++ b/crocusshunt/front/_exchange.py
@@ -17,6 +17,7 @@
 from crocusshunt.front._health_recorder import HealthRecorder
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._renewal import may_go
 from crocusshunt.front._server_reach import ServerReach
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.logs import log_event
@@ -181,7 +182,7 @@
         hold: AnswerHold,
     ) -> UpstreamAnswer:
         entry = server.entry
-        if not self._may_still_send(server):
+        if not self._may_still_send(server, placement_request):
             self._give_back(entry, connection)
             raise WithheldError
         remaining_s = placement_request.final_at - self._clock.monotonic()
@@ -198,10 +199,14 @@
         self._give_back(entry, connection)
         return response
 
-    def _may_still_send(self, server: TrackedServer) -> bool:
-        """Tell whether a server that was chosen still takes requests."""
+    def _may_still_send(
+        self, server: TrackedServer, request: PlacementRequest
+    ) -> bool:
+        """Tell whether a server that was chosen may still get a request."""
         if not self._cluster.servers.is_open(server):
             return False
+        if not may_go(request, server.region, self._cluster.index):
+            return False
         return not self._is_backing_off(server.entry)
 
     def _is_backing_off(self, entry: ServerEntry) -> bool:
--- a/crocusshunt/front/_handler.py
+++ b/crocusshunt/front/_handler.py
@@ -30,6 +30,7 @@
 from crocusshunt.front._placements import PlacementRequest
 from crocusshunt.front._rate_limit import apply_rate_limit
 from crocusshunt.front._relay_outcomes import RELAY_REFUSAL, classify_refusal
+from crocusshunt.front._renewal import excuse, renew_admission
 from crocusshunt.front._responses import (
     create_refusal_response,
     create_response,
@@ -181,22 +182,41 @@
         if isinstance(body_result, Err):
             return body_result
         body = body_result.ok_value
+        try:
+            return await self._deliver(
+                request, request_info, admission, trace, body
+            )
+        finally:
+            release_body(request, body)
+
+    async def _deliver(
+        self,
+        request: web.BaseRequest,
+        request_info: RequestInfo,
+        admission: Admission,
+        trace: RequestTrace,
+        body: bytes | None,
+    ) -> Result[UpstreamAnswer, Refusal]:
+        """Return the result of a request whose body was read.
+
+        :param admission: by the configuration of its arrival.
+        """
+        renewed = renew_admission(admission, self._components.cluster.index)
+        if isinstance(renewed, Err):
+            return renewed
         template = create_template(
-            request, request_info, admission, body, self._names
+            request, request_info, renewed.ok_value, body, self._names
         )
         pending = self._create_pending_request(
-            request_info, admission, trace, template
+            request_info, renewed.ok_value, trace, template
         )
         forwarder = self._components.forwarder
-        try:
-            if trace.relayed_by:
-                return await forwarder.dispatcher.run(pending)
-            return await forwarder.run(
-                pending,
-                lambda: create_relay_template(request, template, self._names),
-            )
-        finally:
-            release_body(request, body)
+        if trace.relayed_by:
+            return await forwarder.dispatcher.run(pending)
+        return await forwarder.run(
+            pending,
+            lambda: create_relay_template(request, template, self._names),
+        )
 
     def _admit(
         self,
@@ -210,6 +230,9 @@
             return Err(refuse_unavailable(CAUSE_OLDER_CONFIGURATION, wait_s))
         trace.record_request(request_info, index)
         admission_result = admit(request_info, index)
+        if isinstance(admission_result, Err) and trace.relayed_by:
+            # The other host admitted it, by an older configuration.
+            return Err(excuse(admission_result.err_value))
         if isinstance(admission_result, Ok):
             trace.record_admission(admission_result.ok_value)
             if not self._components.information.is_complete:
--- a/crocusshunt/front/_outcomes.py
+++ b/crocusshunt/front/_outcomes.py
@@ -10,6 +10,9 @@
 # Cause of a refusal by a host that is to handle a request by a configuration
 # that it does not know yet.
 CAUSE_OLDER_CONFIGURATION = 'older-configuration'
+# Cause of a refusal of a request that the configuration of its arrival allows,
+# and a newer one does not.
+CAUSE_CHANGED = 'configuration-changed'
 # Cause of a refusal by a host that started and does not know enough yet.
 CAUSE_STARTING = 'starting'
 # Cause of a refusal by a host that stops before it could answer.
--- a/crocusshunt/front/_placement.py
+++ b/crocusshunt/front/_placement.py
@@ -4,10 +4,13 @@
 from dataclasses import replace
 from itertools import chain
 
+from result import Result
+
 from crocusshunt.core import Clock
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._cold_servers import ColdServers
 from crocusshunt.front._eligible_servers import EligibleServers
+from crocusshunt.front._outcomes import Refusal
 from crocusshunt.front._placements import (
     CAUSE_BACKOFF,
     CAUSE_ISOLATED,
@@ -15,6 +18,7 @@
     PlacementRequest,
 )
 from crocusshunt.front._placer_state import PlacerState
+from crocusshunt.front._renewal import renew_request
 from crocusshunt.placement import (
     Candidate,
     Choice,
@@ -73,6 +77,12 @@
             request.pool, service_s, now, request.admission.allowed_regions
         )
 
+    def renew(
+        self, request: PlacementRequest
+    ) -> Result[PlacementRequest, Refusal]:
+        """Return a request by what the newest configuration allows, too."""
+        return renew_request(request, self._cluster.index)
+
     def place(self, request: PlacementRequest) -> Placement:
         """Choose a server for a request, or tell when one may have room."""
         placement = self._place(request, self._clock.monotonic())
--- a/crocusshunt/front/_relay.py
+++ b/crocusshunt/front/_relay.py
@@ -14,10 +14,16 @@
 from crocusshunt.front._cluster import ClusterState
 from crocusshunt.front._dispatch import DispatchResult
 from crocusshunt.front._headers import RELAY_VERSION, RELAYED_BY
-from crocusshunt.front._outcomes import NOT_RUN_STATUSES, Refusal, Status
+from crocusshunt.front._outcomes import (
+    CAUSE_CHANGED,
+    NOT_RUN_STATUSES,
+    Refusal,
+    Status,
+)
 from crocusshunt.front._pending import PendingRequest
 from crocusshunt.front._placer_state import PlacerState
 from crocusshunt.front._relay_outcomes import decode_refusal, is_not_taken
+from crocusshunt.front._renewal import may_go
 from crocusshunt.front._settings import HeaderNames
 from crocusshunt.front._trace import RelayRecord
 from crocusshunt.logs import log_event
@@ -85,6 +91,10 @@
         try:
             async with asyncio.timeout(remaining_s):
                 connection = await self._connect(host, pending)
+                if not self._may_go(host, pending):
+                    self._give_back(host, connection)
+                    record.detail = CAUSE_CHANGED
+                    return None
                 request = template.build(self._list_headers(host, pending))
                 response = await connection.exchange(request)
         except NotConnectedError as unreachable:
@@ -102,6 +112,10 @@
         record.detail = 'not taken' if relayed is None else ''
         return relayed
 
+    def _may_go(self, host: HostRecord, pending: PendingRequest) -> bool:
+        """Tell whether the newest configuration lets a host get a request."""
+        return may_go(pending.request, host.region, self.cluster.index)
+
     async def _connect(
         self, host: HostRecord, pending: PendingRequest
     ) -> Connection:
@@ -125,9 +139,16 @@
         return [
             (self.names.deadline_ms, str(int(remaining_s * _MS_PER_S))),
             (RELAYED_BY, self.cluster.fleet.own.name),
-            (RELAY_VERSION, str(pending.trace.configuration)),
+            (RELAY_VERSION, str(self._find_version(pending))),
         ]
 
+    def _find_version(self, pending: PendingRequest) -> int:
+        """Return the version of the configuration that binds at least."""
+        index = self.cluster.index
+        if index is None:
+            return pending.request.admission.configuration
+        return index.catalog.version
+
     def _give_back(self, host: HostRecord, connection: Connection) -> None:
         address = f'{host.ip}:{host.internal_port}'
         self.cluster.connections.give_back(host.name, address, connection)
--- a/crocusshunt/front/_retry_rules.py
+++ b/crocusshunt/front/_retry_rules.py
@@ -34,7 +34,7 @@
             return True
         if outcome.verdict is Verdict.timed_out:
             return False
-        if outcome.may_have_run and not _may_run_again(pending):
+        if outcome.may_have_run and not may_run_again(pending):
             return False
         if outcome.is_connection_lost and not self._is_harmless(pending):
             return False
@@ -53,6 +53,7 @@
     return pending.request.final_at - now <= MIN_REMAINING_S
 
 
-def _may_run_again(pending: PendingRequest) -> bool:
+def may_run_again(pending: PendingRequest) -> bool:
+    """Tell whether a request that may have run may be sent again."""
     route = pending.request.admission.route
     return route.is_idempotent and pending.executions < route.max_attempts
--- a/crocusshunt/front/tests/test_first_requests.py
+++ b/crocusshunt/front/tests/test_first_requests.py
@@ -1,6 +1,7 @@
 """Choice of servers for the first requests of all hosts."""
 
 from collections import Counter
+from unittest.mock import Mock
 
 from crocusshunt.catalog import Catalog, CatalogIndex, RouteRule, Target
 from crocusshunt.core import ManualClock
@@ -44,7 +45,7 @@
     sent: Counter[str] = Counter()
     for number in range(100):
         host = number % len(loops)
-        admission = Admission(_OTHER, None, None, (1, 1))
+        admission = Admission(Mock(), _OTHER, None, None, (1, 1), 1)
         request = PlacementRequest(admission, 'p', f'o{number}', 1, 4)
         placement = placers[host].place(request)
         if placement.server is not None:
--- a/crocusshunt/reports/_explanation.py
+++ b/crocusshunt/reports/_explanation.py
@@ -113,6 +113,14 @@
         'the connection broke after the request was sent',
         'the outcome is unknown; ask the service by the request id',
     ),
+    'configuration-changed': (
+        'its key, route, pool or homes were withdrawn while it was under way',
+        'look for "configuration in force" between its arrival and its end',
+    ),
+    'no-common-home': (
+        'its route and its customer have homes, but none in common',
+        'compare the homes of both in the configuration; correct one of them',
+    ),
     'older-configuration': (
         'another host passed it on by a newer configuration than this one has',
         'look for "configuration in force" with its version on both hosts',
