Take answers of the store that trickle for late, and none without end

A host whose store sent a byte now and then counted as following it for 10 s, and was relied on to watch it for its region, where a whole answer was due in 1.5 s before.

Cause: each part moved the deadline, however small, and sizes had no limit.

After 2 s an answer has to come at 16 KB a second, as a copy of another host; a link of 10 Mbit/s, or a tenth of one, brings it faster. Over 64 MB it is given up.

--- a/crocusshunt/platform/_rows.py
+++ b/crocusshunt/platform/_rows.py
@@ -38,10 +38,15 @@
 # that did not come in time.
 _MAX_READ_TIMEOUT_S = 5
 _TIMEOUT_GROWTH = 1.5
-# An answer that has begun is lost without any part of it for so long, and
-# late after the second time.
+# An answer that has begun is lost without any part of it for so long. It is
+# late after the second time if it comes slower than so, and after the third
+# time in any case.
 _PART_TIMEOUT_S = 1
+_MIN_ANSWER_S = 2
+_MIN_BYTES_PER_S = 16_384
 _MAX_ANSWER_S = 10
+# No answer comes near this size.
+_MAX_ANSWER_BYTES = 67_108_864
 # Only a few calls run at the same time, for reads, writes and feeds together.
 _MAX_CONNECTIONS = 8
 _KEEPALIVE_S = 20
@@ -246,9 +251,15 @@
     if progress is not None and not await progress.begin(size):
         response.close()
         return None
+    slow_at = now() + _MIN_ANSWER_S
+    received = 0
     deadline.reschedule(now() + _PART_TIMEOUT_S)
     async for part in response.content.iter_any():
-        deadline.reschedule(min(latest, now() + _PART_TIMEOUT_S))
+        received += len(part)
+        if received > _MAX_ANSWER_BYTES:
+            raise aiohttp.ClientError('answer without end')
+        late_at = min(latest, slow_at + received / _MIN_BYTES_PER_S)
+        deadline.reschedule(min(late_at, now() + _PART_TIMEOUT_S))
         if progress is not None:
             progress.note(len(part))
         parts.append(part)
