--- a/crocusshunt/soak/_load.py
+++ b/crocusshunt/soak/_load.py
@@ -34,6 +34,9 @@
 _RUSH_SHARE = 0.75
 # Share of the idempotent calls that crash servers, while there are such calls.
 _CRASH_SHARE = 0.2
+# Between calls of an added route to two hosts, so that they are no burst that
+# the servers have to turn away.
+_ROUTE_CALL_SPACING_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,13 +129,21 @@
         waiting = self.mix.route_calls
         while waiting and waiting[0].is_due():
             due = waiting.pop(0)
-            for host in self.hosts:
-                call = self._create_call(host.name, is_idempotent=True)
-                call.prefix = due.prefix
-                call.added_at = due.added_at
-                call.path = 'x'
-                call.key = self.keys[-2]
-                self._start_task(self._send(call))
+            hosts = self.rng.sample(self.hosts, len(self.hosts))
+            for number, host in enumerate(hosts):
+                wait_s = number * _ROUTE_CALL_SPACING_S
+                self._start_task(self._call_route(host.name, due, wait_s))
+
+    async def _call_route(
+        self, host: str, due: RouteCalls, wait_s: float
+    ) -> None:
+        await asyncio.sleep(wait_s)
+        call = self._create_call(host, is_idempotent=True)
+        call.prefix = due.prefix
+        call.added_at = due.added_at
+        call.path = 'x'
+        call.key = self.keys[-2]
+        await self._send(call)
 
     def _create_call(self, host: str, *, is_idempotent: bool) -> Call:
         self._sent_calls += 1
