Look for a server beyond four entries that refuse connections

Callers got 503 not-run-unreachable from ready hosts beside entries in proper form at whose addresses no server is, although servers of the pool were idle.

Cause, two: a request ended after four attempts, also if none had reached a server; and a host took itself for cut off, which ends a request after one attempt, when the four servers that it probed were such entries, at the first failure of a fresh host at once.

Now attempts that reached no server don't count for 1 s, which entries that refuse take little of; those that don't answer take 0.7 s each, so four end as before. A host also probes servers that have answered, and its silence begins with the first failure.

test_dead_entries failed before (30 of 30 refused; cut off) and passes.

Run: front/tests of reach, dead entries, retry limit, relay, back-offs, hosts without servers, lost reads, starts of traffic, limited servers, and placement: green.

--- a/crocusshunt/front/_dispatch.py
+++ b/crocusshunt/front/_dispatch.py
@@ -203,6 +203,8 @@
         now = self._clock.monotonic()
         if pending.request.final_at - now <= MIN_REMAINING_S:
             return Outcome(Verdict.timed_out, detail='no time left')
+        if not pending.attempts:
+            pending.first_sent_at = now
         pending.attempts += 1
         pending.trace.record_attempt(server, placement, now)
         outcome = await self._exchanger.send(
--- a/crocusshunt/front/_retry_rules.py
+++ b/crocusshunt/front/_retry_rules.py
@@ -10,6 +10,9 @@
 from crocusshunt.front._server_reach import ServerReach
 
 _MAX_ATTEMPTS = 4
+# More servers are tried within this time of the first attempt while none is
+# reached: entries whose addresses refuse connections cost little.
+_MAX_SEARCH_S = 1
 # With less time until its deadline, a request is not sent.
 MIN_REMAINING_S = 0.02
 
@@ -48,7 +51,10 @@
 
 def _is_used_up(pending: PendingRequest, now: float) -> bool:
     """Tell whether a request has no attempt or no time left."""
-    if pending.attempts >= _MAX_ATTEMPTS:
+    if pending.arrivals >= _MAX_ATTEMPTS:
+        return True
+    searched_s = now - pending.first_sent_at
+    if pending.attempts >= _MAX_ATTEMPTS and searched_s >= _MAX_SEARCH_S:
         return True
     return pending.request.final_at - now <= MIN_REMAINING_S
 
--- a/crocusshunt/front/_server_probe.py
+++ b/crocusshunt/front/_server_probe.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from crocusshunt.core import rank_by_rendezvous
@@ -10,8 +10,9 @@
 from crocusshunt.placement import TrackedServer
 from crocusshunt.upstream import NotConnectedError
 
-# Servers that are tried before all are taken for unreachable. They are drawn
-# from all pools, since a whole pool may be down.
+# Servers that are tried before all are taken for unreachable, and as many of
+# those that have answered. They are drawn from all pools, since a whole pool
+# may be down.
 _MAX_SERVER_COUNT = 4
 
 
@@ -47,11 +48,17 @@
         }
         if not others:
             return not besides
-        drawn = rank_by_rendezvous(str(next(self._draws)), others)
         found = await asyncio.gather(
-            *(
-                self.is_reachable(others[name])
-                for name in drawn[:_MAX_SERVER_COUNT]
-            )
+            *(self.is_reachable(others[name]) for name in self._draw(others))
         )
         return any(found)
+
+    def _draw(self, names: Iterable[str]) -> set[str]:
+        """Return servers to try: some of all, and some that have answered.
+
+        Most entries may name addresses where no server is.
+        """
+        health = self.cluster.health
+        drawn = rank_by_rendezvous(str(next(self._draws)), names)
+        answered = [name for name in drawn if health.has_answered(name)]
+        return {*drawn[:_MAX_SERVER_COUNT], *answered[:_MAX_SERVER_COUNT]}
--- a/crocusshunt/front/_server_reach.py
+++ b/crocusshunt/front/_server_reach.py
@@ -29,7 +29,7 @@
     tasks: TaskGroup
     clock: Clock
     is_cut_off: bool = False
-    _answered_at: float = float('-inf')
+    _silent_since: float | None = None
     _is_checking: bool = False
 
     @property
@@ -44,10 +44,16 @@
 
     def note_answer(self) -> None:
         """Record that a server answered an attempt."""
-        self._answered_at = self.clock.monotonic()
+        self._silent_since = self.clock.monotonic()
 
     def note_failure(self) -> None:
-        """Check servers after a failed attempt, unless one answers soon."""
+        """Check servers after a failed attempt, unless one answers soon.
+
+        At a host that has never had an answer, the silence begins now: the
+        request tries other servers meanwhile.
+        """
+        if self._silent_since is None:
+            self._silent_since = self.clock.monotonic()
         if not self._is_checking:
             self._is_checking = True
             self.tasks.keep('check servers', self._check)
@@ -71,10 +77,10 @@
 
     async def _is_silent(self) -> bool:
         """Tell whether no server answers within a short time."""
-        silent_s = self.clock.monotonic() - self._answered_at
-        known = self._answered_at
+        known = self._silent_since or 0
+        silent_s = self.clock.monotonic() - known
         await asyncio.sleep(max(0, _MAX_SILENCE_S - silent_s))
-        return self._answered_at == known
+        return self._silent_since == known
 
     async def _wait_for_servers(self) -> None:
         """Try servers until one accepts a connection."""
--- a/crocusshunt/placement/_health.py
+++ b/crocusshunt/placement/_health.py
@@ -73,6 +73,7 @@
     :param ejected_until: end of its ejection, monotonic seconds.
     :param is_returning: whether it was unreachable and has not answered
         since.
+    :param has_answered: whether an attempt ever reached it.
     """
 
     failure_share: float = 0
@@ -81,6 +82,7 @@
     unreachable: int = 0
     ejected_until: float = 0
     is_returning: bool = False
+    has_answered: bool = False
 
     def find_share(self, failure: ServerFailure) -> float:
         """Return the share of answers with this kind of failure."""
@@ -126,6 +128,11 @@
         known = self._servers.get(name)
         return known is not None and known.unreachable > 0
 
+    def has_answered(self, name: str) -> bool:
+        """Tell whether a server has answered any attempt of this host."""
+        known = self._servers.get(name)
+        return known is not None and known.has_answered
+
     def forget_unreachable(self) -> None:
         """Use servers again that were ejected because they were unreachable."""
         for health in self._servers.values():
@@ -209,6 +216,7 @@
         """Update the moving averages; ``failure`` is None for a success."""
         is_rejection = failure is ServerFailure.shed
         health.answers += 1
+        health.has_answered = True
         health.rejection_share = _smooth(
             health.rejection_share,
             float(is_rejection),
