--- a/crocusshunt/soak/_system.py
+++ b/crocusshunt/soak/_system.py
@@ -92,7 +92,9 @@
         self.write_configuration()
         await self.add_servers(self.pool)
         # Drawn together: a host's ports are free until its process opens them.
-        ports = draw_free_ports(PORTS_PER_HOST * self.settings.hosts, self.rng)
+        count = PORTS_PER_HOST * self.settings.hosts
+        # Not by the seed: another play of it may run on this machine.
+        ports = draw_free_ports(count, random.Random())
         for number in range(self.settings.hosts):
             first_port = ports[number * PORTS_PER_HOST]
             await self._start_host(_name_host(number), number, first_port)
--- a/crocusshunt/soak/tests/test_soak.py
+++ b/crocusshunt/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short soak test of real processes, and seeds that failed before."""
 
+import asyncio
 from dataclasses import replace
 from pathlib import Path
 
@@ -64,6 +65,20 @@
     assert soak_result.violations == ()
 
 
+async def test_plays_of_one_seed_at_once_do_not_meet(tmp_path: Path) -> None:
+    """Their hosts had the same ports: two runs of CI side by side failed."""
+    workdirs = [tmp_path / name for name in ('one', 'other')]
+    for workdir in workdirs:
+        workdir.mkdir()
+    settings = [
+        replace(_make_settings(7, own), seconds=4, hosts=2, servers=2)
+        for own in workdirs
+    ]
+    for play in await asyncio.gather(*map(run_soak, settings)):
+        assert play.violations == ()
+        assert play.answered
+
+
 def test_plans_of_some_seeds_hold_all_kinds() -> None:
     found = {
         planned.kind
