Split long modules, and keep the rule of late tables apart from reading

The notice that was halved until it fits goes: lists of customers are bounded where they are made. Counts say so in their names. No behaviour changes.

--- a/crocusshunt/bench/_host_messages.py
+++ b/crocusshunt/bench/_host_messages.py
@@ -29,16 +29,16 @@
 _MEASURED = 'a0002'
 _OTHER_REGION = 'b0001'
 _REAL = (_FIRST, _MEASURED, _OTHER_REGION)
-_CUSTOMERS = 83
+_CUSTOMER_COUNT = 83
 _RATE = 100
 _HEARTBEAT_S = 1
-_CHANGES_A_ROUND = 4
+_CHANGE_COUNT = 4
 # Until the measured demand is steady.
-_WARM_ROUNDS = 10
-_MEASURED_ROUNDS = 10
+_WARM_ROUND_COUNT = 10
+_MEASURED_ROUND_COUNT = 10
 _STARTED_MS = 1_700_000_000_000
 # Servers that left stay in the table for so many changes.
-_LEAVING = 8
+_LEAVING_COUNT = 8
 
 
 @dataclass(slots=True)
@@ -105,7 +105,7 @@
         self.region = Region(names, self.clock)
         rules = tuple(
             CustomerRule(f'cust{number:04}', rate=_RATE, burst=_RATE)
-            for number in range(_CUSTOMERS)
+            for number in range(_CUSTOMER_COUNT)
         )
         for name in _REAL:
             loop = self.region.start(name)
@@ -116,14 +116,16 @@
 
     def measure(self, changes: int) -> HostCosts:
         """Play changes, a server that drains and leaves each, then measure."""
-        rounds = changes // _CHANGES_A_ROUND
-        for _ in range(rounds - _WARM_ROUNDS - _MEASURED_ROUNDS):
+        rounds = changes // _CHANGE_COUNT
+        for _ in range(rounds - _WARM_ROUND_COUNT - _MEASURED_ROUND_COUNT):
             self._replace_servers(changes)
             for host in _REAL:
                 self._send(host)
-        for _ in range(_WARM_ROUNDS):
+        for _ in range(_WARM_ROUND_COUNT):
             self._play_round(changes)
-        found = [self._play_round(changes) for _ in range(_MEASURED_ROUNDS)]
+        found = [
+            self._play_round(changes) for _ in range(_MEASURED_ROUND_COUNT)
+        ]
         return HostCosts(
             median(one.sent_bytes for one in found),
             median(one.received_bytes for one in found),
@@ -187,7 +189,7 @@
     def _replace_servers(self, changes: int) -> None:
         """Let a second pass with its changes, until there were so many."""
         self.clock.advance(_HEARTBEAT_S)
-        for _ in range(min(_CHANGES_A_ROUND, changes - self._changes)):
+        for _ in range(min(_CHANGE_COUNT, changes - self._changes)):
             self._replace_server()
 
     def _replace_server(self) -> None:
@@ -199,7 +201,7 @@
             entry = _create_server(self._changes, is_draining=False)
             servers.put(entry, now)
             servers.put(_create_server(self._changes, is_draining=True), now)
-            servers.remove(f'i-{self._changes - _LEAVING:010x}')
+            servers.remove(f'i-{self._changes - _LEAVING_COUNT:010x}')
 
 
 def _create_server(number: int, *, is_draining: bool) -> ServerEntry:
@@ -216,7 +218,7 @@
 
 def _count_demand(loop: HeartbeatLoop) -> None:
     now = loop.clock.monotonic()
-    for number in range(_CUSTOMERS):
+    for number in range(_CUSTOMER_COUNT):
         loop.tokens.limits.demand.count(f'cust{number:04}', now, amount=0.5)
 
 
--- a/crocusshunt/fleet/__init__.py
+++ b/crocusshunt/fleet/__init__.py
@@ -5,6 +5,18 @@
     DatagramEndpoint,
     open_datagram_endpoint,
 )
+from crocusshunt.fleet._host_records import HostRecord, decode_host
+from crocusshunt.fleet._lease_messages import (
+    KeptRange,
+    LeaseMessage,
+    LeaseNotice,
+    LeaseRecall,
+    LeasesDropped,
+    PartLeases,
+    PartRequest,
+    TokenReply,
+    TokenRequest,
+)
 from crocusshunt.fleet._lease_space import (
     LeaseTurns,
     measure_lease_space,
@@ -12,25 +24,13 @@
 )
 from crocusshunt.fleet._messages import (
     Heartbeat,
-    HostRecord,
-    KeptRange,
-    LeaseMessage,
-    LeaseNotice,
-    LeaseRecall,
-    LeasesDropped,
     Message,
-    PartLeases,
-    PartRequest,
     RegionSummary,
     StatusMessage,
     StatusPart,
-    TokenReply,
-    TokenRequest,
-    decode_host,
     decode_message,
     encode,
 )
-from crocusshunt.fleet._notices import split_notice
 from crocusshunt.fleet._parts import MAX_DATAGRAM_BYTES, split_status
 from crocusshunt.fleet._reaching import (
     choose_relays,
@@ -72,6 +72,5 @@
     'measure_lease_space',
     'measure_name',
     'open_datagram_endpoint',
-    'split_notice',
     'split_status',
 )
--- a/crocusshunt/fleet/_addresses.py
+++ b/crocusshunt/fleet/_addresses.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from crocusshunt.fleet._messages import HostRecord
+from crocusshunt.fleet._host_records import HostRecord
 from crocusshunt.fleet._view import FleetView
 
 # With a single address, a caller could send nothing after a failure of that
--- a/crocusshunt/fleet/_lease_space.py
+++ b/crocusshunt/fleet/_lease_space.py
@@ -12,7 +12,7 @@
 # encloses its customers.
 _RESERVED_BYTES = 40
 # Turns to all hosts; who was not named for so long comes first.
-_REMEMBERED_TURNS = 10_000
+_REMEMBERED_TURN_COUNT = 10_000
 
 
 def measure_lease_space(message: msgspec.Struct) -> int:
@@ -69,7 +69,7 @@
 
     def _note(self, host: str, told: Iterable[str]) -> None:
         self._turn += 1
-        oldest = self._turn - _REMEMBERED_TURNS
+        oldest = self._turn - _REMEMBERED_TURN_COUNT
         named = {
             name: turn
             for name, turn in self._named.get(host, {}).items()
--- a/crocusshunt/fleet/_messages.py
+++ b/crocusshunt/fleet/_messages.py
@@ -1,42 +1,14 @@
-"""Messages between hosts, and the record of a host in the store."""
-
-from ipaddress import IPv4Address
-from typing import Annotated
+"""Messages between hosts."""
 
 import msgspec
-from result import Ok
 
-from crocusshunt.core import (
-    DECODE_ERRORS,
-    parse_address,
-    parse_socket_address,
-)
+from crocusshunt.core import DECODE_ERRORS
 from crocusshunt.crashes import CrashReport
-
-_MAX_PORT = 65_535
-# More messages than this tell no leases.
-_MAX_PARTS = 255
-
-_Port = Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
-_Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
-_PartNumber = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PARTS)]
-
-
-class HostRecord(msgspec.Struct, frozen=True):
-    """Record that a host writes to the store at its start.
-
-    :param ip: address at which its internal port is open.
-    :param internal_port: port for messages from other hosts (UDP) and for
-        images, that is copies of tables (TCP).
-    :param front_address: where callers connect, ``ip:port``.
-    """
-
-    name: str
-    ip: str
-    internal_port: _Port
-    front_address: str
-    failure_domain: str
-    region: str
+from crocusshunt.fleet._lease_messages import (
+    LeaseMessage,
+    TokenReply,
+    TokenRequest,
+)
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag='host'):
@@ -168,149 +140,7 @@
     full: dict[str, int] = {}
 
 
-class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
-    """Request for a token to the keeper, the host with a customer's bucket.
-
-    :param name: the host that sends it.
-    :param number: identifies the reply among those to the same host.
-    :param patience_s: longest wait for the token, in seconds.
-    :param lease: stamp of the keeper until a while after which the sender
-        lends its part of the rate, 0 if it does not.
-    """
-
-    name: str
-    number: int
-    customer: str
-    patience_s: float
-    lease: float = 0
-
-
-class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
-    """Reply to a token request.
-
-    :param name: the host that sends it.
-    :param number: number of the request.
-    :param keeper: the host that holds the customer's bucket, as far as the
-        sender knows; another one than the sender is to be asked instead.
-    :param is_granted: whether the token was taken.
-    :param wait_s: time until the token is available, in seconds.
-    :param stamp: see :class:`Heartbeat`.
-    """
-
-    name: str
-    number: int
-    keeper: str
-    is_granted: bool = False
-    wait_s: float = 0
-    stamp: float = 0
-
-
-class LeaseNotice(msgspec.Struct, frozen=True, array_like=True, tag='lend'):
-    """Leases of a host's parts to the keeper that gets this message.
-
-    :param name: the host that sends it.
-    :param stamp: stamp of the keeper until a while after which they hold.
-    :param customers: customers whose part it lends.
-    """
-
-    name: str
-    stamp: float
-    customers: tuple[str, ...]
-
-
-class PartRequest(msgspec.Struct, frozen=True, array_like=True, tag='borrow'):
-    """Request for fractions of a host's parts of rates.
-
-    :param name: the host that sends it.
-    :param stamp: see :class:`Heartbeat`.
-    :param customers: customers of whose rate it needs more; without any, the
-        message only tells what follows, and is not answered.
-    :param kept: see :class:`Heartbeat`.
-    :param accepted: stamp and number of the newest leases of the receiver that
-        it has; it uses none of those before.
-    :param has_more: whether another request follows; the last one is answered.
-    """
-
-    name: str
-    stamp: float
-    customers: tuple[str, ...]
-    kept: tuple[str, ...]
-    accepted: tuple[float, int]
-    has_more: bool = False
-
-
-class KeptRange(msgspec.Struct, frozen=True, array_like=True, tag='kept'):
-    """Customers whose bucket a host keeps, of those in a range of names.
-
-    Sent where a :class:`Heartbeat` or :class:`PartRequest` has no space for
-    all of them.
-
-    :param name: the host that sends it.
-    :param stamp: see :class:`Heartbeat`.
-    :param customers: all that it keeps of the range.
-    :param first: first name of the range.
-    :param until: first name behind it, empty if it has no end.
-    """
-
-    name: str
-    stamp: float
-    customers: tuple[str, ...]
-    first: str = ''
-    until: str = ''
-
-
-class PartLeases(msgspec.Struct, frozen=True, array_like=True, tag='part'):
-    """All leases of a host's parts to the one that gets this message.
-
-    :param name: the host that sends it.
-    :param stamp: stamp of the receiver until a while after which they hold.
-    :param number: order of the messages with this stamp.
-    :param fractions: fraction of its part that it lends, by customer.
-    :param part: number of this message among those with these leases.
-    :param parts: how many these are.
-    """
-
-    name: str
-    stamp: float
-    number: int
-    fractions: dict[str, _Fraction]
-    part: _PartNumber = 0
-    parts: _PartNumber = 1
-
-
-class LeaseRecall(msgspec.Struct, frozen=True, array_like=True, tag='recall'):
-    """Request to drop the leases that a host gave before it was started.
-
-    :param name: the host that sends it.
-    :param started_at: see :class:`Heartbeat`.
-    """
-
-    name: str
-    started_at: int
-
-
-class LeasesDropped(
-    msgspec.Struct, frozen=True, array_like=True, tag='dropped'
-):
-    """Reply that the leases of a host's former starts were dropped.
-
-    :param name: the host that sends it.
-    :param started_at: start of the host that asked for it.
-    """
-
-    name: str
-    started_at: int
-
-
 StatusMessage = Heartbeat | RegionSummary
-LeaseMessage = (
-    LeaseNotice
-    | PartRequest
-    | KeptRange
-    | PartLeases
-    | LeaseRecall
-    | LeasesDropped
-)
 Message = StatusMessage | StatusPart | TokenRequest | TokenReply | LeaseMessage
 
 
@@ -325,29 +155,3 @@
         return msgspec.msgpack.decode(content, type=Message)
     except DECODE_ERRORS:
         return None
-
-
-def decode_host(name: str, content: bytes) -> HostRecord | None:
-    """Decode the record of a host; return None if it is malformed.
-
-    :param name: of the host, which is the key of the row.
-    """
-    try:
-        record = msgspec.json.decode(content, type=HostRecord)
-    except DECODE_ERRORS:
-        return None
-    if record.name != name or not _is_ipv4(record.ip):
-        return None
-    if parse_socket_address(record.front_address).is_err():
-        return None
-    return record
-
-
-def _is_ipv4(text: str) -> bool:
-    """Tell whether a text is an address that the hosts' ports can send to."""
-    parsed = parse_address(text)
-    return (
-        isinstance(parsed, Ok)
-        and str(parsed.ok_value) == text
-        and (isinstance(parsed.ok_value, IPv4Address))
-    )
--- a/crocusshunt/fleet/_parts.py
+++ b/crocusshunt/fleet/_parts.py
@@ -7,11 +7,7 @@
 
 import msgspec
 
-from crocusshunt.fleet._messages import (
-    StatusMessage,
-    StatusPart,
-    encode,
-)
+from crocusshunt.fleet._messages import StatusMessage, StatusPart, encode
 
 # One Ethernet frame carries 1,472 bytes besides the headers of IPv4 and UDP.
 MAX_DATAGRAM_BYTES = 1_400
--- a/crocusshunt/fleet/_reaching.py
+++ b/crocusshunt/fleet/_reaching.py
@@ -1,6 +1,6 @@
 """Hosts that reach backend servers."""
 
-from crocusshunt.fleet._messages import HostRecord
+from crocusshunt.fleet._host_records import HostRecord
 from crocusshunt.fleet._view import FleetView
 
 # Hosts of a region that a summary names, so that it stays small.
--- a/crocusshunt/fleet/_view.py
+++ b/crocusshunt/fleet/_view.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from crocusshunt.fleet._assembly import AssembledStatus, begin_status
+from crocusshunt.fleet._host_records import HostRecord
 from crocusshunt.fleet._messages import (
     Heartbeat,
-    HostRecord,
     RegionSummary,
     StatusMessage,
     StatusPart,
--- a/crocusshunt/front/_followers.py
+++ b/crocusshunt/front/_followers.py
@@ -11,6 +11,11 @@
 )
 from crocusshunt.fleet import HostRecord
 from crocusshunt.front._cluster import ClusterState
+from crocusshunt.front._feed_lags import (
+    FeedState,
+    find_max_lag,
+    withholds_news,
+)
 from crocusshunt.front._peer_images import ImageCopies, PeerImages
 from crocusshunt.front._peer_versions import PeerVersions
 from crocusshunt.front._settings import TableNames
@@ -23,9 +28,6 @@
 # The same at the host that watches the store: it notices a lost call, and the
 # end of an outage, so soon that a later change is followed in time.
 _WATCH_WAIT_S = 0.8
-# A feed that works delivers a change to all hosts within about this time; a
-# call that did not is taken for lost.
-_MAX_CALL_LAG_S = 0.4
 # Time for which a large answer of the store is left there, since a host of the
 # region that watches the store may have a copy sooner.
 _HOLD_S = 1
@@ -36,11 +38,6 @@
 # Entries that expired while the store was unavailable are rewritten within
 # about this time, so their removal is put off for it.
 _SERVERS_SETTLE_S = 2
-# A working feed delivers changes at once; a host that lags behind a peer for
-# longer fetches the table from it.
-_MAX_LAG_S = 1.5
-# A host whose own feed fails waits less, since the store answers its peers.
-_MAX_LAG_WITHOUT_STORE_S = 0.4
 _STATUS_NOT_FOUND = 404
 
 
@@ -60,7 +57,7 @@
         self._images = PeerImages()
         self._copies = ImageCopies()
         # Positions of the tables of which a copy is under way.
-        self._fetched: set[int] = set()
+        self._fetching: set[int] = set()
         self.configuration = Follower(
             store,
             FollowerSettings(
@@ -150,7 +147,7 @@
         for position, follower in enumerate(self.all):
             own = follower.image.version
             lag_s = self._peer_versions.measure_pause(position, own)
-            if _withholds(follower, lag_s):
+            if withholds_news(_describe(follower), lag_s):
                 log_event(
                     'feed call lost',
                     table=follower.settings.table,
@@ -178,7 +175,7 @@
             if not peers.note(position, told=version, own=own):
                 continue
             pause_s = peers.measure_pause(position, own)
-            max_lag_s = _find_max_lag(follower) if is_near else _MAX_LAG_S
+            max_lag_s = find_max_lag(_describe(follower), is_near=is_near)
             if version > own and pause_s >= max_lag_s:
                 peers.note_try(position)
                 await self._fetch_image(peer, position)
@@ -201,13 +198,13 @@
 
     async def _fetch_image(self, peer: HostRecord, position: int) -> None:
         """Fetch a table from a peer, one copy of it at a time."""
-        if position in self._fetched:
+        if position in self._fetching:
             return
-        self._fetched.add(position)
+        self._fetching.add(position)
         try:
             await self._apply_copy(peer, position)
         finally:
-            self._fetched.remove(position)
+            self._fetching.remove(position)
 
     async def _apply_copy(self, peer: HostRecord, position: int) -> None:
         follower = self.all[position]
@@ -228,29 +225,11 @@
         )
 
 
-def _find_max_lag(follower: Follower) -> float:
-    """Return how long a peer may be ahead before it is asked for its copy.
-
-    In seconds. A large answer is not waited for, since a compressed copy is
-    here sooner.
-    """
-    if follower.is_reading_large:
-        return 0
-    if follower.is_failing:
-        return _MAX_LAG_WITHOUT_STORE_S
-    if follower.call.quiet_s > _MAX_CALL_LAG_S:
-        # Not a pause after news: the call withholds them.
-        return _MAX_CALL_LAG_S
-    return _MAX_LAG_S
-
-
-def _withholds(follower: Follower, lag_s: float) -> bool:
-    """Tell whether the call under way withholds a change that peers know.
-
-    One that brings an answer does not, however long that takes.
-
-    :param lag_s: how long they have known it, in seconds.
-    """
-    if follower.is_failing or follower.call.is_receiving:
-        return False
-    return min(lag_s, follower.call.quiet_s) > _MAX_CALL_LAG_S
+def _describe(follower: Follower) -> FeedState:
+    call = follower.call
+    return FeedState(
+        is_failing=follower.is_failing,
+        is_receiving=call.is_receiving,
+        is_reading_large=follower.is_reading_large,
+        quiet_s=call.quiet_s,
+    )
--- a/crocusshunt/front/_outbox.py
+++ b/crocusshunt/front/_outbox.py
@@ -11,11 +11,9 @@
     FleetView,
     Heartbeat,
     HostRecord,
-    LeaseNotice,
     Message,
     RegionSummary,
     encode,
-    split_notice,
     split_status,
 )
 from crocusshunt.logs import log_event
@@ -92,6 +90,4 @@
     """Return the messages of one datagram each that tell a message."""
     if isinstance(message, (Heartbeat, RegionSummary)):
         return split_status(message)
-    if isinstance(message, LeaseNotice):
-        return split_notice(message)
     return (message,)
